--- /dev/null
+++ b/src/eelgrassweir/__init__.py
@@ -0,0 +1,1 @@
+"""Overload control layer for service call graphs."""
--- /dev/null
+++ b/src/eelgrassweir/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission parts."""
--- /dev/null
+++ b/src/eelgrassweir/config/__init__.py
@@ -0,0 +1,1 @@
+"""Config parts."""
--- /dev/null
+++ b/src/eelgrassweir/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""Daemon parts."""
--- /dev/null
+++ b/src/eelgrassweir/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Membership parts."""
--- /dev/null
+++ b/src/eelgrassweir/proto/__init__.py
@@ -0,0 +1,1 @@
+"""Generated messages."""
--- /dev/null
+++ b/src/eelgrassweir/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Requests parts."""
--- /dev/null
+++ b/src/eelgrassweir/retries/__init__.py
@@ -0,0 +1,1 @@
+"""Retries parts."""
--- /dev/null
+++ b/src/eelgrassweir/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Routing parts."""
--- /dev/null
+++ b/src/eelgrassweir/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of a daemon: generated classes and their loader."""
--- /dev/null
+++ b/src/eelgrassweir/settings/loader.py
@@ -0,0 +1,92 @@
+"""Read and check the settings of a daemon."""
+
+import json
+import pathlib
+import re
+from typing import Any
+
+import attrs
+from returns.result import Failure, Result, Success
+
+from eelgrassweir.settings.field import Field
+from eelgrassweir.settings.generated import FIELDS, Settings
+
+
+@attrs.frozen
+class SettingsError:
+    """Name the field that is wrong, its value and what is allowed."""
+
+    field: str
+    value: str
+    allowed: str
+
+    def __str__(self) -> str:
+        return f"settings: {self.field} is {self.value}; allowed: {self.allowed}"
+
+
+def load_settings(path: pathlib.Path) -> Result[Settings, SettingsError]:
+    """Read the settings file at ``path`` and check every field."""
+    try:
+        document = json.loads(path.read_text())
+    except OSError as error:
+        return Failure(SettingsError("file", str(path), f"readable ({error.strerror})"))
+    except ValueError as error:
+        return Failure(SettingsError("file", str(path), f"JSON ({error})"))
+    return check_settings(document)
+
+
+def check_settings(document: Any) -> Result[Settings, SettingsError]:
+    """Check a decoded settings document and return it as ``Settings``."""
+    if not isinstance(document, dict):
+        return Failure(SettingsError("file", _show(document), "one JSON object"))
+    known = {field.name: field for field in FIELDS}
+    for name, value in document.items():
+        if name not in known:
+            allowed = "a known field: " + ", ".join(sorted(known))
+            return Failure(SettingsError(name, "unknown", allowed))
+        problem = _check_value(known[name], value)
+        if problem is not None:
+            return Failure(SettingsError(name, _show(value), problem))
+    for field in FIELDS:
+        if field.required and field.name not in document:
+            return Failure(SettingsError(field.name, "missing", "required"))
+    values = {
+        name: tuple(value) if isinstance(value, list) else value
+        for name, value in document.items()
+    }
+    return Success(Settings(**values))
+
+
+def _show(value: Any) -> str:
+    return json.dumps(value)[:200]
+
+
+def _check_value(field: Field, value: Any) -> str | None:
+    """Return what is allowed, or None if ``value`` is."""
+    if field.kind == "integer":
+        return _check_integer(field, value)
+    if field.kind == "string":
+        return _check_string(field, value)
+    if not isinstance(value, list):
+        return "a list of strings"
+    for item in value:
+        problem = _check_string(field, item)
+        if problem is not None:
+            return f"a list; each item {problem}"
+    return None
+
+
+def _check_integer(field: Field, value: Any) -> str | None:
+    allowed = f"a whole number from {field.minimum} to {field.maximum}"
+    if not isinstance(value, int) or isinstance(value, bool):
+        return allowed
+    assert field.minimum is not None
+    assert field.maximum is not None
+    return None if field.minimum <= value <= field.maximum else allowed
+
+
+def _check_string(field: Field, value: Any) -> str | None:
+    assert field.pattern is not None
+    if isinstance(value, str) and re.match(field.pattern, value):
+        return None
+    return f"a string of the form {field.pattern}"
--- /dev/null
+++ b/src/eelgrassweir/shares/__init__.py
@@ -0,0 +1,1 @@
+"""Shares parts."""
--- /dev/null
+++ b/src/eelgrassweir/store/__init__.py
@@ -0,0 +1,1 @@
+"""Store parts."""
