--- /dev/null
+++ b/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments with real processes."""
--- /dev/null
+++ b/testing/stand_ins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for systems outside the project."""
