--- a/src/eelgrassweir/settings/loader.py
+++ b/src/eelgrassweir/settings/loader.py
@@ -50,7 +50,7 @@
     for field in FIELDS:
         if field.required and field.name not in document:
             return Failure(SettingsError(field.name, "missing", "required"))
-    values = {
+    values: dict[str, Any] = {
         name: tuple(value) if isinstance(value, list) else value
         for name, value in document.items()
     }
