--- /dev/null
+++ b/src/eelgrassweir/daemon/backend.py
@@ -0,0 +1,52 @@
+"""The local backend server, as it announced itself."""
+
+import attrs
+
+from eelgrassweir.clock import Clock
+from eelgrassweir.daemon.http_client import BackendClient
+
+
+@attrs.frozen(kw_only=True)
+class Announcement:
+    """Hold what a backend server says of itself."""
+
+    service: str
+    address: str
+    slots: int
+    is_draining: bool
+
+
+class LocalBackend:
+    """Hold the newest announcement and the client for its address."""
+
+    def __init__(self, *, clock: Clock, ttl_ms: int, body_limit_bytes: int) -> None:
+        self._clock = clock
+        self._ttl_ms = ttl_ms
+        self._body_limit_bytes = body_limit_bytes
+        self._announced_ms = 0.0
+        self.announcement: Announcement | None = None
+        self.client: BackendClient | None = None
+
+    def announce(self, announcement: Announcement) -> None:
+        """Take an announcement; a new address gets new connections."""
+        self._announced_ms = self._clock.now_ms()
+        self.announcement = announcement
+        if self.client is not None and self.client.address == announcement.address:
+            return
+        if self.client is not None:
+            self.client.close()
+        self.client = BackendClient(
+            announcement.address,
+            clock=self._clock,
+            body_limit_bytes=self._body_limit_bytes,
+        )
+
+    def is_present(self) -> bool:
+        """Return whether a backend server announced itself lately."""
+        age_ms = self._clock.now_ms() - self._announced_ms
+        return self.announcement is not None and age_ms <= self._ttl_ms
+
+    def close(self) -> None:
+        """Close the connections to the backend server."""
+        if self.client is not None:
+            self.client.close()
--- /dev/null
+++ b/src/eelgrassweir/daemon/http_client.py
@@ -0,0 +1,229 @@
+"""HTTP/1.1 client for the local backend server, with a pool of connections."""
+
+import asyncio
+import contextlib
+import enum
+
+import attrs
+import httptools
+
+from eelgrassweir.clock import Clock
+from eelgrassweir.daemon.http_message import HttpRequest, HttpResponse, encode_request
+from eelgrassweir.errors import StepError
+
+CONNECT_LIMIT_MS = 1_000
+# A backend server may close an idle connection at any moment. A request that
+# must not be lost to that race takes a connection used this recently.
+REUSE_IDLE_MS = 2_000
+
+
+class Sent(enum.Enum):
+    """Say whether a failed request can have reached the backend server."""
+
+    NOT_SENT = "not_sent"
+    MAYBE_SENT = "maybe_sent"
+
+
+@attrs.frozen
+class ExchangeError(StepError):
+    """Report an exchange without a complete answer."""
+
+    sent: Sent = Sent.MAYBE_SENT
+    is_timeout: bool = False
+
+
+class BackendClient:
+    """Send requests to one backend server over pooled connections."""
+
+    def __init__(self, address: str, *, clock: Clock, body_limit_bytes: int) -> None:
+        self.address = address
+        self._clock = clock
+        self._body_limit_bytes = body_limit_bytes
+        self._idle: list[BackendConnection] = []
+        self._is_closed = False
+
+    async def exchange(self, request: HttpRequest, *, limit_ms: float) -> HttpResponse:
+        """Return the complete answer.
+
+        :raises ExchangeError: without one; ``sent`` says whether the backend
+            server can have seen the request.
+        """
+        connection = self._take_idle()
+        if connection is None:
+            connection = await self._connect(min(limit_ms, CONNECT_LIMIT_MS))
+        is_complete = False
+        try:
+            async with asyncio.timeout(limit_ms / 1e3):
+                response = await connection.exchange(request)
+            is_complete = True
+        except TimeoutError:
+            raise ExchangeError(
+                "backend exchange",
+                self.address,
+                f"no complete answer in {limit_ms:.0f} ms",
+                is_timeout=True,
+            ) from None
+        finally:
+            # After anything but a complete exchange a late answer could be
+            # taken for that of the next request.
+            if is_complete and connection.is_reusable and not self._is_closed:
+                connection.idle_since_ms = self._clock.now_ms()
+                self._idle.append(connection)
+            else:
+                connection.close()
+        return response
+
+    def close(self) -> None:
+        """Close idle connections; exchanges in progress end on their own."""
+        self._is_closed = True
+        for connection in self._idle:
+            connection.close()
+        self._idle.clear()
+
+    def _take_idle(self) -> "BackendConnection | None":
+        oldest_ms = self._clock.now_ms() - REUSE_IDLE_MS
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_open and connection.idle_since_ms >= oldest_ms:
+                return connection
+            connection.close()
+        return None
+
+    async def _connect(self, limit_ms: float) -> "BackendConnection":
+        host, _, port = self.address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(limit_ms / 1e3):
+                _, connection = await loop.create_connection(
+                    lambda: BackendConnection(self.address, self._body_limit_bytes),
+                    host.strip("[]"),
+                    int(port),
+                )
+        except TimeoutError:
+            raise ExchangeError(
+                "backend connect",
+                self.address,
+                f"no connection in {limit_ms:.0f} ms",
+                Sent.NOT_SENT,
+                is_timeout=True,
+            ) from None
+        except OSError as error:
+            raise ExchangeError(
+                "backend connect",
+                self.address,
+                error.strerror or type(error).__name__,
+                Sent.NOT_SENT,
+            ) from None
+        return connection
+
+
+class BackendConnection(asyncio.Protocol):
+    """Carry one exchange at a time."""
+
+    def __init__(self, address: str, body_limit_bytes: int) -> None:
+        self._address = address
+        self._body_limit_bytes = body_limit_bytes
+        self._transport: asyncio.Transport | None = None
+        self._done: asyncio.Future[HttpResponse] | None = None
+        self.idle_since_ms = 0.0
+        self.is_reusable = False
+
+    @property
+    def is_open(self) -> bool:
+        """Return whether the connection can take a request."""
+        return self._transport is not None and not self._transport.is_closing()
+
+    async def exchange(self, request: HttpRequest) -> HttpResponse:
+        """Send a request and return the complete answer."""
+        if self._transport is None or self._transport.is_closing():
+            raise ExchangeError(
+                "backend exchange", self._address, "connection closed", Sent.NOT_SENT
+            )
+        self._done = asyncio.get_running_loop().create_future()
+        self._parser = httptools.HttpResponseParser(self)
+        self._is_head = request.method == "HEAD"
+        self._start_message()
+        self.is_reusable = False
+        self._transport.write(encode_request(request, self._address))
+        return await self._done
+
+    def close(self) -> None:
+        """Close at once; unsent bytes are dropped."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _start_message(self) -> None:
+        self._headers: list[tuple[str, str]] = []
+        self._body = bytearray()
+        self._has_length = False
+
+    # asyncio.Protocol
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Note the transport."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fail an exchange whose answer is not complete."""
+        self._transport = None
+        self._fail("connection closed before the answer was complete")
+
+    def data_received(self, data: bytes) -> None:
+        """Feed the parser."""
+        if self._done is None or self._done.done():
+            # Bytes that nobody asked for: the connection is out of step.
+            self.is_reusable = False
+            self.close()
+            return
+        with contextlib.suppress(asyncio.InvalidStateError):
+            try:
+                self._parser.feed_data(data)
+            except httptools.HttpParserError as error:
+                self._fail(f"not HTTP/1.1 ({type(error).__name__})")
+
+    # httptools callbacks
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a field."""
+        field = name.decode("latin-1")
+        if field.lower() in ("content-length", "transfer-encoding"):
+            self._has_length = True
+        self._headers.append((field, value.decode("latin-1")))
+
+    def on_headers_complete(self) -> None:
+        """End answers without a body."""
+        status = self._parser.get_status_code()
+        if status < 200:
+            return
+        if self._is_head:
+            self._finish(status)
+        elif status not in (204, 304) and not self._has_length:
+            # The end of such a body cannot be told from a broken connection.
+            self._fail("answer without a length")
+
+    def on_body(self, body: bytes) -> None:
+        """Collect the body up to the limit."""
+        self._body += body
+        if len(self._body) > self._body_limit_bytes:
+            self._fail(f"answer above {self._body_limit_bytes} bytes")
+
+    def on_message_complete(self) -> None:
+        """Finish the exchange, unless the message was an interim answer."""
+        status = self._parser.get_status_code()
+        if status < 200:
+            self._start_message()
+            return
+        self._finish(status)
+
+    def _finish(self, status: int) -> None:
+        if self._done is None or self._done.done():
+            return
+        self.is_reusable = self._parser.should_keep_alive() and not self._is_head
+        response = HttpResponse(status, tuple(self._headers), bytes(self._body))
+        self._done.set_result(response)
+
+    def _fail(self, reason: str) -> None:
+        if self._done is not None and not self._done.done():
+            error = ExchangeError("backend exchange", self._address, reason)
+            self._done.set_exception(error)
--- /dev/null
+++ b/src/eelgrassweir/daemon/http_message.py
@@ -0,0 +1,84 @@
+"""HTTP messages on the request path."""
+
+import http
+
+import attrs
+
+Headers = tuple[tuple[str, str], ...]
+
+# Hop-by-hop fields of RFC 9110 section 7.6.1, and the length, set anew.
+HOP_BY_HOP = frozenset(
+    (
+        "connection",
+        "content-length",
+        "expect",
+        "keep-alive",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    )
+)
+
+
+@attrs.frozen
+class HttpRequest:
+    """Hold a complete request."""
+
+    method: str
+    path: str
+    headers: Headers
+    body: bytes
+    peer: str = ""
+
+
+@attrs.frozen
+class HttpResponse:
+    """Hold a complete response."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+def find_header(headers: Headers, name: str) -> str | None:
+    """Return the first value of a field; ``name`` is in lower case."""
+    for field, value in headers:
+        if field.lower() == name:
+            return value
+    return None
+
+
+def encode_response(response: HttpResponse, *, is_head: bool, close: bool) -> bytes:
+    """Return a response as bytes."""
+    try:
+        phrase = http.HTTPStatus(response.status).phrase
+    except ValueError:
+        phrase = ""
+    lines = [f"HTTP/1.1 {response.status} {phrase}"]
+    lines += [
+        f"{name}: {value}"
+        for name, value in response.headers
+        if name.lower() not in HOP_BY_HOP
+    ]
+    if response.status not in (204, 304):
+        lines.append(f"Content-Length: {len(response.body)}")
+    if close:
+        lines.append("Connection: close")
+    head = "\r\n".join(lines).encode("latin-1", "replace") + b"\r\n\r\n"
+    if is_head or response.status in (204, 304):
+        return head
+    return head + response.body
+
+
+def encode_request(request: HttpRequest, host: str) -> bytes:
+    """Return a request as bytes."""
+    lines = [f"{request.method} {request.path} HTTP/1.1", f"Host: {host}"]
+    lines += [
+        f"{name}: {value}"
+        for name, value in request.headers
+        if name.lower() not in HOP_BY_HOP and name.lower() != "host"
+    ]
+    lines.append(f"Content-Length: {len(request.body)}")
+    return "\r\n".join(lines).encode("latin-1", "replace") + b"\r\n\r\n" + request.body
--- /dev/null
+++ b/src/eelgrassweir/daemon/http_server.py
@@ -0,0 +1,240 @@
+"""HTTP/1.1 server on the request path: asyncio with the httptools codec."""
+
+import asyncio
+import collections
+import ssl
+from collections.abc import Awaitable, Callable
+
+import httptools
+
+from eelgrassweir.daemon.http_message import (
+    HttpRequest,
+    HttpResponse,
+    encode_response,
+)
+from eelgrassweir.requests.refusal import Refusal, http_status, to_json
+
+Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
+
+HEAD_LIMIT_BYTES = 32_768
+PIPELINE_LIMIT = 4
+# A connection on which no request has started for this long is closed.
+IDLE_LIMIT_S = 75.0
+# A request whose bytes stop arriving is given up after this long.
+RECEIVE_LIMIT_S = 30.0
+
+
+class HttpServer:
+    """Serve one listener and keep its open connections."""
+
+    def __init__(self, handler: Handler, *, body_limit_bytes: int) -> None:
+        self.handler = handler
+        self.body_limit_bytes = body_limit_bytes
+        self.is_closing = False
+        self._connections: set[HttpConnection] = set()
+        self._server: asyncio.Server | None = None
+
+    async def start(
+        self, host: str, port: int, tls: ssl.SSLContext | None = None
+    ) -> None:
+        """Listen on ``host`` and ``port``."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: HttpConnection(self), host, port, ssl=tls, backlog=1024
+        )
+
+    def begin_close(self) -> None:
+        """Close each connection after its next answer."""
+        self.is_closing = True
+        for connection in list(self._connections):
+            connection.close_if_idle()
+
+    async def stop(self) -> None:
+        """Stop listening and close what is open."""
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self._connections):
+            connection.close()
+
+    def opened(self, connection: "HttpConnection") -> None:
+        """Note an open connection."""
+        self._connections.add(connection)
+
+    def closed(self, connection: "HttpConnection") -> None:
+        """Forget a closed connection."""
+        self._connections.discard(connection)
+
+    @property
+    def connection_count(self) -> int:
+        """Return the number of open connections."""
+        return len(self._connections)
+
+
+class HttpConnection(asyncio.Protocol):
+    """Parse requests of one connection and answer them in order."""
+
+    def __init__(self, server: HttpServer) -> None:
+        self._server = server
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._pending: collections.deque[tuple[HttpRequest, bool]] = collections.deque()
+        self._task: asyncio.Task[None] | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._peer = ""
+        self._reset()
+
+    def _reset(self) -> None:
+        self._path = b""
+        self._headers: list[tuple[str, str]] = []
+        self._head_bytes = 0
+        self._body = bytearray()
+        self._refused = False
+
+    # asyncio.Protocol
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Start to read."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        peer = transport.get_extra_info("peername")
+        self._peer = f"{peer[0]}:{peer[1]}" if peer else ""
+        self._server.opened(self)
+        self._set_timer(IDLE_LIMIT_S)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Cancel the request in progress; its caller is gone."""
+        self._server.closed(self)
+        self._transport = None
+        self._clear_timer()
+        if self._task is not None:
+            self._task.cancel()
+
+    def data_received(self, data: bytes) -> None:
+        """Feed the parser."""
+        if self._refused:
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._refuse("bad_request", "upgrade of the protocol is not served")
+        except httptools.HttpParserError as error:
+            self._refuse("bad_request", f"not HTTP/1.1 ({type(error).__name__})")
+
+    # httptools callbacks
+
+    def on_message_begin(self) -> None:
+        """Start a request."""
+        self._reset()
+        self._set_timer(RECEIVE_LIMIT_S)
+
+    def on_url(self, url: bytes) -> None:
+        """Collect the request target."""
+        self._path += url
+        self._count_head(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a field."""
+        self._count_head(len(name) + len(value))
+        self._headers.append((name.decode("latin-1"), value.decode("latin-1")))
+
+    def on_headers_complete(self) -> None:
+        """Answer ``Expect: 100-continue``."""
+        for name, value in self._headers:
+            if name.lower() == "expect" and value.lower() == "100-continue":
+                self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, body: bytes) -> None:
+        """Collect the body up to the limit."""
+        self._body += body
+        if len(self._body) > self._server.body_limit_bytes:
+            limit = self._server.body_limit_bytes
+            self._refuse("body_too_large", f"body above {limit} bytes")
+
+    def on_message_complete(self) -> None:
+        """Queue the complete request."""
+        if self._refused:
+            return
+        self._clear_timer()
+        request = HttpRequest(
+            method=self._parser.get_method().decode("ascii"),
+            path=self._path.decode("latin-1"),
+            headers=tuple(self._headers),
+            body=bytes(self._body),
+            peer=self._peer,
+        )
+        self._pending.append((request, self._parser.should_keep_alive()))
+        if len(self._pending) >= PIPELINE_LIMIT and self._transport is not None:
+            self._transport.pause_reading()
+        if self._task is None:
+            self._task = asyncio.get_running_loop().create_task(self._serve())
+
+    # Answers
+
+    async def _serve(self) -> None:
+        """Answer queued requests one after the other."""
+        try:
+            while self._pending:
+                request, keep_alive = self._pending.popleft()
+                response = await self._server.handler(request)
+                close = not keep_alive or self._server.is_closing
+                is_head = request.method == "HEAD"
+                self._write(encode_response(response, is_head=is_head, close=close))
+                if close:
+                    self.close()
+                    return
+                if self._transport is not None:
+                    self._transport.resume_reading()
+            self._set_timer(IDLE_LIMIT_S)
+        finally:
+            self._task = None
+
+    def _refuse(self, code: str, reason: str) -> None:
+        self._refused = True
+        refusal = Refusal(
+            code=code, not_run=True, reason=reason, step="receive", peer=self._peer
+        )
+        response = refusal_response(refusal)
+        if self._task is None:
+            self._write(encode_response(response, is_head=False, close=True))
+        self.close()
+
+    def _count_head(self, size_bytes: int) -> None:
+        self._head_bytes += size_bytes
+        if self._head_bytes > HEAD_LIMIT_BYTES and not self._refused:
+            self._refuse("bad_request", f"head above {HEAD_LIMIT_BYTES} bytes")
+
+    def _write(self, data: bytes) -> None:
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write(data)
+
+    def close(self) -> None:
+        """Close the connection after what was written."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def close_if_idle(self) -> None:
+        """Close the connection unless a request is in progress."""
+        if self._task is None and not self._pending:
+            self.close()
+
+    def _set_timer(self, limit_s: float) -> None:
+        self._clear_timer()
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(limit_s, self.close)
+
+    def _clear_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+
+def refusal_response(refusal: Refusal) -> HttpResponse:
+    """Return the HTTP answer of a refusal."""
+    headers = [
+        ("Content-Type", "application/json"),
+        ("Eelgrassweir-Refusal", refusal.code),
+    ]
+    if refusal.retry_after_ms > 0:
+        retry_after_s = -(-refusal.retry_after_ms // 1_000)
+        headers.append(("Retry-After", str(retry_after_s)))
+    return HttpResponse(http_status(refusal.code), tuple(headers), to_json(refusal))
--- /dev/null
+++ b/src/eelgrassweir/daemon/link_client.py
@@ -0,0 +1,262 @@
+"""Calling side of a link: many requests at a time over one connection."""
+
+import asyncio
+import ssl
+
+import attrs
+
+from eelgrassweir.clock import Clock
+from eelgrassweir.daemon.link_frames import FrameProtocol
+from eelgrassweir.errors import StepError
+from eelgrassweir.proto import link_pb2
+
+CONNECT_LIMIT_MS = 1_000
+# A connection without requests for this long is closed; links to targets
+# that an entry seldom calls would otherwise stay open for good.
+IDLE_LIMIT_MS = 60_000
+FRAME_OVERHEAD_BYTES = 131_072
+
+Reply = link_pb2.Response | link_pb2.Refusal
+
+
+@attrs.frozen
+class LinkError(StepError):
+    """Report a call without a reply, and whether the peer can have it."""
+
+    maybe_sent: bool = True
+    is_timeout: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class LinkOptions:
+    """Hold what all links of a daemon share."""
+
+    vm: str
+    incarnation: str
+    ping_ms: int
+    silence_ms: int
+    body_limit_bytes: int
+    tls: ssl.SSLContext | None = None
+
+
+class LinkConnection(FrameProtocol):
+    """Carry requests and match replies by stream id."""
+
+    def __init__(self, address: str, options: LinkOptions, clock: Clock) -> None:
+        super().__init__(options.body_limit_bytes + FRAME_OVERHEAD_BYTES)
+        self._address = address
+        self._options = options
+        self._clock = clock
+        self._streams: dict[int, asyncio.Future[Reply]] = {}
+        self._next_stream_id = 1
+        self._timer: asyncio.TimerHandle | None = None
+        self._last_received_ms = clock.now_ms()
+        self._last_used_ms = self._last_received_ms
+        self.hello: asyncio.Future[link_pb2.Hello] = (
+            asyncio.get_running_loop().create_future()
+        )
+
+    @property
+    def is_open(self) -> bool:
+        """Return whether requests can be sent."""
+        return self.transport is not None and not self.transport.is_closing()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Introduce this daemon."""
+        super().connection_made(transport)
+        hello = link_pb2.Hello(
+            vm=self._options.vm, incarnation=self._options.incarnation
+        )
+        self.send(link_pb2.Frame(hello=hello))
+        self._schedule_ping()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fail all requests in progress."""
+        super().connection_lost(exc)
+        if self._timer is not None:
+            self._timer.cancel()
+        self._fail_all("connection closed")
+
+    def data_received(self, data: bytes) -> None:
+        """Note that the peer is alive and split the frames."""
+        self._last_received_ms = self._clock.now_ms()
+        super().data_received(data)
+
+    def frame_received(self, frame: link_pb2.Frame) -> None:
+        """Hand a reply to the call that waits for it."""
+        kind = frame.WhichOneof("kind")
+        if kind == "response":
+            self._resolve(frame.response.stream_id, frame.response)
+        elif kind == "refusal":
+            self._resolve(frame.refusal.stream_id, frame.refusal)
+        elif kind == "hello" and not self.hello.done():
+            self.hello.set_result(frame.hello)
+
+    async def call(self, request: link_pb2.Request, *, limit_ms: float) -> Reply:
+        """Send a request and return its reply.
+
+        :raises LinkError: without a reply in ``limit_ms``.
+        """
+        if not self._streams:
+            # Silence counts from the first request that waits.
+            self._last_received_ms = self._clock.now_ms()
+        self._last_used_ms = self._clock.now_ms()
+        stream_id = self._next_stream_id
+        self._next_stream_id += 1
+        request.stream_id = stream_id
+        future: asyncio.Future[Reply] = asyncio.get_running_loop().create_future()
+        if not self.send(link_pb2.Frame(request=request)):
+            raise LinkError("link send", self._address, "connection closed", False)
+        self._streams[stream_id] = future
+        is_answered = False
+        try:
+            async with asyncio.timeout(limit_ms / 1e3):
+                reply = await future
+            is_answered = True
+            return reply
+        except TimeoutError:
+            reason = f"no reply in {limit_ms:.0f} ms"
+            raise LinkError(
+                "link call", self._address, reason, is_timeout=True
+            ) from None
+        finally:
+            self._streams.pop(stream_id, None)
+            if not is_answered:
+                cancel = link_pb2.Cancel(stream_id=stream_id)
+                self.send(link_pb2.Frame(cancel=cancel))
+
+    @property
+    def in_flight(self) -> int:
+        """Return the number of requests without a reply."""
+        return len(self._streams)
+
+    def _resolve(self, stream_id: int, reply: Reply) -> None:
+        future = self._streams.get(stream_id)
+        if future is not None and not future.done():
+            future.set_result(reply)
+
+    def _fail_all(self, reason: str) -> None:
+        for future in self._streams.values():
+            if not future.done():
+                future.set_exception(LinkError("link call", self._address, reason))
+        if not self.hello.done():
+            self.hello.set_exception(
+                LinkError("link connect", self._address, reason, False)
+            )
+            self.hello.exception()
+
+    def _schedule_ping(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(self._options.ping_ms / 1e3, self._ping)
+
+    def _ping(self) -> None:
+        """Ping while requests wait; close a silent or unused connection."""
+        now_ms = self._clock.now_ms()
+        if self._streams:
+            if now_ms - self._last_received_ms > self._options.silence_ms:
+                self._fail_all(f"silent for {self._options.silence_ms} ms")
+                self.close()
+                return
+            self.send(link_pb2.Frame(ping=link_pb2.Ping(id=int(now_ms))))
+        elif now_ms - self._last_used_ms > IDLE_LIMIT_MS:
+            self.close()
+            return
+        self._schedule_ping()
+
+
+class LinkPool:
+    """Keep one link to each target daemon that is called."""
+
+    def __init__(self, options: LinkOptions, clock: Clock) -> None:
+        self._options = options
+        self._clock = clock
+        self._links: dict[tuple[str, str], LinkConnection] = {}
+        self._connecting: dict[tuple[str, str], asyncio.Task[LinkConnection]] = {}
+
+    async def call(
+        self,
+        address: str,
+        incarnation: str,
+        request: link_pb2.Request,
+        *,
+        limit_ms: float,
+    ) -> Reply:
+        """Call the daemon at ``address`` if it has this incarnation.
+
+        :raises LinkError: without a reply; ``maybe_sent`` says whether the
+            daemon can have got the request.
+        """
+        started_ms = self._clock.now_ms()
+        link = await self._get(address, incarnation, limit_ms)
+        left_ms = limit_ms - (self._clock.now_ms() - started_ms)
+        return await link.call(request, limit_ms=max(left_ms, 1.0))
+
+    def close(self) -> None:
+        """Close all links."""
+        for task in self._connecting.values():
+            task.cancel()
+        for link in self._links.values():
+            link.close()
+        self._links.clear()
+
+    def state(self) -> dict[str, object]:
+        """Return open links and their requests in flight, for the dump."""
+        return {
+            address: {"incarnation": incarnation, "in_flight_calls": link.in_flight}
+            for (address, incarnation), link in self._links.items()
+            if link.is_open
+        }
+
+    async def _get(
+        self, address: str, incarnation: str, limit_ms: float
+    ) -> LinkConnection:
+        key = (address, incarnation)
+        link = self._links.get(key)
+        if link is not None and link.is_open:
+            return link
+        task = self._connecting.get(key)
+        if task is None:
+            task = asyncio.create_task(self._connect(address, incarnation))
+            self._connecting[key] = task
+            task.add_done_callback(lambda _: self._connecting.pop(key, None))
+        try:
+            async with asyncio.timeout(limit_ms / 1e3):
+                link = await asyncio.shield(task)
+        except TimeoutError:
+            raise LinkError(
+                "link connect",
+                address,
+                f"no link in {limit_ms:.0f} ms",
+                False,
+                is_timeout=True,
+            ) from None
+        self._links[key] = link
+        return link
+
+    async def _connect(self, address: str, incarnation: str) -> LinkConnection:
+        """Open a link and check who answers."""
+        host, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        link = LinkConnection(address, self._options, self._clock)
+        try:
+            async with asyncio.timeout(CONNECT_LIMIT_MS / 1e3):
+                await loop.create_connection(
+                    lambda: link,
+                    host.strip("[]"),
+                    int(port),
+                    ssl=self._options.tls,
+                    server_hostname="" if self._options.tls else None,
+                )
+                hello = await link.hello
+        except TimeoutError:
+            link.close()
+            reason = f"no link in {CONNECT_LIMIT_MS} ms"
+            raise LinkError("link connect", address, reason, False) from None
+        except OSError as error:
+            reason = error.strerror or type(error).__name__
+            raise LinkError("link connect", address, reason, False) from None
+        if hello.incarnation != incarnation:
+            link.close()
+            reason = "another incarnation answers at this address"
+            raise LinkError("link connect", address, reason, False)
+        return link
--- /dev/null
+++ b/src/eelgrassweir/daemon/link_server.py
@@ -0,0 +1,98 @@
+"""Serving side of a link."""
+
+import asyncio
+import ssl
+from collections.abc import Awaitable, Callable
+
+from eelgrassweir.daemon.link_client import FRAME_OVERHEAD_BYTES, LinkOptions, Reply
+from eelgrassweir.daemon.link_frames import FrameProtocol
+from eelgrassweir.proto import link_pb2
+
+RequestHandler = Callable[[link_pb2.Request, str], Awaitable[Reply]]
+
+
+class LinkServer:
+    """Accept links of other daemons."""
+
+    def __init__(self, options: LinkOptions, handler: RequestHandler) -> None:
+        self.options = options
+        self.handler = handler
+        self._server: asyncio.Server | None = None
+        self._sessions: set[LinkSession] = set()
+
+    async def start(
+        self, host: str, port: int, tls: ssl.SSLContext | None = None
+    ) -> None:
+        """Listen on ``host`` and ``port``."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: LinkSession(self), host, port, ssl=tls, backlog=1024
+        )
+
+    async def stop(self) -> None:
+        """Stop listening and close all links."""
+        if self._server is not None:
+            self._server.close()
+        for session in list(self._sessions):
+            session.close()
+
+    def opened(self, session: "LinkSession") -> None:
+        """Note an open link."""
+        self._sessions.add(session)
+
+    def closed(self, session: "LinkSession") -> None:
+        """Forget a closed link."""
+        self._sessions.discard(session)
+
+
+class LinkSession(FrameProtocol):
+    """Run the requests of one link."""
+
+    def __init__(self, server: LinkServer) -> None:
+        super().__init__(server.options.body_limit_bytes + FRAME_OVERHEAD_BYTES)
+        self._server = server
+        self._tasks: dict[int, asyncio.Task[None]] = {}
+        self._peer_vm = ""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Introduce this daemon."""
+        super().connection_made(transport)
+        self._server.opened(self)
+        options = self._server.options
+        hello = link_pb2.Hello(vm=options.vm, incarnation=options.incarnation)
+        self.send(link_pb2.Frame(hello=hello))
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Cancel the requests of this link; nobody waits for them."""
+        super().connection_lost(exc)
+        self._server.closed(self)
+        for task in self._tasks.values():
+            task.cancel()
+
+    def frame_received(self, frame: link_pb2.Frame) -> None:
+        """Start, cancel or answer."""
+        kind = frame.WhichOneof("kind")
+        if kind == "request":
+            self._start(frame.request)
+        elif kind == "cancel":
+            task = self._tasks.get(frame.cancel.stream_id)
+            if task is not None:
+                task.cancel()
+        elif kind == "ping":
+            self.send(link_pb2.Frame(pong=link_pb2.Pong(id=frame.ping.id)))
+        elif kind == "hello":
+            self._peer_vm = frame.hello.vm
+
+    def _start(self, request: link_pb2.Request) -> None:
+        stream_id = request.stream_id
+        task = asyncio.get_running_loop().create_task(self._run(request))
+        self._tasks[stream_id] = task
+        task.add_done_callback(lambda _: self._tasks.pop(stream_id, None))
+
+    async def _run(self, request: link_pb2.Request) -> None:
+        reply = await self._server.handler(request, self._peer_vm)
+        reply.stream_id = request.stream_id
+        if isinstance(reply, link_pb2.Response):
+            self.send(link_pb2.Frame(response=reply))
+        else:
+            self.send(link_pb2.Frame(refusal=reply))
--- /dev/null
+++ b/src/eelgrassweir/daemon/target.py
@@ -0,0 +1,326 @@
+"""Target side of the request path: the daemon beside a backend server."""
+
+import asyncio
+import random
+from typing import Protocol
+
+import attrs
+
+from eelgrassweir.admission.limit import Outcome
+from eelgrassweir.clock import Clock
+from eelgrassweir.daemon.backend import LocalBackend
+from eelgrassweir.daemon.gate import Admission, Gate
+from eelgrassweir.daemon.http_client import ExchangeError, Sent
+from eelgrassweir.daemon.http_message import HttpRequest, HttpResponse
+from eelgrassweir.daemon.metrics import Metrics
+from eelgrassweir.proto import link_pb2
+from eelgrassweir.requests.context import ContextTable, ParentContext
+from eelgrassweir.requests.record import Answer, Record, RecordState, RecordTable
+from eelgrassweir.requests.refusal import Refusal
+from eelgrassweir.requests.ticket import Ticket, parse_ticket
+from eelgrassweir.retries.budget import RetryBudget
+
+PRIORITY_NAMES = ("background", "normal", "critical")
+# An attempt of an idempotent request may be repeated, so a connection that
+# carries no answer is given up before the caller's deadline.
+MIN_ATTEMPT_MS = 20
+
+
+class Drain(Protocol):
+    """Tell whether new root requests are still taken."""
+
+    def refuses_new_work(self) -> bool:
+        """Return whether new root requests are refused."""
+
+
+@attrs.frozen
+class Reply:
+    """Hold the outcome of one call at the target daemon."""
+
+    result: HttpResponse | Refusal
+    retry_budget_left: int
+    accepts_from: int
+
+
+class TargetService:
+    """Queue, limit and run calls on the local backend server."""
+
+    def __init__(
+        self,
+        *,
+        vm: str,
+        incarnation: str,
+        clock: Clock,
+        rng: random.Random,
+        backend: LocalBackend,
+        gate: Gate,
+        records: RecordTable,
+        contexts: ContextTable,
+        drain: Drain,
+        metrics: Metrics,
+    ) -> None:
+        self._vm = vm
+        self._incarnation = incarnation
+        self._clock = clock
+        self._rng = rng
+        self._backend = backend
+        self._gate = gate
+        self._records = records
+        self._contexts = contexts
+        self._drain = drain
+        self._metrics = metrics
+        # Runs of tickets in progress; copies of a request wait on them.
+        self._runs: dict[tuple[str, str], asyncio.Task[Reply]] = {}
+
+    @property
+    def run_count(self) -> int:
+        """Return the number of non-idempotent requests in progress."""
+        return len(self._runs)
+
+    async def handle_frame(
+        self, request: link_pb2.Request, peer: str
+    ) -> link_pb2.Response | link_pb2.Refusal:
+        """Run a call that came over a link and return its reply."""
+        call = HttpRequest(
+            request.method,
+            request.path,
+            tuple((header.name, header.value) for header in request.headers),
+            request.body,
+            peer,
+        )
+        reply = await self.handle(request.context, call, void_only=request.void_only)
+        return encode_reply(reply, self.load(reply.accepts_from))
+
+    async def handle(
+        self, context: link_pb2.CallContext, request: HttpRequest, *, void_only: bool
+    ) -> Reply:
+        """Run a call and return its outcome."""
+        if context.idempotent:
+            return await self._admit_and_run(context, request)
+        return await self._handle_ticketed(context, request, void_only=void_only)
+
+    def load(self, accepts_from: int) -> link_pb2.Load:
+        """Return the load, with the pressure of the daemons below included."""
+        load = self._gate.load()
+        load.accepts_from = link_pb2.Priority.ValueType(
+            max(load.accepts_from, accepts_from)
+        )
+        load.draining = self._drain.refuses_new_work()
+        return load
+
+    # Non-idempotent requests
+
+    async def _handle_ticketed(
+        self, context: link_pb2.CallContext, request: HttpRequest, *, void_only: bool
+    ) -> Reply:
+        ticket = parse_ticket(context.ticket)
+        if ticket is None or (ticket.vm, ticket.incarnation) != (
+            self._vm,
+            self._incarnation,
+        ):
+            reason = "the ticket names another incarnation of its home"
+            return self._no_reply(context, "outcome_unknown", reason, not_run=False)
+        record = self._records.find(context.team, ticket)
+        if record is not None:
+            self._metrics.record_copies.inc()
+            return await self._answer_copy(context, record)
+        now_ms = self._clock.now_ms()
+        if not self._records.is_valid(ticket, now_ms):
+            reason = "the ticket is no longer valid and no record of it is kept"
+            return self._no_reply(context, "ticket_expired", reason, not_run=False)
+        if not self._records.has_room():
+            # Without a record a delayed copy could still run.
+            reason = "the table of records is full"
+            return self._no_reply(context, "outcome_unknown", reason, not_run=False)
+        refusal = self._refusal_before_run(context, void_only)
+        if refusal is not None:
+            self._records.void(context.team, ticket, refusal, now_ms)
+            return Reply(refusal, context.retry_budget, 0)
+        return await self._run_ticketed(context, request, ticket)
+
+    def _refusal_before_run(
+        self, context: link_pb2.CallContext, void_only: bool
+    ) -> Refusal | None:
+        if void_only:
+            return self._refuse("overloaded", "refused by the entry daemon")
+        if self._drain.refuses_new_work() and context.depth == 0:
+            return self._refuse("draining", "this VM is leaving")
+        return None
+
+    async def _run_ticketed(
+        self, context: link_pb2.CallContext, request: HttpRequest, ticket: Ticket
+    ) -> Reply:
+        record = self._records.begin(context.team, ticket, self._clock.now_ms())
+        run = asyncio.create_task(self._run_recorded(context, request, record))
+        self._runs[record.key] = run
+        run.add_done_callback(lambda _: self._runs.pop(record.key, None))
+        # The run goes on when the link or the caller that started it is gone.
+        return await asyncio.shield(run)
+
+    async def _run_recorded(
+        self, context: link_pb2.CallContext, request: HttpRequest, record: Record
+    ) -> Reply:
+        reply = await self._admit_and_run(context, request)
+        if isinstance(reply.result, Refusal):
+            self._records.fail(record, reply.result)
+        else:
+            result = reply.result
+            answer = Answer(result.status, result.headers, result.body)
+            self._records.finish(record, answer)
+        return reply
+
+    async def _answer_copy(
+        self, context: link_pb2.CallContext, record: Record
+    ) -> Reply:
+        """Answer a further copy of a request from its record."""
+        run = self._runs.get(record.key)
+        if run is not None:
+            reply = await asyncio.shield(run)
+            # The budget that the run gave back belongs to its first copy.
+            return Reply(reply.result, 0, reply.accepts_from)
+        if record.state is RecordState.DONE and record.answer is not None:
+            answer = record.answer
+            response = HttpResponse(answer.status, answer.headers, answer.body)
+            return Reply(response, context.retry_budget, 0)
+        if record.refusal is not None:
+            return Reply(record.refusal, context.retry_budget, 0)
+        reason = "ran, answer not kept"
+        return self._no_reply(context, "outcome_unknown", reason, not_run=False)
+
+    # One run
+
+    async def _admit_and_run(
+        self, context: link_pb2.CallContext, request: HttpRequest
+    ) -> Reply:
+        if self._drain.refuses_new_work() and context.depth == 0:
+            return self._no_reply(context, "draining", "this VM is leaving")
+        if not self._backend.is_present():
+            reason = "no backend server announced itself here"
+            return self._no_reply(context, "no_target", reason)
+        deadline_ms = self._clock.now_ms() + context.remaining_ms
+        admission = await self._gate.enter(
+            priority=context.priority,
+            depth=context.depth,
+            remaining_ms=context.remaining_ms,
+        )
+        if isinstance(admission, Refusal):
+            return Reply(admission, context.retry_budget, 0)
+        return await self._run(context, request, admission, deadline_ms)
+
+    async def _run(
+        self,
+        context: link_pb2.CallContext,
+        request: HttpRequest,
+        admission: Admission,
+        deadline_ms: float,
+    ) -> Reply:
+        """Send an admitted call to the backend server."""
+        outcome = Outcome.CANCELLED
+        context_id = f"{self._rng.getrandbits(96):024x}"
+        parent = ParentContext(context, deadline_ms, RetryBudget(context.retry_budget))
+        self._contexts.add(context_id, parent)
+        try:
+            result = await self._exchange(context, request, context_id, deadline_ms)
+            outcome = outcome_of(result)
+            if isinstance(result, ExchangeError):
+                refusal = self._refuse_failed(result)
+                return Reply(refusal, parent.budget.left_calls, parent.accepts_from)
+            return Reply(result, parent.budget.left_calls, parent.accepts_from)
+        finally:
+            self._contexts.remove(context_id)
+            self._gate.leave(admission, outcome)
+
+    async def _exchange(
+        self,
+        context: link_pb2.CallContext,
+        request: HttpRequest,
+        context_id: str,
+        deadline_ms: float,
+    ) -> HttpResponse | ExchangeError:
+        client = self._backend.client
+        assert client is not None
+        remaining_ms = deadline_ms - self._clock.now_ms()
+        headers = request.headers + (
+            ("Eelgrassweir-Context", context_id),
+            ("Eelgrassweir-Deadline-Ms", str(max(int(remaining_ms), 0))),
+            ("Eelgrassweir-Team", context.team),
+            ("Eelgrassweir-Class", PRIORITY_NAMES[context.priority]),
+            ("Eelgrassweir-Request-Id", context.request_id),
+        )
+        if not context.idempotent:
+            headers += (("Idempotency-Key", context.ticket),)
+        outbound = attrs.evolve(request, headers=headers)
+        try:
+            return await client.exchange(
+                outbound, limit_ms=max(remaining_ms, MIN_ATTEMPT_MS)
+            )
+        except ExchangeError as error:
+            return error
+
+    # Refusals
+
+    def _refuse_failed(self, error: ExchangeError) -> Refusal:
+        not_run = error.sent is Sent.NOT_SENT
+        code = "backend_failed"
+        if error.is_timeout:
+            code = "deadline_exceeded"
+        elif not not_run:
+            code = "outcome_unknown"
+        return Refusal(
+            code=code,
+            not_run=not_run,
+            reason=error.reason,
+            step=error.step,
+            peer=self._vm,
+        )
+
+    def _refuse(self, code: str, reason: str, *, not_run: bool = True) -> Refusal:
+        return Refusal(
+            code=code, not_run=not_run, reason=reason, step="target", peer=self._vm
+        )
+
+    def _no_reply(
+        self,
+        context: link_pb2.CallContext,
+        code: str,
+        reason: str,
+        *,
+        not_run: bool = True,
+    ) -> Reply:
+        refusal = self._refuse(code, reason, not_run=not_run)
+        return Reply(refusal, context.retry_budget, 0)
+
+
+def outcome_of(result: HttpResponse | ExchangeError) -> Outcome:
+    """Return what an exchange says of the backend server's load."""
+    if isinstance(result, ExchangeError):
+        return Outcome.TIMEOUT if result.is_timeout else Outcome.FAILED
+    if result.status in (429, 503):
+        return Outcome.REFUSED
+    return Outcome.OK
+
+
+def encode_reply(
+    reply: Reply, load: link_pb2.Load
+) -> link_pb2.Response | link_pb2.Refusal:
+    """Return a reply as a message."""
+    if isinstance(reply.result, Refusal):
+        refusal = reply.result
+        return link_pb2.Refusal(
+            code=refusal.code,
+            not_run=refusal.not_run,
+            reason=refusal.reason,
+            step=refusal.step,
+            peer=refusal.peer,
+            retry_after_ms=refusal.retry_after_ms,
+            retry_budget_left=reply.retry_budget_left,
+            load=load,
+        )
+    response = reply.result
+    return link_pb2.Response(
+        status=response.status,
+        headers=[link_pb2.Header(name=n, value=v) for n, v in response.headers],
+        body=response.body,
+        retry_budget_left=reply.retry_budget_left,
+        load=load,
+    )
--- /dev/null
+++ b/src/eelgrassweir/requests/context.py
@@ -0,0 +1,56 @@
+"""Contexts of the requests that the local backend server works on.
+
+A backend server sees only a random identifier. Team, class, deadline, retry
+budget and depth stay here, so that it can neither change nor renew them.
+"""
+
+import hashlib
+
+import attrs
+
+from eelgrassweir.proto import link_pb2
+from eelgrassweir.requests.ticket import Ticket
+from eelgrassweir.retries.budget import RetryBudget
+
+
+@attrs.define
+class ParentContext:
+    """Hold what child calls of one request inherit."""
+
+    context: link_pb2.CallContext
+    deadline_ms: float
+    budget: RetryBudget
+    accepts_from: int = 0
+    failed_children: set[bytes] = attrs.field(factory=set)
+    child_tickets: dict[bytes, Ticket] = attrs.field(factory=dict)
+
+
+class ContextTable:
+    """Find the request that a child call belongs to."""
+
+    def __init__(self) -> None:
+        self._parents: dict[str, ParentContext] = {}
+
+    def __len__(self) -> int:
+        return len(self._parents)
+
+    def add(self, context_id: str, parent: ParentContext) -> None:
+        """Admit child calls that carry ``context_id``."""
+        self._parents[context_id] = parent
+
+    def find(self, context_id: str) -> ParentContext | None:
+        """Return the request in progress with this identifier."""
+        return self._parents.get(context_id)
+
+    def remove(self, context_id: str) -> None:
+        """End the context; later child calls are refused."""
+        self._parents.pop(context_id, None)
+
+
+def child_digest(method: str, path: str, body: bytes, own_key: str) -> bytes:
+    """Return what identifies a child call among those of one parent."""
+    digest = hashlib.sha256()
+    for part in (method.encode(), path.encode(), own_key.encode(), body):
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
+    return digest.digest()
--- /dev/null
+++ b/src/eelgrassweir/requests/refusal.py
@@ -0,0 +1,52 @@
+"""Refusals: what a caller gets instead of an answer."""
+
+import json
+
+import attrs
+
+STATUS_BY_CODE = {
+    "bad_request": 400,
+    "key_missing": 401,
+    "key_unknown": 401,
+    "route_forbidden": 403,
+    "route_unknown": 404,
+    "context_missing": 409,
+    "context_ended": 409,
+    "ticket_expired": 409,
+    "body_too_large": 413,
+    "ticket_required": 428,
+    "rate_exceeded": 429,
+    "cancelled": 499,
+    "outcome_unknown": 502,
+    "backend_failed": 502,
+    "config_missing": 503,
+    "config_stale": 503,
+    "draining": 503,
+    "no_target": 503,
+    "overloaded": 503,
+    "retry_budget_exhausted": 503,
+    "deadline_exceeded": 504,
+}
+
+
+@attrs.frozen(kw_only=True)
+class Refusal:
+    """Say why a request got no answer and whether it certainly did not run."""
+
+    code: str
+    not_run: bool
+    reason: str
+    step: str
+    peer: str
+    retry_after_ms: int = 0
+    ticket: str = ""
+
+
+def http_status(code: str) -> int:
+    """Return the HTTP status of a refusal code."""
+    return STATUS_BY_CODE[code]
+
+
+def to_json(refusal: Refusal) -> bytes:
+    """Return the body of the HTTP answer."""
+    return json.dumps(attrs.asdict(refusal)).encode()
