--- /dev/null
+++ b/src/eelgrassweir/admission/limit.py
@@ -0,0 +1,167 @@
+"""Adaptive limit of the calls that run at once on one backend server."""
+
+import enum
+import statistics
+
+import attrs
+
+# Load of the backend server shows first in the latency. Below the first ratio
+# to the baseline the limit may grow, above the second one it shrinks.
+HEALTHY_RATIO = 1.4
+SLOW_RATIO = 2.0
+DECREASE_FACTOR = 0.75
+CLIMB_FACTOR = 1.6
+FLOOR_CALLS = 3.0
+# Used until the backend server has announced its slots.
+DEFAULT_CEILING_CALLS = 1000
+START_CALLS = 16.0
+WINDOW_SAMPLES = 8
+WINDOW_MIN_MS = 10.0
+BASELINE_SPAN_MS = 10_000.0
+
+
+class Outcome(enum.Enum):
+    """How a call to the backend server ended."""
+
+    OK = "ok"
+    REFUSED = "refused"
+    TIMEOUT = "timeout"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+
+@attrs.define
+class _Window:
+    """Samples of about one latency."""
+
+    start_ms: float
+    latencies_ms: list[float] = attrs.Factory(list)
+    peak_calls: int = 0
+
+
+class ConcurrencyLimit:
+    """Follow latency, use and refusals with a limit of concurrent calls.
+
+    The limit grows by steps while it is in use and the latency is near the
+    recent minimum, and shrinks by a factor at most once per latency. After a
+    slow spell it climbs by a factor to where it was before.
+    """
+
+    def __init__(self, *, ceiling_calls: int = DEFAULT_CEILING_CALLS) -> None:
+        self._ceiling_calls = float(ceiling_calls)
+        self._limit_calls = min(START_CALLS, self._ceiling_calls)
+        self._climb_to_calls = self._ceiling_calls
+        self._window: _Window | None = None
+        self._baselines: list[tuple[float, float]] = []
+        self._decreased_ms = float("-inf")
+        self._is_slow = False
+
+    @property
+    def limit_calls(self) -> int:
+        """Return the number of calls that may run at once."""
+        return max(1, int(self._limit_calls))
+
+    @property
+    def baseline_ms(self) -> float | None:
+        """Return the lowest recent latency, None without any sample."""
+        if not self._baselines:
+            return None
+        return min(latency_ms for _, latency_ms in self._baselines)
+
+    def set_ceiling(self, slots: int) -> None:
+        """Bound the limit by the announced slots; 0 means not announced."""
+        ceiling_calls = float(slots if slots > 0 else DEFAULT_CEILING_CALLS)
+        if ceiling_calls > self._ceiling_calls:
+            self._climb_to_calls = ceiling_calls
+        self._ceiling_calls = ceiling_calls
+        self._set_limit(self._limit_calls)
+
+    def record(
+        self,
+        *,
+        latency_ms: float,
+        outcome: Outcome,
+        in_flight_calls: int,
+        now_ms: float,
+    ) -> None:
+        """Learn from one call that ended; the latency excludes child calls."""
+        # A call that started before the last decrease says nothing about it.
+        if now_ms - latency_ms < self._decreased_ms:
+            return
+        if outcome in (Outcome.REFUSED, Outcome.TIMEOUT):
+            self._decrease(now_ms)
+            return
+        if not self._is_sample(latency_ms, outcome):
+            return
+        window = self._window
+        if window is None:
+            window = self._window = _Window(start_ms=now_ms - latency_ms)
+        window.latencies_ms.append(latency_ms)
+        window.peak_calls = max(window.peak_calls, in_flight_calls)
+        self._close_window(window, now_ms)
+
+    def _is_sample(self, latency_ms: float, outcome: Outcome) -> bool:
+        if outcome is Outcome.OK:
+            return True
+        # The latency of a cancelled call is a lower bound. It counts when it
+        # is high, else callers that give up early would hide an overload.
+        baseline_ms = self.baseline_ms
+        return (
+            outcome is Outcome.CANCELLED
+            and baseline_ms is not None
+            and latency_ms > SLOW_RATIO * baseline_ms
+        )
+
+    def _close_window(self, window: _Window, now_ms: float) -> None:
+        if len(window.latencies_ms) < WINDOW_SAMPLES:
+            return
+        latency_ms = statistics.median(window.latencies_ms)
+        if now_ms - window.start_ms < max(WINDOW_MIN_MS, latency_ms):
+            return
+        self._window = None
+        self._add_baseline(latency_ms, now_ms)
+        baseline_ms = self.baseline_ms or latency_ms
+        if latency_ms > SLOW_RATIO * baseline_ms:
+            self._slow_window(latency_ms, now_ms)
+            return
+        if latency_ms <= HEALTHY_RATIO * baseline_ms:
+            self._increase(window.peak_calls)
+
+    def _add_baseline(self, latency_ms: float, now_ms: float) -> None:
+        oldest_ms = now_ms - BASELINE_SPAN_MS
+        kept = [b for b in self._baselines if b[0] > oldest_ms and b[1] < latency_ms]
+        self._baselines = [*kept, (now_ms, latency_ms)]
+
+    def _slow_window(self, latency_ms: float, now_ms: float) -> None:
+        if self._limit_calls > self._floor_calls:
+            self._decrease(now_ms)
+            return
+        # With so few calls the latency cannot come from concurrency: the
+        # service itself has become slower.
+        self._baselines = [(now_ms, latency_ms)]
+
+    @property
+    def _floor_calls(self) -> float:
+        return min(FLOOR_CALLS, self._ceiling_calls)
+
+    def _decrease(self, now_ms: float) -> None:
+        if not self._is_slow:
+            self._is_slow = True
+            self._climb_to_calls = self._limit_calls * DECREASE_FACTOR
+        self._decreased_ms = now_ms
+        self._window = None
+        self._set_limit(self._limit_calls * DECREASE_FACTOR)
+
+    def _increase(self, peak_calls: int) -> None:
+        self._is_slow = False
+        if self._limit_calls < self._climb_to_calls:
+            climbed_calls = self._limit_calls * CLIMB_FACTOR
+            self._set_limit(min(climbed_calls, self._climb_to_calls))
+            return
+        if peak_calls * 1.25 >= self._limit_calls:
+            self._set_limit(self._limit_calls + 1.0)
+
+    def _set_limit(self, limit_calls: float) -> None:
+        self._limit_calls = min(
+            self._ceiling_calls, max(self._floor_calls, limit_calls)
+        )
--- /dev/null
+++ b/src/eelgrassweir/admission/queue.py
@@ -0,0 +1,160 @@
+"""Queue of the calls that wait for the backend server."""
+
+import collections
+import math
+from collections.abc import Iterator
+
+import attrs
+
+# A standing queue, not a burst: the wait stayed above the target for the
+# whole interval (the values of CoDel, RFC 8289).
+TARGET_WAIT_MS = 5.0
+INTERVAL_MS = 100.0
+# Falls fast and rises slowly, so it is a low estimate: a wrong drop is worse
+# than a late one.
+FALL_WEIGHT = 0.3
+RISE_WEIGHT = 0.05
+# Without samples the estimate fades. Else one slow spell could make the queue
+# drop every call, and no new sample would ever correct it.
+HALF_LIFE_MS = 500.0
+
+
+@attrs.frozen(kw_only=True, eq=False)
+class QueuedCall:
+    """One waiting call; the token belongs to whoever pushed it."""
+
+    priority: int
+    depth: int
+    deadline_ms: float
+    arrived_ms: float
+    token: object
+
+
+class ServiceTime:
+    """Estimate the recent service time from below."""
+
+    def __init__(self) -> None:
+        self._estimate_ms = 0.0
+        self._sampled_ms = 0.0
+
+    def record(self, service_ms: float, now_ms: float) -> None:
+        """Learn from one call that completed."""
+        estimate_ms = self.estimate_ms(now_ms)
+        weight = FALL_WEIGHT if service_ms < estimate_ms else RISE_WEIGHT
+        self._estimate_ms = estimate_ms + weight * (service_ms - estimate_ms)
+        self._sampled_ms = now_ms
+
+    def estimate_ms(self, now_ms: float) -> float:
+        """Return the estimate, which fades while there are no samples."""
+        age_ms = max(0.0, now_ms - self._sampled_ms)
+        return self._estimate_ms * math.exp2(-age_ms / HALF_LIFE_MS)
+
+
+class CallQueue:
+    """Order waiting calls by priority, depth and age, and drop hopeless ones.
+
+    Within a priority deeper calls go first. Equal ones go newest first while
+    the queue is overloaded, since the oldest are about to miss their
+    deadlines, and oldest first otherwise.
+    """
+
+    def __init__(self, limit: int) -> None:
+        self._limit_calls = limit
+        self._calls: dict[tuple[int, int], collections.deque[QueuedCall]] = {}
+        self._size_calls = 0
+        self._service_time = ServiceTime()
+        self._below_target_ms: float | None = None
+        self._last_wait_ms = 0.0
+
+    def __len__(self) -> int:
+        return self._size_calls
+
+    def __iter__(self) -> Iterator[QueuedCall]:
+        for calls in self._calls.values():
+            yield from calls
+
+    def record_service(self, service_ms: float, now_ms: float) -> None:
+        """Learn the service time of a call that completed."""
+        self._service_time.record(service_ms, now_ms)
+
+    def service_ms(self, now_ms: float) -> float:
+        """Return the recent service time."""
+        return self._service_time.estimate_ms(now_ms)
+
+    def push(self, call: QueuedCall, now_ms: float) -> list[QueuedCall]:
+        """Add a call and return those dropped for it, itself included."""
+        if self.is_hopeless(call, now_ms):
+            return [call]
+        self._update_overload(now_ms)
+        self._insert(call)
+        if self._size_calls <= self._limit_calls:
+            return []
+        dropped = self._remove_hopeless(now_ms)
+        while self._size_calls > self._limit_calls:
+            dropped.append(self._remove_lowest(now_ms))
+        return dropped
+
+    def pop(self, now_ms: float) -> tuple[QueuedCall | None, list[QueuedCall]]:
+        """Return the next call, None if there is none, and those dropped."""
+        self._update_overload(now_ms)
+        dropped: list[QueuedCall] = []
+        while self._size_calls:
+            calls = self._calls[max(self._calls)]
+            call = calls[-1] if self.is_overloaded(now_ms) else calls[0]
+            self.remove(call)
+            if self.is_hopeless(call, now_ms):
+                dropped.append(call)
+                continue
+            self._last_wait_ms = now_ms - call.arrived_ms
+            return call, dropped
+        return None, dropped
+
+    def remove(self, call: QueuedCall) -> bool:
+        """Take out a call whose caller has gone; False if it is not queued."""
+        key = (call.priority, call.depth)
+        calls = self._calls.get(key)
+        if calls is None or call not in calls:
+            return False
+        calls.remove(call)
+        self._size_calls -= 1
+        if not calls:
+            del self._calls[key]
+        return True
+
+    def is_hopeless(self, call: QueuedCall, now_ms: float) -> bool:
+        """Tell whether the call would end after its deadline."""
+        left_ms = call.deadline_ms - now_ms
+        return left_ms <= 0 or left_ms < self.service_ms(now_ms)
+
+    def is_overloaded(self, now_ms: float) -> bool:
+        """Tell whether the wait has been above the target for an interval."""
+        below_ms = self._below_target_ms
+        return below_ms is not None and now_ms - below_ms >= INTERVAL_MS
+
+    def wait_ms(self, now_ms: float) -> float:
+        """Return the wait of the call that left last, 0 for an empty queue."""
+        return self._last_wait_ms if self._size_calls else 0.0
+
+    def _update_overload(self, now_ms: float) -> None:
+        oldest_ms = min(
+            (calls[0].arrived_ms for calls in self._calls.values()), default=now_ms
+        )
+        if now_ms - oldest_ms < TARGET_WAIT_MS or self._below_target_ms is None:
+            self._below_target_ms = now_ms
+
+    def _insert(self, call: QueuedCall) -> None:
+        key = (call.priority, call.depth)
+        self._calls.setdefault(key, collections.deque()).append(call)
+        self._size_calls += 1
+
+    def _remove_hopeless(self, now_ms: float) -> list[QueuedCall]:
+        hopeless = [call for call in self if self.is_hopeless(call, now_ms)]
+        for call in hopeless:
+            self.remove(call)
+        return hopeless
+
+    def _remove_lowest(self, now_ms: float) -> QueuedCall:
+        calls = self._calls[min(self._calls)]
+        call = calls[0] if self.is_overloaded(now_ms) else calls[-1]
+        self.remove(call)
+        return call
--- /dev/null
+++ b/src/eelgrassweir/retries/budget.py
@@ -0,0 +1,87 @@
+"""Bounds on retries: per request tree and per service."""
+
+import collections
+
+import attrs
+
+SPAN_MS = 10_000.0
+BUCKET_MS = 1_000.0
+# Lets a service with little traffic retry at all.
+SPARE_RETRIES = 10
+
+
+class RetryBudget:
+    """Extra attempts that one call and its child calls may still make."""
+
+    def __init__(self, left_calls: int) -> None:
+        self.left_calls = max(0, left_calls)
+        self._lent_calls = 0
+
+    def take(self) -> bool:
+        """Use one extra attempt; False if none is left."""
+        if self.left_calls <= 0:
+            return False
+        self.left_calls -= 1
+        return True
+
+    def split(self) -> int:
+        """Lend half of what is left, rounded down, to a child call."""
+        lent_calls = self.left_calls // 2
+        self.left_calls -= lent_calls
+        self._lent_calls += lent_calls
+        return lent_calls
+
+    def give_back(self, unused: int) -> None:
+        """Take back what a child call did not use, at most what was lent."""
+        returned_calls = min(max(0, unused), self._lent_calls)
+        self._lent_calls -= returned_calls
+        self.left_calls += returned_calls
+
+
+@attrs.define
+class _Bucket:
+    start_ms: float
+    first_calls: int = 0
+    successes: int = 0
+    retries: int = 0
+
+
+class RetryRatio:
+    """Bound the retries to each service to a share of its first attempts.
+
+    Only first attempts with as many successes count, so a service that fails
+    all calls gets no more than the spare retries.
+    """
+
+    def __init__(self, *, percent: int = 10) -> None:
+        self._percent = percent
+        self._services: dict[str, collections.deque[_Bucket]] = {}
+
+    def record_first(self, service: str, now_ms: float) -> None:
+        """Count the first attempt of a call."""
+        self._bucket(service, now_ms).first_calls += 1
+
+    def record_success(self, service: str, now_ms: float) -> None:
+        """Count a call that got its response."""
+        self._bucket(service, now_ms).successes += 1
+
+    def take(self, service: str, now_ms: float) -> bool:
+        """Use one retry; False if the ratio does not allow it."""
+        current = self._bucket(service, now_ms)
+        buckets = self._services[service]
+        first_calls = sum(bucket.first_calls for bucket in buckets)
+        successes = sum(bucket.successes for bucket in buckets)
+        retries = sum(bucket.retries for bucket in buckets)
+        earned = min(first_calls, successes) * self._percent // 100
+        if retries >= earned + SPARE_RETRIES:
+            return False
+        current.retries += 1
+        return True
+
+    def _bucket(self, service: str, now_ms: float) -> _Bucket:
+        buckets = self._services.setdefault(service, collections.deque())
+        while buckets and now_ms - buckets[0].start_ms >= SPAN_MS:
+            buckets.popleft()
+        if not buckets or now_ms - buckets[-1].start_ms >= BUCKET_MS:
+            buckets.append(_Bucket(start_ms=now_ms))
+        return buckets[-1]
--- /dev/null
+++ b/src/eelgrassweir/routing/picker.py
@@ -0,0 +1,130 @@
+"""Choice of the target of a call."""
+
+import math
+import random
+from collections.abc import Sequence
+
+import attrs
+
+from eelgrassweir.proto import control_pb2, link_pb2
+
+# A report ages between calls; after a second little of it is true.
+LOAD_HALF_LIFE_MS = 500.0
+# Load of an unknown target relative to its limit.
+DEFAULT_LIMIT_CALLS = 16
+# The own domain is kept until its load is this much higher, as a share of the
+# limit: a call to another domain costs latency, not capacity.
+OWN_DOMAIN_MARGIN = 0.25
+FIRST_SKIP_MS = 250.0
+LONGEST_SKIP_MS = 8_000.0
+DRAINING_SKIP_MS = 2_000.0
+# A trial call that never ends must not block its target for good.
+TRIAL_LIMIT_MS = 5_000.0
+
+
+@attrs.define
+class _Target:
+    in_flight_calls: int = 0
+    reported_calls: float = 0.0
+    limit_calls: int = 0
+    reported_ms: float = 0.0
+    failures: int = 0
+    skip_until_ms: float = 0.0
+    trial_until_ms: float = 0.0
+
+
+class TargetPicker:
+    """Pick the less loaded of two random targets, own domain first."""
+
+    def __init__(self, random: random.Random) -> None:
+        self._random = random
+        self._targets: dict[str, _Target] = {}
+        self._chosen_ms = 0.0
+
+    def choose(
+        self,
+        members: Sequence[control_pb2.Member],
+        *,
+        own_domain: str,
+        excluded: set[str],
+        now_ms: float,
+    ) -> control_pb2.Member | None:
+        """Return a ready target, None if all are excluded or not ready."""
+        self._chosen_ms = now_ms
+        ready = [
+            member
+            for member in members
+            if member.state == control_pb2.READY and member.vm not in excluded
+        ]
+        usable = [m for m in ready if not self._is_skipped(m.vm, now_ms)] or ready
+        near = [m for m in usable if m.failure_domain == own_domain]
+        far = [m for m in usable if m.failure_domain != own_domain]
+        best_near = self._better_of_two(near, now_ms)
+        best_far = self._better_of_two(far, now_ms)
+        if best_near is None or best_far is None:
+            return best_near or best_far
+        near_load = self._load(best_near, now_ms)
+        if near_load <= self._load(best_far, now_ms) + OWN_DOMAIN_MARGIN:
+            return best_near
+        return best_far
+
+    def record_start(self, vm: str) -> None:
+        """Count a call that was sent to the target."""
+        target = self._target(vm)
+        target.in_flight_calls += 1
+        if target.failures:
+            target.trial_until_ms = self._chosen_ms + TRIAL_LIMIT_MS
+
+    def record_end(self, vm: str) -> None:
+        """Count the end of a call, whatever its outcome."""
+        target = self._target(vm)
+        target.in_flight_calls = max(0, target.in_flight_calls - 1)
+        target.trial_until_ms = 0.0
+
+    def record_load(self, vm: str, load: link_pb2.Load, now_ms: float) -> None:
+        """Take in the load of a response, which also shows that it works."""
+        target = self._target(vm)
+        target.reported_calls = float(load.in_flight + load.queued)
+        target.limit_calls = load.limit
+        target.reported_ms = now_ms
+        target.failures = 0
+        target.skip_until_ms = now_ms + DRAINING_SKIP_MS if load.draining else 0.0
+
+    def record_failure(self, vm: str, now_ms: float) -> None:
+        """Skip a target whose link failed, longer with each failure."""
+        target = self._target(vm)
+        target.trial_until_ms = 0.0
+        # Calls that fail together are one failure.
+        if now_ms < target.skip_until_ms:
+            return
+        target.failures += 1
+        skip_ms = min(LONGEST_SKIP_MS, FIRST_SKIP_MS * 2.0 ** (target.failures - 1))
+        target.skip_until_ms = now_ms + skip_ms * self._random.uniform(0.8, 1.2)
+
+    def _target(self, vm: str) -> _Target:
+        return self._targets.setdefault(vm, _Target())
+
+    def _is_skipped(self, vm: str, now_ms: float) -> bool:
+        target = self._targets.get(vm)
+        if target is None:
+            return False
+        return now_ms < max(target.skip_until_ms, target.trial_until_ms)
+
+    def _better_of_two(
+        self, members: Sequence[control_pb2.Member], now_ms: float
+    ) -> control_pb2.Member | None:
+        if len(members) < 2:
+            return members[0] if members else None
+        first, second = self._random.sample(members, 2)
+        if self._load(second, now_ms) < self._load(first, now_ms):
+            return second
+        return first
+
+    def _load(self, member: control_pb2.Member, now_ms: float) -> float:
+        target = self._targets.get(member.vm)
+        if target is None:
+            return 0.0
+        age_ms = max(0.0, now_ms - target.reported_ms)
+        reported_calls = target.reported_calls * math.exp2(-age_ms / LOAD_HALF_LIFE_MS)
+        limit_calls = target.limit_calls or member.slots or DEFAULT_LIMIT_CALLS
+        return (target.in_flight_calls + reported_calls) / limit_calls
