--- /dev/null
+++ b/src/eelgrassweir/daemon/egress.py
@@ -0,0 +1,193 @@
+"""Egress side of the request path: child calls of the local backend server."""
+
+import json
+import random
+from collections.abc import Callable
+
+import attrs
+
+from eelgrassweir.clock import Clock
+from eelgrassweir.config.document import ConfigDocument, Route, match_route
+from eelgrassweir.daemon.backend import Announcement
+from eelgrassweir.daemon.dispatch import Call, Dispatcher
+from eelgrassweir.daemon.entry import deadline_of
+from eelgrassweir.daemon.http_message import HttpRequest, HttpResponse, find_header
+from eelgrassweir.daemon.http_server import refusal_response
+from eelgrassweir.daemon.metrics import Metrics
+from eelgrassweir.proto import link_pb2
+from eelgrassweir.requests.context import ContextTable, ParentContext, child_digest
+from eelgrassweir.requests.headers import forwarded_headers
+from eelgrassweir.requests.refusal import Refusal
+
+STEP = "egress"
+ANNOUNCE_PATH = "/.eelgrassweir/announce"
+
+
+class EgressService:
+    """Answer child calls and announcements of the local backend server."""
+
+    def __init__(
+        self,
+        *,
+        vm: str,
+        clock: Clock,
+        rng: random.Random,
+        config: Callable[[], ConfigDocument | None],
+        contexts: ContextTable,
+        dispatcher: Dispatcher,
+        metrics: Metrics,
+        announce: Callable[[Announcement], None],
+    ) -> None:
+        self._vm = vm
+        self._clock = clock
+        self._rng = rng
+        self._config = config
+        self._contexts = contexts
+        self._dispatcher = dispatcher
+        self._metrics = metrics
+        self._announce = announce
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answer one request of the local backend server."""
+        if request.path == ANNOUNCE_PATH:
+            return self._answer_announcement(request)
+        parent = self._find_parent(request)
+        if isinstance(parent, Refusal):
+            return self._refused(parent)
+        parent.child_started()
+        try:
+            result = await self._call_child(request, parent)
+        finally:
+            parent.child_ended()
+        if isinstance(result, Refusal):
+            return self._refused(result)
+        return result
+
+    def _answer_announcement(self, request: HttpRequest) -> HttpResponse:
+        announcement = parse_announcement(request.body)
+        if announcement is None:
+            reason = 'the body must be {"service", "address", "slots", "state"}'
+            return self._refused(self._refuse("bad_request", reason))
+        self._announce(announcement)
+        return HttpResponse(204, (), b"")
+
+    def _find_parent(self, request: HttpRequest) -> ParentContext | Refusal:
+        context_id = find_header(request.headers, "eelgrassweir-context")
+        if context_id is None:
+            reason = "a child call needs the Eelgrassweir-Context of its request"
+            return self._refuse("context_missing", reason)
+        parent = self._contexts.find(context_id)
+        if parent is None:
+            return self._refuse("context_ended", "the request of this call has ended")
+        return parent
+
+    async def _call_child(
+        self, request: HttpRequest, parent: ParentContext
+    ) -> HttpResponse | Refusal:
+        config = self._config()
+        if config is None:
+            return self._refuse("config_missing", "no configuration received yet")
+        path = request.path.partition("?")[0]
+        route = match_route(config, request.method, path)
+        if route is None:
+            return self._refuse("route_unknown", "no route matches")
+        own_key = find_header(request.headers, "idempotency-key") or ""
+        digest = child_digest(request.method, request.path, request.body, own_key)
+        if digest in parent.failed_children and not parent.budget.take():
+            reason = "the retry budget of the root request is used up"
+            return self._refuse("retry_budget_exhausted", reason)
+        call = self._make_call(request, parent, route, digest)
+        if isinstance(call, Refusal):
+            return call
+        result = await self._send(call, parent)
+        self._note_outcome(result, parent, digest)
+        return result
+
+    async def _send(
+        self, call: Call, parent: ParentContext
+    ) -> HttpResponse | Refusal:
+        """Send a call whose retries come out of the parent's budget."""
+        result = await self._dispatcher.send(call)
+        parent.accepts_from = max(parent.accepts_from, call.accepts_from)
+        return result
+
+    def _make_call(
+        self,
+        request: HttpRequest,
+        parent: ParentContext,
+        route: Route,
+        digest: bytes,
+    ) -> Call | Refusal:
+        ticket = ""
+        if not route.idempotent:
+            minted = parent.child_tickets.get(digest)
+            is_first = minted is None
+            minted = minted or self._dispatcher.mint(route.service)
+            if minted is None:
+                reason = f"no target of {route.service} is ready"
+                return self._refuse("no_target", reason)
+            parent.child_tickets[digest] = minted
+            ticket = str(minted)
+        else:
+            is_first = False
+        inherited = parent.context
+        context = link_pb2.CallContext(
+            request_id=f"{self._rng.getrandbits(64):016x}",
+            root_id=inherited.root_id,
+            team=inherited.team,
+            route=inherited.route,
+            priority=inherited.priority,
+            depth=inherited.depth + 1,
+            idempotent=route.idempotent,
+            ticket=ticket,
+        )
+        now_ms = self._clock.now_ms()
+        limit_ms = deadline_of(request.headers, parent.deadline_ms - now_ms)
+        return Call(
+            request=attrs.evolve(
+                request, headers=forwarded_headers(request.headers, ())
+            ),
+            context=context,
+            service=route.service,
+            deadline_ms=now_ms + limit_ms,
+            attempt_timeout_ms=route.attempt_timeout_ms,
+            budget=parent.budget,
+            is_only_sender=is_first,
+        )
+
+    def _note_outcome(
+        self, result: HttpResponse | Refusal, parent: ParentContext, digest: bytes
+    ) -> None:
+        """Remember a failed child call; its repetition is a retry."""
+        if isinstance(result, Refusal):
+            parent.failed_children.add(digest)
+            if result.not_run:
+                # The old ticket never runs; a retry gets a new one.
+                parent.child_tickets.pop(digest, None)
+        elif result.status >= 500:
+            parent.failed_children.add(digest)
+
+    def _refused(self, refusal: Refusal) -> HttpResponse:
+        self._metrics.refusals.labels(refusal.code).inc()
+        return refusal_response(refusal)
+
+    def _refuse(self, code: str, reason: str) -> Refusal:
+        return Refusal(code=code, not_run=True, reason=reason, step=STEP, peer=self._vm)
+
+
+def parse_announcement(body: bytes) -> Announcement | None:
+    """Return the announcement in ``body``, or None if it is malformed."""
+    try:
+        document = json.loads(body)
+        announcement = Announcement(
+            service=str(document["service"]),
+            address=str(document["address"]),
+            slots=int(document["slots"]),
+            is_draining=document.get("state", "ready") == "draining",
+        )
+    except (ValueError, KeyError, TypeError, AttributeError):
+        return None
+    _, _, port = announcement.address.rpartition(":")
+    if not announcement.service or not port.isdecimal() or announcement.slots < 1:
+        return None
+    return announcement
--- /dev/null
+++ b/src/eelgrassweir/daemon/entry.py
@@ -0,0 +1,235 @@
+"""Entry side of the request path: calls of callers."""
+
+import random
+from collections.abc import Callable
+
+import attrs
+
+from eelgrassweir.admission.pressure import PressureTable
+from eelgrassweir.clock import Clock
+from eelgrassweir.config.document import (
+    ConfigDocument,
+    Route,
+    match_route,
+    team_of_key,
+)
+from eelgrassweir.daemon.dispatch import Call, Dispatcher
+from eelgrassweir.daemon.http_message import (
+    Headers,
+    HttpRequest,
+    HttpResponse,
+    find_header,
+)
+from eelgrassweir.daemon.http_server import refusal_response
+from eelgrassweir.daemon.metrics import Metrics
+from eelgrassweir.daemon.ticket_page import TICKETS_PATH, answer_tickets
+from eelgrassweir.daemon.tokens import TokenService
+from eelgrassweir.proto import link_pb2
+from eelgrassweir.requests.headers import (
+    all_presented_keys,
+    forwarded_headers,
+    presented_key,
+)
+from eelgrassweir.requests.refusal import Refusal
+from eelgrassweir.requests.ticket import parse_ticket
+from eelgrassweir.retries.budget import RetryBudget
+
+STEP = "entry"
+
+
+@attrs.frozen
+class Identity:
+    """Hold who sent a request and on which route."""
+
+    route: Route
+    team: str
+
+
+class EntryService:
+    """Check, charge and dispatch the requests of callers."""
+
+    def __init__(
+        self,
+        *,
+        vm: str,
+        clock: Clock,
+        rng: random.Random,
+        config: Callable[[], ConfigDocument | None],
+        is_fresh: Callable[[], bool],
+        tokens: TokenService,
+        pressure: PressureTable,
+        dispatcher: Dispatcher,
+        metrics: Metrics,
+        retry_budget_attempts: int,
+    ) -> None:
+        self._vm = vm
+        self._clock = clock
+        self._rng = rng
+        self._config = config
+        self._is_fresh = is_fresh
+        self._tokens = tokens
+        self._pressure = pressure
+        self._dispatcher = dispatcher
+        self._metrics = metrics
+        self._retry_budget_attempts = retry_budget_attempts
+        self.in_flight_calls = 0
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answer one request of a caller."""
+        started_ms = self._clock.now_ms()
+        self.in_flight_calls += 1
+        try:
+            response = await self._answer(request)
+        finally:
+            self.in_flight_calls -= 1
+        self._metrics.latency.observe((self._clock.now_ms() - started_ms) / 1e3)
+        return response
+
+    async def _answer(self, request: HttpRequest) -> HttpResponse:
+        path = request.path.partition("?")[0]
+        if path == TICKETS_PATH:
+            return self._answer_tickets(request)
+        identity = self._identify(request.method, path, request.headers)
+        if isinstance(identity, Refusal):
+            return self._refused(identity)
+        keys = all_presented_keys(request.headers)
+        if self._shows_key(request, keys):
+            reason = "the key stands in the path or the body"
+            return self._refused(self._refuse("bad_request", reason))
+        return await self._dispatch(request, identity, keys)
+
+    async def _dispatch(
+        self, request: HttpRequest, identity: Identity, keys: set[str]
+    ) -> HttpResponse:
+        route = identity.route
+        call = self._make_call(request, identity, keys)
+        if isinstance(call, Refusal):
+            return self._refused(call)
+        refusal = await self._admit(call, identity)
+        result: HttpResponse | Refusal
+        if refusal is None:
+            result = await self._dispatcher.send(call)
+        elif route.idempotent:
+            result = refusal
+        else:
+            result = await self._dispatcher.void(call, refusal)
+        if isinstance(result, Refusal):
+            return self._refused(self._with_ticket(result, route))
+        status_class = f"{result.status // 100}xx"
+        self._metrics.answers.labels(route.name, status_class).inc()
+        return result
+
+    # Checks
+
+    def _identify(
+        self, method: str, path: str, headers: Headers
+    ) -> Identity | Refusal:
+        """Return route and team of a request."""
+        config = self._config()
+        if config is None:
+            return self._refuse("config_missing", "no configuration received yet")
+        route = match_route(config, method, path)
+        if route is None:
+            return self._refuse("route_unknown", "no route matches")
+        key = presented_key(headers)
+        team = team_of_key(config, key) if key is not None else None
+        if team is None and not route.is_open:
+            if key is None:
+                return self._refuse("key_missing", "this route needs a key")
+            return self._refuse("key_unknown", "the key is not valid")
+        if not route.is_open and not self._is_fresh():
+            reason = "this daemon is cut off and cannot tell whether keys changed"
+            return self._refuse("config_stale", reason)
+        return Identity(route, team or "")
+
+    def _shows_key(self, request: HttpRequest, keys: set[str]) -> bool:
+        """Return whether a key would reach the backend server."""
+        return any(
+            key in request.path or key.encode("latin-1") in request.body
+            for key in keys
+        )
+
+    def _make_call(
+        self, request: HttpRequest, identity: Identity, keys: set[str]
+    ) -> Call | Refusal:
+        route = identity.route
+        ticket = ""
+        if not route.idempotent:
+            ticket = find_header(request.headers, "idempotency-key") or ""
+            if not ticket:
+                reason = "send the ticket of this answer as Idempotency-Key"
+                return self._with_ticket(self._refuse("ticket_required", reason), route)
+            if parse_ticket(ticket) is None:
+                reason = "Idempotency-Key is not a ticket of this system"
+                return self._with_ticket(self._refuse("bad_request", reason), route)
+        limit_ms = deadline_of(request.headers, route.deadline_ms)
+        request_id = f"{self._rng.getrandbits(64):016x}"
+        context = link_pb2.CallContext(
+            request_id=request_id,
+            root_id=request_id,
+            team=identity.team,
+            route=route.name,
+            priority=link_pb2.Priority.ValueType(route.priority),
+            idempotent=route.idempotent,
+            ticket=ticket,
+        )
+        headers = forwarded_headers(request.headers, keys)
+        return Call(
+            request=attrs.evolve(request, headers=headers),
+            context=context,
+            service=route.service,
+            deadline_ms=self._clock.now_ms() + limit_ms,
+            attempt_timeout_ms=route.attempt_timeout_ms,
+            budget=RetryBudget(self._retry_budget_attempts),
+        )
+
+    async def _admit(self, call: Call, identity: Identity) -> Refusal | None:
+        """Check pressure and take a token of the team's rate."""
+        route = identity.route
+        now_ms = self._clock.now_ms()
+        if not self._pressure.accepts(
+            route.name, route.service, route.priority, now_ms, self._rng
+        ):
+            reason = f"{route.service} or a service below it refuses this class"
+            return self._refuse("overloaded", reason)
+        if not identity.team:
+            return None
+        decision = await self._tokens.take(identity.team)
+        if not decision.granted:
+            reason = "the team is above its rate and burst"
+            return attrs.evolve(
+                self._refuse("rate_exceeded", reason),
+                retry_after_ms=decision.retry_after_ms,
+            )
+        self._metrics.team_calls.labels(identity.team).inc()
+        return None
+
+    # Answers
+
+    def _answer_tickets(self, request: HttpRequest) -> HttpResponse:
+        result = answer_tickets(request, self._identify, self._dispatcher.mint)
+        if isinstance(result, Refusal):
+            return self._refused(result)
+        return result
+
+    def _with_ticket(self, refusal: Refusal, route: Route) -> Refusal:
+        """Add a fresh ticket to a refusal that did not run."""
+        if route.idempotent or not refusal.not_run:
+            return refusal
+        ticket = self._dispatcher.mint(route.service)
+        return attrs.evolve(refusal, ticket=str(ticket) if ticket else "")
+
+    def _refused(self, refusal: Refusal) -> HttpResponse:
+        self._metrics.refusals.labels(refusal.code).inc()
+        return refusal_response(refusal)
+
+    def _refuse(self, code: str, reason: str) -> Refusal:
+        return Refusal(code=code, not_run=True, reason=reason, step=STEP, peer=self._vm)
+
+
+def deadline_of(headers: Headers, longest_ms: float) -> float:
+    """Return the time that the sender still waits, in ms."""
+    text = find_header(headers, "eelgrassweir-deadline-ms")
+    if text is None or not text.strip().isdecimal():
+        return longest_ms
+    return min(float(text), longest_ms)
--- a/src/eelgrassweir/daemon/target.py
+++ b/src/eelgrassweir/daemon/target.py
@@ -205,6 +205,10 @@
         )
         if isinstance(admission, Refusal):
             return Reply(admission, context.retry_budget, 0)
+        if self._clock.now_ms() >= deadline_ms:
+            # The process was paused while the call was queued.
+            self._gate.leave(admission, Outcome.CANCELLED)
+            return self._no_reply(context, "deadline_exceeded", "queued too long")
         return await self._run(context, request, admission, deadline_ms)
 
     async def _run(
@@ -217,7 +221,13 @@
         """Send an admitted call to the backend server."""
         outcome = Outcome.CANCELLED
         context_id = f"{self._rng.getrandbits(96):024x}"
-        parent = ParentContext(context, deadline_ms, RetryBudget(context.retry_budget))
+        parent = ParentContext(
+            context,
+            deadline_ms,
+            RetryBudget(context.retry_budget),
+            child_started=lambda: self._gate.child_started(admission),
+            child_ended=lambda: self._gate.child_ended(admission),
+        )
         self._contexts.add(context_id, parent)
         try:
             result = await self._exchange(context, request, context_id, deadline_ms)
--- a/src/eelgrassweir/requests/context.py
+++ b/src/eelgrassweir/requests/context.py
@@ -5,6 +5,7 @@
 """
 
 import hashlib
+from collections.abc import Callable
 
 import attrs
 
@@ -20,6 +21,9 @@
     context: link_pb2.CallContext
     deadline_ms: float
     budget: RetryBudget
+    # Called around each child call, whose time is not the parent's own.
+    child_started: Callable[[], None]
+    child_ended: Callable[[], None]
     accepts_from: int = 0
     failed_children: set[bytes] = attrs.field(factory=set)
     child_tickets: dict[bytes, Ticket] = attrs.field(factory=dict)
