--- /dev/null
+++ b/src/eelgrassweir/config/delta.py
@@ -0,0 +1,130 @@
+"""Deltas between two versions of the configuration."""
+
+from collections.abc import Callable, Mapping, Sequence
+from typing import Any, TypeVar
+
+from returns.result import Failure, Result, Success
+
+from eelgrassweir.config.check import (
+    CheckError,
+    check_entries,
+    check_fields,
+    check_list,
+    check_whole,
+    load_json,
+)
+from eelgrassweir.config.document import (
+    KEPT_CHANGE_IDS,
+    MAX_WALL_MS,
+    ConfigDocument,
+    change_ids_of_json,
+    check_document,
+    domains_of_json,
+    encode_json,
+    json_of_document,
+    key_of_json,
+    route_of_json,
+    stop_of_json,
+    team_of_json,
+)
+from eelgrassweir.errors import StepError
+
+SECTIONS = ("teams", "keys", "routes", "stops")
+
+T = TypeVar("T")
+
+
+def make_delta(old: ConfigDocument, new: ConfigDocument) -> bytes:
+    """Return the entries changed and removed from ``old`` to ``new``."""
+    before, after = json_of_document(old), json_of_document(new)
+    delta: dict[str, Any] = {"base": old.version, "version": new.version}
+    for section in SECTIONS:
+        change = _section_delta(before[section], after[section])
+        if change["changed"] or change["removed"]:
+            delta[section] = change
+    if old.failure_domains != new.failure_domains:
+        delta["failure_domains"] = after["failure_domains"]
+    delta["change_ids"] = _ids_delta(old.change_ids, new.change_ids)
+    return encode_json(delta)
+
+
+def _section_delta(
+    before: Mapping[str, Any], after: Mapping[str, Any]
+) -> dict[str, Any]:
+    return {
+        "changed": {
+            name: entry
+            for name, entry in after.items()
+            if name not in before or before[name] != entry
+        },
+        "removed": sorted(before.keys() - after.keys()),
+    }
+
+
+def _ids_delta(old: Sequence[str], new: Sequence[str]) -> dict[str, Any]:
+    """Return how many ids leave at the front and which follow at the end."""
+    dropped = 0
+    while tuple(old[dropped:]) != tuple(new[: len(old) - dropped]):
+        dropped += 1
+    return {"dropped": dropped, "added": list(new[len(old) - dropped :])}
+
+
+def apply_delta(
+    old: ConfigDocument, payload: bytes
+) -> Result[ConfigDocument, StepError]:
+    """Return the document that the delta makes of ``old``, checked."""
+    try:
+        return Success(_apply(old, load_json(payload)))
+    except CheckError as error:
+        return Failure(StepError("apply configuration delta", "document", str(error)))
+
+
+def _apply(old: ConfigDocument, value: Any) -> ConfigDocument:
+    required = ("base", "version", "change_ids")
+    delta = check_fields(value, "delta", required, (*SECTIONS, "failure_domains"))
+    base = check_whole(delta["base"], "base", 0, MAX_WALL_MS)
+    if base != old.version:
+        raise CheckError("base", str(base), f"the version present, {old.version}")
+    routes = {route.name: route for route in old.routes}
+    document = ConfigDocument(
+        version=check_whole(delta["version"], "version", base + 1, MAX_WALL_MS),
+        teams=_merge(old.teams, delta, "teams", team_of_json),
+        keys=_merge(old.keys, delta, "keys", key_of_json),
+        routes=tuple(_merge(routes, delta, "routes", route_of_json).values()),
+        failure_domains=(
+            domains_of_json(delta["failure_domains"])
+            if "failure_domains" in delta
+            else old.failure_domains
+        ),
+        stops=_merge(old.stops, delta, "stops", stop_of_json),
+        change_ids=_merge_ids(old.change_ids, delta["change_ids"]),
+    )
+    check_document(document)
+    return document
+
+
+def _merge(
+    old: Mapping[str, T],
+    delta: Mapping[str, Any],
+    section: str,
+    check: Callable[[str, Any, str], T],
+) -> Mapping[str, T]:
+    if section not in delta:
+        return old
+    change = check_fields(delta[section], section, ("changed", "removed"))
+    changed = check_entries(change["changed"], section, check)
+    removed = check_list(change["removed"], f"{section}.removed")
+    for name in removed:
+        if not isinstance(name, str) or name not in old:
+            allowed = "entries of the version present"
+            raise CheckError(f"{section}.removed", "an unknown entry", allowed)
+    gone = set(removed)
+    kept = {name: entry for name, entry in old.items() if name not in gone}
+    return {**kept, **changed}
+
+
+def _merge_ids(old: Sequence[str], value: Any) -> tuple[str, ...]:
+    found = check_fields(value, "change_ids", ("dropped", "added"))
+    dropped = check_whole(found["dropped"], "change_ids.dropped", 0, KEPT_CHANGE_IDS)
+    added = check_list(found["added"], "change_ids.added")
+    return change_ids_of_json([*old[dropped:], *added])
--- /dev/null
+++ b/testing/config/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of config."""
--- /dev/null
+++ b/testing/store/test_client.py
@@ -0,0 +1,169 @@
+"""Guard against store calls that hang, lie about a write or lose updates."""
+
+import threading
+import time
+from collections.abc import Iterator
+
+import pytest
+from returns.result import Failure, Success
+
+from eelgrassweir.store.client import StoreClient, StoreError, Value
+from testing.stand_ins.store_process import StoreProcess
+
+TIMEOUT_MS = 300
+
+
+@pytest.fixture
+def client(store: StoreProcess) -> Iterator[StoreClient]:
+    client = StoreClient([store.url], timeout_ms=TIMEOUT_MS)
+    yield client
+    client.close()
+
+
+def test_compare_and_swap_refuses_another_revision(client: StoreClient) -> None:
+    first = client.put("a/x", "1", expect_revision=0).unwrap()
+    assert first is not None
+    assert client.put("a/x", "2", expect_revision=0) == Success(None)
+    assert client.delete("a/x", expect_revision=first + 1) == Success(False)
+    assert client.get("a/x") == Success(Value(value="1", revision=first))
+    assert client.list("a/") == Success({"a/x": Value(value="1", revision=first)})
+    assert client.delete("a/x", expect_revision=first) == Success(True)
+    assert client.get("a/x") == Success(None)
+
+
+def test_one_of_many_racing_writes_is_applied(client: StoreClient) -> None:
+    results: list[int | None] = []
+    threads = [
+        threading.Thread(
+            target=lambda: results.append(
+                client.put("race", "v", expect_revision=0).unwrap()
+            )
+        )
+        for _ in range(16)
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    assert len([found for found in results if found is not None]) == 1
+
+
+def test_lapsed_lease_removes_its_keys_and_wakes_a_watch(
+    client: StoreClient, store: StoreProcess
+) -> None:
+    lease_id = client.grant_lease(60_000).unwrap()
+    revision = client.put("l/a", "v", expect_revision=0, lease_id=lease_id).unwrap()
+    assert revision is not None
+    assert client.renew_lease(lease_id) == Success(True)
+    store.faults(end_leases=True)
+    newest = client.watch("l/", after_revision=revision, wait_ms=5_000).unwrap()
+    assert newest > revision
+    assert client.get("l/a") == Success(None)
+    assert client.renew_lease(lease_id) == Success(False)
+    gone = client.put("l/a", "v", expect_revision=0, lease_id=lease_id)
+    assert isinstance(gone, Failure)
+    assert "was not applied" in gone.failure().reason
+
+
+def test_lease_lapses_by_itself(client: StoreClient) -> None:
+    lease_id = client.grant_lease(50).unwrap()
+    assert client.put("l/a", "v", expect_revision=0, lease_id=lease_id).unwrap()
+    revision = client.get("l/a").unwrap()
+    after = 1 if revision is None else revision.revision
+    assert client.watch("l/", after_revision=after, wait_ms=5_000).unwrap() > after
+    assert client.get("l/a") == Success(None)
+
+
+def test_many_waiting_watches_leave_other_calls_fast(
+    client: StoreClient, store: StoreProcess
+) -> None:
+    results: list[int] = []
+    threads = [
+        threading.Thread(
+            target=lambda: results.append(
+                client.watch("w/", after_revision=0, wait_ms=10_000).unwrap()
+            )
+        )
+        for _ in range(100)
+    ]
+    for thread in threads:
+        thread.start()
+    end_s = time.monotonic() + 10
+    while store.counts().get("watch", 0) < 100 and time.monotonic() < end_s:
+        time.sleep(0.01)
+    revision = client.put("w/x", "1", expect_revision=0).unwrap()
+    for thread in threads:
+        thread.join()
+    assert results == [revision] * 100
+
+
+def test_lost_answer_is_reported_as_maybe_applied(
+    client: StoreClient, store: StoreProcess
+) -> None:
+    store.faults(lose_answers=1)
+    error = client.put("k", "v", expect_revision=0).failure()
+    assert isinstance(error, StoreError)
+    assert error.may_be_applied
+    assert "may have been applied" in error.reason
+    found = client.get("k").unwrap()
+    assert found is not None
+    assert found.value == "v"
+
+
+def test_write_that_reached_no_store_is_reported_as_not_applied() -> None:
+    # Port 1 of the loopback address has no listener.
+    client = StoreClient(["http://127.0.0.1:1"], timeout_ms=TIMEOUT_MS)
+    error = client.put("k", "v", expect_revision=0).failure()
+    assert isinstance(error, StoreError)
+    assert not error.may_be_applied
+    assert "was not applied" in error.reason
+
+
+def test_next_url_is_used_and_preferred(store: StoreProcess) -> None:
+    client = StoreClient(["http://127.0.0.1:1", store.url], timeout_ms=TIMEOUT_MS)
+    assert client.put("k", "v", expect_revision=0).unwrap()
+    assert client.get("k").unwrap() is not None
+
+
+def test_silent_connection_ends_in_time_and_a_new_one_works(
+    client: StoreClient, store: StoreProcess
+) -> None:
+    assert client.put("k", "v", expect_revision=0).unwrap()
+    store.faults(silence_connections=True)
+    start_s = time.monotonic()
+    assert isinstance(client.get("k"), Failure)
+    # Ten times the limit allows for a busy machine; a hang would be endless.
+    assert time.monotonic() - start_s < 10 * TIMEOUT_MS / 1000
+    found = client.get("k").unwrap()
+    assert found is not None
+
+
+@pytest.mark.parametrize("down", ["closed", "silent", "error"])
+def test_store_that_is_down_gives_an_error(
+    client: StoreClient, store: StoreProcess, down: str
+) -> None:
+    store.faults(down=down)
+    assert isinstance(client.get("k"), Failure)
+    store.faults(down="")
+    assert client.get("k") == Success(None)
+
+
+def test_stale_read_gives_the_value_before(
+    client: StoreClient, store: StoreProcess
+) -> None:
+    first = client.put("k", "1", expect_revision=0).unwrap()
+    assert first is not None
+    assert client.put("k", "2", expect_revision=first).unwrap()
+    store.faults(stale_reads=1)
+    assert client.get("k") == Success(Value(value="1", revision=first))
+    assert client.get("k").unwrap() != Value(value="1", revision=first)
+
+
+def test_stopped_watch_answers_at_the_end_of_its_wait(
+    client: StoreClient, store: StoreProcess
+) -> None:
+    store.faults(watches_stopped=True)
+    revision = client.put("k", "1", expect_revision=0).unwrap()
+    start_s = time.monotonic()
+    assert client.watch("k", after_revision=0, wait_ms=200) == Success(revision)
+    assert time.monotonic() - start_s >= 0.2
