Add the request path: listeners, links, entry, target and egress

Cause: a request needs one daemon that checks and charges it and one beside the target that limits it and keeps the record of non-idempotent requests. Ruled out: one daemon only, since a target has 360 to 1,500 connections and every entry would need some of them. Not yet wired into a process.

--- a/src/eelgrassweir/daemon/dispatch.py
+++ b/src/eelgrassweir/daemon/dispatch.py
@@ -84,7 +84,7 @@
     # Tickets
 
     def mint(self, service: str) -> Ticket | None:
-        """Return a fresh ticket whose home is a ready target of the service."""
+        """Return a fresh ticket; its home is a ready target of the service."""
         member = self._choose(service, set())
         if member is None:
             return None
@@ -101,6 +101,33 @@
             return result
         return refusal
 
+    async def delegate(
+        self, context: link_pb2.CallContext, request: HttpRequest
+    ) -> Reply:
+        """Run a ticketed call of this home on another target."""
+        own = self._members.get(self._vm)
+        service = own.service if own is not None else ""
+        ticket = self.mint(service)
+        if ticket is None or ticket.vm == self._vm:
+            refusal = self._refuse(
+                "no_target", f"no other target of {service} is ready"
+            )
+            return Reply(refusal, context.retry_budget, 0)
+        delegated = link_pb2.CallContext()
+        delegated.CopyFrom(context)
+        delegated.ticket = str(ticket)
+        call = Call(
+            request=request,
+            context=delegated,
+            service=service,
+            deadline_ms=self._clock.now_ms() + context.remaining_ms,
+            attempt_timeout_ms=context.remaining_ms,
+            budget=RetryBudget(context.retry_budget),
+            is_only_sender=True,
+        )
+        result = await self._ask_home(call, void_only=False)
+        return Reply(result, call.budget.left_calls, call.accepts_from)
+
     # Calls
 
     async def send(self, call: Call) -> HttpResponse | Refusal:
@@ -214,7 +241,9 @@
             load = answer.load
         now_ms = self._clock.now_ms()
         self._picker.record_load(member.vm, load, now_ms)
-        self._pressure.record(call.context.route, call.service, load.accepts_from, now_ms)
+        self._pressure.record(
+            call.context.route, call.service, load.accepts_from, now_ms
+        )
         call.accepts_from = max(call.accepts_from, load.accepts_from)
         return reply
 
@@ -236,10 +265,8 @@
 
     # Non-idempotent calls
 
-    async def _ask_home(
-        self, call: Call, *, void_only: bool
-    ) -> HttpResponse | Refusal:
-        """Send a ticketed call to its home, the only daemon that may run it."""
+    async def _ask_home(self, call: Call, *, void_only: bool) -> HttpResponse | Refusal:
+        """Send a ticketed call to the only daemon that may run it."""
         ticket = parse_ticket(call.context.ticket)
         assert ticket is not None
         member = self._members.get(ticket.vm)
--- a/src/eelgrassweir/daemon/egress.py
+++ b/src/eelgrassweir/daemon/egress.py
@@ -103,9 +103,7 @@
         self._note_outcome(result, parent, digest)
         return result
 
-    async def _send(
-        self, call: Call, parent: ParentContext
-    ) -> HttpResponse | Refusal:
+    async def _send(self, call: Call, parent: ParentContext) -> HttpResponse | Refusal:
         """Send a call whose retries come out of the parent's budget."""
         result = await self._dispatcher.send(call)
         parent.accepts_from = max(parent.accepts_from, call.accepts_from)
--- a/src/eelgrassweir/daemon/entry.py
+++ b/src/eelgrassweir/daemon/entry.py
@@ -121,9 +121,7 @@
 
     # Checks
 
-    def _identify(
-        self, method: str, path: str, headers: Headers
-    ) -> Identity | Refusal:
+    def _identify(self, method: str, path: str, headers: Headers) -> Identity | Refusal:
         """Return route and team of a request."""
         config = self._config()
         if config is None:
@@ -145,8 +143,7 @@
     def _shows_key(self, request: HttpRequest, keys: set[str]) -> bool:
         """Return whether a key would reach the backend server."""
         return any(
-            key in request.path or key.encode("latin-1") in request.body
-            for key in keys
+            key in request.path or key.encode("latin-1") in request.body for key in keys
         )
 
     def _make_call(
--- a/src/eelgrassweir/daemon/http_server.py
+++ b/src/eelgrassweir/daemon/http_server.py
@@ -49,6 +49,12 @@
         for connection in list(self._connections):
             connection.close_if_idle()
 
+    @property
+    def port(self) -> int:
+        """Return the port of the listener; the settings may leave it open."""
+        assert self._server is not None
+        return int(self._server.sockets[0].getsockname()[1])
+
     async def stop(self) -> None:
         """Stop listening and close what is open."""
         if self._server is not None:
--- a/src/eelgrassweir/daemon/link_server.py
+++ b/src/eelgrassweir/daemon/link_server.py
@@ -29,6 +29,12 @@
             lambda: LinkSession(self), host, port, ssl=tls, backlog=1024
         )
 
+    @property
+    def port(self) -> int:
+        """Return the port of the listener; the settings may leave it open."""
+        assert self._server is not None
+        return int(self._server.sockets[0].getsockname()[1])
+
     async def stop(self) -> None:
         """Stop listening and close all links."""
         if self._server is not None:
--- /dev/null
+++ b/src/eelgrassweir/daemon/request_path.py
@@ -0,0 +1,180 @@
+"""Assembly of the request path: listeners, links and services."""
+
+import random
+from collections.abc import Callable
+
+import attrs
+
+from eelgrassweir.admission.pressure import PressureTable
+from eelgrassweir.clock import Clock
+from eelgrassweir.config.document import ConfigDocument
+from eelgrassweir.daemon.address import split_address
+from eelgrassweir.daemon.backend import Announcement, LocalBackend
+from eelgrassweir.daemon.dispatch import Dispatcher
+from eelgrassweir.daemon.drain import DrainState
+from eelgrassweir.daemon.egress import EgressService
+from eelgrassweir.daemon.entry import EntryService
+from eelgrassweir.daemon.gate import Gate
+from eelgrassweir.daemon.http_server import HttpServer
+from eelgrassweir.daemon.identity import Identity
+from eelgrassweir.daemon.link_client import LinkOptions, LinkPool
+from eelgrassweir.daemon.link_server import LinkServer
+from eelgrassweir.daemon.metrics import Metrics
+from eelgrassweir.daemon.target import TargetService
+from eelgrassweir.daemon.tokens import TokenService
+from eelgrassweir.membership.table import MemberTable
+from eelgrassweir.requests.context import ContextTable
+from eelgrassweir.requests.record import RecordTable
+from eelgrassweir.retries.budget import RetryRatio
+from eelgrassweir.routing.picker import TargetPicker
+from eelgrassweir.settings.generated import Settings
+
+
+@attrs.frozen(kw_only=True)
+class Surroundings:
+    """Hold what the request path needs from the rest of the daemon."""
+
+    config: Callable[[], ConfigDocument | None]
+    is_fresh: Callable[[], bool]
+    members: MemberTable
+    tokens: TokenService
+    announce: Callable[[Announcement], None]
+
+
+class RequestPath:
+    """Own the listeners, links and services that carry requests."""
+
+    def __init__(
+        self,
+        *,
+        settings: Settings,
+        identity: Identity,
+        clock: Clock,
+        rng: random.Random,
+        metrics: Metrics,
+        drain: DrainState,
+        surroundings: Surroundings,
+    ) -> None:
+        self._settings = settings
+        self._drain = drain
+        # Identifiers must differ between daemons and runs, whatever the seed.
+        unique = random.SystemRandom()
+        options = LinkOptions(
+            vm=identity.vm,
+            incarnation=identity.incarnation,
+            ping_ms=settings.link_ping_ms,
+            silence_ms=settings.link_silence_ms,
+            body_limit_bytes=settings.max_body_bytes,
+        )
+        self.backend = LocalBackend(
+            clock=clock,
+            ttl_ms=settings.announce_ttl_ms,
+            body_limit_bytes=settings.max_body_bytes,
+        )
+        self.gate = Gate(clock, identity.vm, settings.queue_limit_calls, rng)
+        self.contexts = ContextTable()
+        self.records = RecordTable(
+            started_ms=identity.started_ms,
+            started_wall_ms=identity.started_wall_ms,
+            ticket_life_ms=settings.ticket_life_ms,
+            answer_limit_bytes=settings.record_body_bytes,
+            total_limit_bytes=settings.record_total_bytes,
+        )
+        self.target = TargetService(
+            vm=identity.vm,
+            incarnation=identity.incarnation,
+            clock=clock,
+            rng=unique,
+            backend=self.backend,
+            gate=self.gate,
+            records=self.records,
+            contexts=self.contexts,
+            drain=drain,
+            metrics=metrics,
+        )
+        self.links = LinkPool(options, clock)
+        pressure = PressureTable(ttl_ms=settings.pressure_ttl_ms)
+        dispatcher = Dispatcher(
+            vm=identity.vm,
+            incarnation=identity.incarnation,
+            failure_domain=settings.failure_domain,
+            clock=clock,
+            rng=unique,
+            members=surroundings.members,
+            picker=TargetPicker(rng),
+            pressure=pressure,
+            ratio=RetryRatio(percent=settings.ratio_retry_percent),
+            links=self.links,
+            target=self.target,
+            metrics=metrics,
+            ticket_life_ms=settings.ticket_life_ms,
+            is_draining=lambda: drain.is_draining,
+        )
+        self.target.set_delegate(dispatcher.delegate)
+        self.entry = EntryService(
+            vm=identity.vm,
+            clock=clock,
+            rng=unique,
+            config=surroundings.config,
+            is_fresh=surroundings.is_fresh,
+            tokens=surroundings.tokens,
+            pressure=pressure,
+            dispatcher=dispatcher,
+            metrics=metrics,
+            retry_budget_attempts=settings.retry_budget_attempts,
+        )
+        self.egress = EgressService(
+            vm=identity.vm,
+            clock=clock,
+            rng=unique,
+            config=surroundings.config,
+            contexts=self.contexts,
+            dispatcher=dispatcher,
+            metrics=metrics,
+            announce=surroundings.announce,
+        )
+        body_limit_bytes = settings.max_body_bytes
+        self.ingress_server = HttpServer(
+            self.entry.handle, body_limit_bytes=body_limit_bytes
+        )
+        self.egress_server = HttpServer(
+            self.egress.handle, body_limit_bytes=body_limit_bytes
+        )
+        self.link_server = LinkServer(options, self.target.handle_frame)
+
+    async def start(self) -> None:
+        """Open the listeners."""
+        settings = self._settings
+        await self.egress_server.start(*split_address(settings.egress_address))
+        await self.link_server.start(*split_address(settings.link_address))
+        await self.ingress_server.start(*split_address(settings.ingress_address))
+
+    async def stop(self) -> None:
+        """Close listeners, links and connections."""
+        await self.ingress_server.stop()
+        await self.link_server.stop()
+        await self.egress_server.stop()
+        self.links.close()
+        self.backend.close()
+
+    def in_flight_calls(self) -> int:
+        """Return the number of requests that the daemon still works on."""
+        running = max(len(self.contexts), self.target.run_count)
+        return self.entry.in_flight_calls + running
+
+    def state(self) -> dict[str, object]:
+        """Return the state for the dump."""
+        announcement = self.backend.announcement
+        return {
+            "backend": attrs.asdict(announcement) if announcement else None,
+            "backend_is_present": self.backend.is_present(),
+            "gate": self.gate.state(),
+            "records": self.records.counts(),
+            "contexts": len(self.contexts),
+            "runs": self.target.run_count,
+            "entry_in_flight_calls": self.entry.in_flight_calls,
+            "caller_connections": self.ingress_server.connection_count,
+            "links": self.links.state(),
+            "draining": self._drain.reasons,
+            "refuses_new_work": self._drain.refuses_new_work(),
+        }
--- a/src/eelgrassweir/daemon/target.py
+++ b/src/eelgrassweir/daemon/target.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Awaitable, Callable
 from typing import Protocol
 
 import attrs
@@ -26,6 +27,9 @@
 MIN_ATTEMPT_MS = 20
 
 
+Delegate = Callable[[link_pb2.CallContext, HttpRequest], Awaitable["Reply"]]
+
+
 class Drain(Protocol):
     """Tell whether new root requests are still taken."""
 
@@ -69,9 +73,14 @@
         self._contexts = contexts
         self._drain = drain
         self._metrics = metrics
+        self._delegate: Delegate | None = None
         # Runs of tickets in progress; copies of a request wait on them.
         self._runs: dict[tuple[str, str], asyncio.Task[Reply]] = {}
 
+    def set_delegate(self, delegate: "Delegate") -> None:
+        """Set what runs a ticketed call that this VM cannot take any more."""
+        self._delegate = delegate
+
     @property
     def run_count(self) -> int:
         """Return the number of non-idempotent requests in progress."""
@@ -143,8 +152,6 @@
     ) -> Refusal | None:
         if void_only:
             return self._refuse("overloaded", "refused by the entry daemon")
-        if self._drain.refuses_new_work() and context.depth == 0:
-            return self._refuse("draining", "this VM is leaving")
         return None
 
     async def _run_ticketed(
@@ -161,6 +168,10 @@
         self, context: link_pb2.CallContext, request: HttpRequest, record: Record
     ) -> Reply:
         reply = await self._admit_and_run(context, request)
+        if self._delegate is not None and was_not_taken(reply):
+            # The ticket stays bound to this home; the call runs elsewhere
+            # under a ticket of its own.
+            reply = await self._delegate(context, request)
         if isinstance(reply.result, Refusal):
             self._records.fail(record, reply.result)
         else:
@@ -192,7 +203,7 @@
     async def _admit_and_run(
         self, context: link_pb2.CallContext, request: HttpRequest
     ) -> Reply:
-        if self._drain.refuses_new_work() and context.depth == 0:
+        if self._drain.refuses_new_work():
             return self._no_reply(context, "draining", "this VM is leaving")
         if not self._backend.is_present():
             reason = "no backend server announced itself here"
@@ -301,6 +312,14 @@
         return Reply(refusal, context.retry_budget, 0)
 
 
+def was_not_taken(reply: Reply) -> bool:
+    """Return whether this VM refused a call that another could take."""
+    result = reply.result
+    if not isinstance(result, Refusal) or not result.not_run:
+        return False
+    return result.code in ("draining", "no_target", "backend_failed")
+
+
 def outcome_of(result: HttpResponse | ExchangeError) -> Outcome:
     """Return what an exchange says of the backend server's load."""
     if isinstance(result, ExchangeError):
--- a/src/eelgrassweir/settings/generated.py
+++ b/src/eelgrassweir/settings/generated.py
@@ -37,6 +37,7 @@
     link_silence_ms: int = 750
     max_body_bytes: int = 1048576
     record_body_bytes: int = 65536
+    record_total_bytes: int = 4194304
     ticket_life_ms: int = 300000
     retry_budget_attempts: int = 3
     queue_limit_calls: int = 200
@@ -213,6 +214,13 @@
         minimum=0,
         maximum=1048576,
     ),
+    Field(
+        name="record_total_bytes",
+        kind="integer",
+        required=False,
+        minimum=0,
+        maximum=67108864,
+    ),
     Field(
         name="ticket_life_ms",
         kind="integer",
--- /dev/null
+++ b/testing/daemon/test_http.py
@@ -0,0 +1,193 @@
+"""Guard against answers that are cut short, crossed or late."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from eelgrassweir.clock import Clock
+from eelgrassweir.daemon.http_client import BackendClient, ExchangeError, Sent
+from eelgrassweir.daemon.http_message import HttpRequest, HttpResponse
+from eelgrassweir.daemon.http_server import HttpServer
+
+Script = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+GET = HttpRequest("GET", "/", (), b"")
+HEAD_OF_10 = b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n"
+
+
+async def serve(script: Script) -> tuple[asyncio.Server, BackendClient]:
+    """Start a server that runs ``script`` on each connection."""
+    server = await asyncio.start_server(script, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    client = BackendClient(f"{host}:{port}", clock=Clock(), body_limit_bytes=1_000)
+    return server, client
+
+
+async def exchange_with(answer: bytes) -> HttpResponse:
+    """Return what the client makes of ``answer`` and the end of the stream."""
+
+    async def script(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(answer)
+        writer.close()
+
+    server, client = await serve(script)
+    async with server:
+        return await client.exchange(GET, limit_ms=2_000)
+
+
+def test_whole_answer_is_returned() -> None:
+    response = asyncio.run(exchange_with(HEAD_OF_10 + b"0123456789"))
+    assert response.body == b"0123456789"
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"",
+        b"HTTP/1.1 200 OK\r\nContent-Le",
+        HEAD_OF_10 + b"01234",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n01234\r\n",
+        b"HTTP/1.1 200 OK\r\n\r\nno length",
+        b"not HTTP at all\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n" + b"x" * 2_000,
+    ],
+)
+def test_answer_that_is_not_whole_is_an_error(answer: bytes) -> None:
+    with pytest.raises(ExchangeError) as caught:
+        asyncio.run(exchange_with(answer))
+    assert caught.value.sent is Sent.MAYBE_SENT
+
+
+def test_late_answer_is_not_taken_for_the_next_request() -> None:
+    async def script(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        while True:
+            head = await reader.readuntil(b"\r\n\r\n")
+            path = head.split()[1]
+            if path == b"/late":
+                await asyncio.sleep(0.15)
+            body = path.rjust(10)
+            writer.write(HEAD_OF_10 + body)
+
+    async def scenario() -> None:
+        server, client = await serve(script)
+        async with server:
+            with pytest.raises(ExchangeError):
+                await client.exchange(HttpRequest("GET", "/late", (), b""), limit_ms=30)
+            for number in range(20):
+                path = f"/{number}"
+                request = HttpRequest("GET", path, (), b"")
+                response = await client.exchange(request, limit_ms=2_000)
+                assert response.body.strip() == path.encode()
+                await asyncio.sleep(0.01)
+
+    asyncio.run(scenario())
+
+
+def test_second_answer_to_one_request_is_dropped() -> None:
+    async def script(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        while True:
+            head = await reader.readuntil(b"\r\n\r\n")
+            body = head.split()[1].rjust(10)
+            writer.write((HEAD_OF_10 + body) * 2)
+
+    async def scenario() -> None:
+        server, client = await serve(script)
+        async with server:
+            for number in range(20):
+                path = f"/{number}"
+                request = HttpRequest("GET", path, (), b"")
+                response = await client.exchange(request, limit_ms=2_000)
+                assert response.body.strip() == path.encode()
+
+    asyncio.run(scenario())
+
+
+def test_connection_refused_is_certainly_not_sent() -> None:
+    async def scenario() -> None:
+        async def script(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            writer.close()
+
+        server, client = await serve(script)
+        server.close()
+        await server.wait_closed()
+        with pytest.raises(ExchangeError) as caught:
+            await client.exchange(GET, limit_ms=1_000)
+        assert caught.value.sent is Sent.NOT_SENT
+
+    asyncio.run(scenario())
+
+
+async def raw_exchange(data: bytes, body_limit_bytes: int = 1_000) -> bytes:
+    """Send ``data`` to a server that echoes bodies; return all its bytes."""
+
+    async def handler(request: HttpRequest) -> HttpResponse:
+        return HttpResponse(200, (), request.path.encode() + request.body)
+
+    server = HttpServer(handler, body_limit_bytes=body_limit_bytes)
+    await server.start("127.0.0.1", 0)
+    assert server.port
+    reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+    writer.write(data)
+    answer = await asyncio.wait_for(reader.read(), 5)
+    await server.stop()
+    return answer
+
+
+def test_pipelined_requests_are_answered_in_order() -> None:
+    data = b"GET /1 HTTP/1.1\r\n\r\n" * 9
+    data += b"GET /2 HTTP/1.1\r\nConnection: close\r\n\r\n"
+    answer = asyncio.run(raw_exchange(data))
+    assert answer.count(b"HTTP/1.1 200") == 10
+    assert answer.endswith(b"/2")
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"nonsense\r\n\r\n", b" 400 "),
+        (b"POST / HTTP/1.1\r\nContent-Length: 2000\r\n\r\n" + b"x" * 2_000, b" 413 "),
+        (b"GET / HTTP/1.1\r\nA: " + b"x" * 40_000 + b"\r\n\r\n", b" 400 "),
+        (
+            b"POST / HTTP/1.1\r\nContent-Length: 1\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            b" 400 ",
+        ),
+    ],
+)
+def test_request_that_cannot_be_served_is_refused(data: bytes, status: bytes) -> None:
+    assert status in asyncio.run(raw_exchange(data)).split(b"\r\n")[0]
+
+
+def test_caller_that_leaves_cancels_its_request() -> None:
+    async def scenario() -> None:
+        cancelled = asyncio.Event()
+        started = asyncio.Event()
+
+        async def handler(request: HttpRequest) -> HttpResponse:
+            started.set()
+            try:
+                await asyncio.sleep(30)
+            except asyncio.CancelledError:
+                cancelled.set()
+                raise
+            return HttpResponse(200, (), b"")
+
+        server = HttpServer(handler, body_limit_bytes=1_000)
+        await server.start("127.0.0.1", 0)
+        _, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        writer.write(b"GET / HTTP/1.1\r\n\r\n")
+        await asyncio.wait_for(started.wait(), 5)
+        writer.close()
+        await asyncio.wait_for(cancelled.wait(), 5)
+        await server.stop()
+
+    asyncio.run(scenario())
--- /dev/null
+++ b/testing/daemon/test_link.py
@@ -0,0 +1,147 @@
+"""Guard against replies that are lost, crossed or of another incarnation."""
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+
+import pytest
+
+from eelgrassweir.clock import Clock
+from eelgrassweir.daemon.link_client import LinkError, LinkOptions, LinkPool, Reply
+from eelgrassweir.daemon.link_server import LinkServer
+from eelgrassweir.proto import link_pb2
+
+OPTIONS = LinkOptions(
+    vm="a", incarnation="1", ping_ms=20, silence_ms=100, body_limit_bytes=10_000
+)
+
+
+async def echo(request: link_pb2.Request, peer: str) -> Reply:
+    """Answer with the path, later requests sooner."""
+    await asyncio.sleep(int(request.path) / 1e3)
+    return link_pb2.Response(status=200, body=request.path.encode())
+
+
+@asynccontextmanager
+async def link_pair(
+    handler: Callable[[link_pb2.Request, str], Awaitable[Reply]] = echo,
+) -> AsyncIterator[tuple[LinkPool, str]]:
+    """Start a serving side and a pool that calls it."""
+    server = LinkServer(OPTIONS, handler)
+    await server.start("127.0.0.1", 0)
+    pool = LinkPool(OPTIONS, Clock())
+    try:
+        yield pool, f"127.0.0.1:{server.port}"
+    finally:
+        pool.close()
+        await server.stop()
+
+
+def test_each_call_gets_its_own_reply() -> None:
+    async def scenario() -> None:
+        async with link_pair() as (pool, address):
+
+            async def call(delay_ms: int) -> None:
+                request = link_pb2.Request(path=str(delay_ms))
+                reply = await pool.call(address, "1", request, limit_ms=5_000)
+                assert isinstance(reply, link_pb2.Response)
+                assert reply.body == str(delay_ms).encode()
+
+            await asyncio.gather(*(call(50 - delay_ms) for delay_ms in range(50)))
+
+    asyncio.run(scenario())
+
+
+def test_late_reply_is_not_given_to_a_later_call() -> None:
+    async def scenario() -> None:
+        async with link_pair() as (pool, address):
+            with pytest.raises(LinkError) as caught:
+                request = link_pb2.Request(path="60")
+                await pool.call(address, "1", request, limit_ms=20)
+            assert caught.value.is_timeout
+            for _ in range(10):
+                request = link_pb2.Request(path="10")
+                reply = await pool.call(address, "1", request, limit_ms=5_000)
+                assert isinstance(reply, link_pb2.Response)
+                assert reply.body == b"10"
+
+    asyncio.run(scenario())
+
+
+def test_another_incarnation_gets_no_request() -> None:
+    async def scenario() -> None:
+        async with link_pair() as (pool, address):
+            with pytest.raises(LinkError) as caught:
+                request = link_pb2.Request(path="0")
+                await pool.call(address, "2", request, limit_ms=5_000)
+            assert not caught.value.maybe_sent
+
+    asyncio.run(scenario())
+
+
+def test_cancelled_call_is_cancelled_at_the_peer() -> None:
+    async def scenario() -> None:
+        cancelled = asyncio.Event()
+
+        async def handler(request: link_pb2.Request, peer: str) -> Reply:
+            try:
+                await asyncio.sleep(30)
+            except asyncio.CancelledError:
+                cancelled.set()
+                raise
+            return link_pb2.Response()
+
+        async with link_pair(handler) as (pool, address):
+            with pytest.raises(LinkError):
+                await pool.call(address, "1", link_pb2.Request(), limit_ms=50)
+            await asyncio.wait_for(cancelled.wait(), 5)
+
+    asyncio.run(scenario())
+
+
+def test_silent_peer_is_found_and_a_new_link_works() -> None:
+    """A peer that greets and then says nothing stands for a lost link."""
+
+    async def scenario() -> None:
+        connections = 0
+
+        async def relay(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            nonlocal connections
+            connections += 1
+            is_silent = connections == 1
+            peer_reader, peer_writer = await asyncio.open_connection(
+                *address.split(":")
+            )
+
+            async def copy(
+                source: asyncio.StreamReader, sink: asyncio.StreamWriter, limit: int
+            ) -> None:
+                sent = 0
+                while data := await source.read(65_536):
+                    if not is_silent or sent < limit:
+                        sink.write(data)
+                    sent += len(data)
+
+            # The first connection carries the greeting and nothing more.
+            await asyncio.gather(
+                copy(reader, peer_writer, 1), copy(peer_reader, writer, 1)
+            )
+
+        async with link_pair() as (pool, address):
+            server = await asyncio.start_server(relay, "127.0.0.1", 0)
+            host, port = server.sockets[0].getsockname()
+            clock = Clock()
+            started_ms = clock.now_ms()
+            with pytest.raises(LinkError) as caught:
+                request = link_pb2.Request(path="0")
+                await pool.call(f"{host}:{port}", "1", request, limit_ms=10_000)
+            assert caught.value.maybe_sent
+            assert clock.now_ms() - started_ms < 1_000
+            request = link_pb2.Request(path="0")
+            reply = await pool.call(f"{host}:{port}", "1", request, limit_ms=5_000)
+            assert isinstance(reply, link_pb2.Response)
+            server.close()
+
+    asyncio.run(scenario())
