--- /dev/null
+++ b/src/eelgrassweir/daemon/tokens.py
@@ -0,0 +1,195 @@
+"""Entry side of the rate and burst of teams."""
+
+import asyncio
+from collections import deque
+from collections.abc import Awaitable, Callable, Sequence
+
+import attrs
+from returns.result import Result, Success
+
+from eelgrassweir.clock import Clock
+from eelgrassweir.errors import StepError
+from eelgrassweir.proto import control_pb2
+from eelgrassweir.shares.borrower import BorrowCall, Borrower
+
+Borrow = Callable[
+    [str, control_pb2.BorrowRequest],
+    Awaitable[Result[control_pb2.BorrowReply, StepError]],
+]
+Holders = Callable[[], Sequence[tuple[str, str]]]
+
+# A call to a holder that takes longer has failed.
+_CALL_LIMIT_MS = 250.0
+# Interval at which calls are planned while requests wait, and otherwise.
+_WAITING_TICK_MS = 5.0
+_ACTIVE_TICK_MS = 50.0
+
+
+@attrs.frozen(kw_only=True)
+class TokenDecision:
+    """Say whether a request has a token, or when to try again."""
+
+    granted: bool
+    retry_after_ms: int = 0
+
+
+class TokenService:
+    """Give requests tokens that are borrowed from share holders ahead of need.
+
+    ``borrow`` sends one request to a control address. ``holders`` lists the
+    (failure domain, control address) of the holders, own domain first.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        vm: str,
+        incarnation: str,
+        borrow: Borrow,
+        holders: Holders,
+        wait_ms: int,
+    ) -> None:
+        self._clock = clock
+        self._vm = vm
+        self._incarnation = incarnation
+        self._borrow = borrow
+        self._holders = holders
+        self._wait_ms = wait_ms
+        self._borrower = Borrower()
+        self._waiters: dict[str, deque[asyncio.Future[bool]]] = {}
+        self._calls: set[asyncio.Task[None]] = set()
+        self._timer: asyncio.TimerHandle | None = None
+        self._is_running = False
+        self.granted_calls = 0
+        self.refused_calls = 0
+        self.borrow_calls = 0
+        self.failed_borrow_calls = 0
+
+    async def start(self) -> None:
+        """Allow calls to holders."""
+        self._is_running = True
+
+    async def stop(self) -> None:
+        """Refuse the requests that wait and end the calls to holders."""
+        self._is_running = False
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        for queue in self._waiters.values():
+            for waiter in queue:
+                if not waiter.done():
+                    waiter.set_result(False)
+        calls = list(self._calls)
+        for call in calls:
+            call.cancel()
+        await asyncio.gather(*calls, return_exceptions=True)
+
+    async def take(self, team: str) -> TokenDecision:
+        """Take one token of the team, waiting up to the limit for a grant."""
+        now_ms = self._clock.now_ms()
+        self._borrower.record_demand(team, now_ms)
+        if not self._waiters.get(team) and self._borrower.take(team, now_ms):
+            if self._borrower.needs_call(team, now_ms):
+                self._pump()
+            self._arm()
+            self.granted_calls += 1
+            return TokenDecision(granted=True)
+        if await self._wait(team):
+            self.granted_calls += 1
+            return TokenDecision(granted=True)
+        self.refused_calls += 1
+        domains = [domain for domain, _ in self._holders()]
+        retry_ms = self._borrower.retry_after_ms(team, domains, self._clock.now_ms())
+        return TokenDecision(granted=False, retry_after_ms=retry_ms)
+
+    def state(self) -> dict[str, object]:
+        """Return counters, tokens and demand for the dump."""
+        return {
+            "granted_calls": self.granted_calls,
+            "refused_calls": self.refused_calls,
+            "borrow_calls": self.borrow_calls,
+            "failed_borrow_calls": self.failed_borrow_calls,
+            **self._borrower.state(self._clock.now_ms()),
+        }
+
+    async def _wait(self, team: str) -> bool:
+        if not self._is_running or self._wait_ms <= 0:
+            return False
+        loop = asyncio.get_running_loop()
+        waiter: asyncio.Future[bool] = loop.create_future()
+        queue = self._waiters.setdefault(team, deque())
+        queue.append(waiter)
+        self._borrower.set_waiting(team, len(queue))
+        self._pump()
+        timer = loop.call_later(self._wait_ms / 1000.0, _refuse, waiter)
+        try:
+            return await waiter
+        finally:
+            timer.cancel()
+            if waiter in queue:
+                queue.remove(waiter)
+            self._borrower.set_waiting(team, len(queue))
+            if not queue and self._waiters.get(team) is queue:
+                del self._waiters[team]
+
+    def _serve_waiters(self) -> None:
+        for team, queue in list(self._waiters.items()):
+            while queue:
+                if queue[0].done():
+                    queue.popleft()
+                    continue
+                if not self._borrower.take(team, self._clock.now_ms()):
+                    break
+                queue.popleft().set_result(True)
+            self._borrower.set_waiting(team, len(queue))
+
+    def _pump(self) -> None:
+        """Send the calls that are due."""
+        if not self._is_running:
+            return
+        addresses = dict(self._holders())
+        calls = self._borrower.plan(list(addresses), self._clock.now_ms())
+        for call in calls:
+            task = asyncio.ensure_future(self._run(call, addresses[call.domain]))
+            self._calls.add(task)
+            task.add_done_callback(self._calls.discard)
+        self._arm()
+
+    async def _run(self, call: BorrowCall, address: str) -> None:
+        self.borrow_calls += 1
+        reply: control_pb2.BorrowReply | None = None
+        try:
+            request = call.message(self._vm, self._incarnation)
+            async with asyncio.timeout(_CALL_LIMIT_MS / 1000.0):
+                result = await self._borrow(address, request)
+            if isinstance(result, Success):
+                reply = result.unwrap()
+        except TimeoutError:
+            pass
+        finally:
+            if reply is None:
+                self.failed_borrow_calls += 1
+            self._borrower.settle(call, reply, self._clock.now_ms())
+        self._serve_waiters()
+        self._pump()
+
+    def _arm(self) -> None:
+        if not self._is_running or self._borrower.is_idle():
+            return
+        delay_ms = _WAITING_TICK_MS if self._waiters else _ACTIVE_TICK_MS
+        loop = asyncio.get_running_loop()
+        due_s = loop.time() + delay_ms / 1000.0
+        if self._timer is not None:
+            if self._timer.when() <= due_s:
+                return
+            self._timer.cancel()
+        self._timer = loop.call_at(due_s, self._tick)
+
+    def _tick(self) -> None:
+        self._timer = None
+        self._pump()
+
+
+def _refuse(waiter: asyncio.Future[bool]) -> None:
+    if not waiter.done():
+        waiter.set_result(False)
--- /dev/null
+++ b/src/eelgrassweir/shares/borrower.py
@@ -0,0 +1,388 @@
+"""Tokens that an entry daemon has borrowed, and what it asks for next."""
+
+import math
+from bisect import insort
+from collections.abc import Sequence
+
+import attrs
+
+from eelgrassweir.proto import control_pb2
+from eelgrassweir.shares.permit import shortened_ms
+
+# Demand is covered for this long ahead.
+_AHEAD_MS = 250.0
+# While holders have too few tokens, little is kept so that no token lies idle
+# at one daemon while a request waits at another.
+_SCARCE_AHEAD_MS = 20.0
+_SCARCE_MEMORY_MS = 1000.0
+_RATE_MEMORY_MS = 500.0
+# Below this demand nothing is borrowed ahead of need.
+_IDLE_RATE_PER_S = 0.5
+# Spent tokens are reported at least this often; until then they count against
+# the burst.
+_REPORT_MS = 250.0
+_SCARCE_REPORT_MS = 10.0
+# Tokens with less life than this are given back or replaced.
+_RENEW_MS = 150.0
+# A call without an answer for this long is no longer counted on.
+_HEDGE_MS = 10.0
+_MIN_GAP_MS = 5.0
+_NO_PERMIT_MS = 100.0
+_FIRST_BACKOFF_MS = 50.0
+_MAX_BACKOFF_MS = 1000.0
+
+
+@attrs.define(kw_only=True, eq=False)
+class _Held:
+    team: str
+    domain: str
+    holder_incarnation: str
+    grant_id: int
+    tokens: int
+    expires_ms: float
+    spent: int = 0
+    returned: int = 0
+    known_spent: int = 0
+    known_returned: int = 0
+    unreported_since_ms: float = math.inf
+
+    def left(self) -> int:
+        return self.tokens - self.spent - self.returned
+
+    def has_news(self) -> bool:
+        return (self.spent, self.returned) != (self.known_spent, self.known_returned)
+
+    def is_closed(self) -> bool:
+        return self.known_spent + self.known_returned == self.tokens
+
+
+@attrs.define(kw_only=True)
+class _Team:
+    held: list[_Held] = attrs.field(factory=list)
+    rate_per_s: float = 0.0
+    rate_at_ms: float = 0.0
+    waiting: int = 0
+    scarce_until_ms: float = -math.inf
+    last_demand_ms: float = -math.inf
+
+    def rate_now(self, now_ms: float) -> float:
+        age_ms = max(0.0, now_ms - self.rate_at_ms)
+        return self.rate_per_s * math.exp(-age_ms / _RATE_MEMORY_MS)
+
+    def ahead_calls(self, now_ms: float) -> int:
+        rate_per_s = self.rate_now(now_ms)
+        if now_ms < self.scarce_until_ms:
+            return int(rate_per_s * _SCARCE_AHEAD_MS / 1000.0)
+        if rate_per_s < _IDLE_RATE_PER_S:
+            return 0
+        return math.ceil(rate_per_s * _AHEAD_MS / 1000.0)
+
+    def left(self, after_ms: float) -> int:
+        return sum(held.left() for held in self.held if held.expires_ms > after_ms)
+
+
+@attrs.define(kw_only=True, eq=False)
+class BorrowCall:
+    """One call to the holder of one failure domain."""
+
+    domain: str
+    sent_ms: float
+    wanted: dict[str, int]
+    reports: list[tuple[_Held, int, int]]
+
+    def message(self, vm: str, incarnation: str) -> control_pb2.BorrowRequest:
+        """Return the request to send."""
+        request = control_pb2.BorrowRequest(vm=vm, incarnation=incarnation)
+        for team, wanted in self.wanted.items():
+            request.requests.add(team=team, wanted=wanted)
+        for held, spent, returned in self.reports:
+            request.reports.add(grant_id=held.grant_id, spent=spent, returned=returned)
+        return request
+
+
+@attrs.define(kw_only=True)
+class _Peer:
+    call: BorrowCall | None = None
+    down_until_ms: float = -math.inf
+    failures: int = 0
+    last_sent_ms: float = -math.inf
+    short_until_ms: dict[str, float] = attrs.field(factory=dict)
+    held: dict[tuple[str, int], _Held] = attrs.field(factory=dict)
+
+
+class Borrower:
+    """Spend borrowed tokens and plan the calls that borrow and report.
+
+    A grant ends at the time the call was sent plus its life, which is before
+    the holder expires it. Reports carry totals per grant and are repeated
+    until a reply shows that they arrived.
+    """
+
+    def __init__(self) -> None:
+        self._teams: dict[str, _Team] = {}
+        self._peers: dict[str, _Peer] = {}
+        self._seen: dict[tuple[str, str, int], float] = {}
+
+    def record_demand(self, team: str, now_ms: float) -> None:
+        """Count one request of the team, whether it gets a token or not."""
+        state = self._teams.get(team)
+        if state is None:
+            state = self._teams[team] = _Team(rate_at_ms=now_ms)
+        state.rate_per_s = state.rate_now(now_ms) + 1000.0 / _RATE_MEMORY_MS
+        state.rate_at_ms = now_ms
+        state.last_demand_ms = now_ms
+
+    def set_waiting(self, team: str, waiting: int) -> None:
+        """Set the number of requests that wait for a token of the team."""
+        state = self._teams.setdefault(team, _Team())
+        state.waiting = waiting
+
+    def take(self, team: str, now_ms: float) -> bool:
+        """Spend one token if there is a live one."""
+        state = self._teams.get(team)
+        if state is None:
+            return False
+        held = state.held
+        while held and (held[0].expires_ms <= now_ms or held[0].left() == 0):
+            held.pop(0)
+        if not held:
+            return False
+        held[0].spent += 1
+        held[0].unreported_since_ms = min(held[0].unreported_since_ms, now_ms)
+        return True
+
+    def needs_call(self, team: str, now_ms: float) -> bool:
+        """Say whether tokens of the team are running low."""
+        return self._deficit(team, now_ms) > 0
+
+    def is_idle(self) -> bool:
+        """Say whether nothing is held, wanted or left to report."""
+        return not self._teams and not any(peer.held for peer in self._peers.values())
+
+    def plan(self, domains: Sequence[str], now_ms: float) -> list[BorrowCall]:
+        """Return the calls to send now; own domain first in ``domains``."""
+        self._forget_expired(now_ms)
+        wanted: dict[str, dict[str, int]] = {}
+        for team in self._teams:
+            self._give_back(team, now_ms)
+            deficit = self._deficit(team, now_ms)
+            if deficit > 0:
+                self._spread(team, deficit, domains, wanted, now_ms)
+        calls = []
+        for domain in domains:
+            call = self._call(domain, wanted.get(domain, {}), now_ms)
+            if call is not None:
+                calls.append(call)
+        return calls
+
+    def settle(
+        self, call: BorrowCall, reply: control_pb2.BorrowReply | None, now_ms: float
+    ) -> None:
+        """Apply the reply to a call, or its failure (None)."""
+        peer = self._peer(call.domain)
+        if peer.call is call:
+            peer.call = None
+        if reply is None:
+            backoff_ms = min(_MAX_BACKOFF_MS, _FIRST_BACKOFF_MS * 2**peer.failures)
+            peer.failures = min(peer.failures + 1, 10)
+            peer.down_until_ms = now_ms + backoff_ms
+            return
+        peer.failures = 0
+        peer.down_until_ms = -math.inf if reply.is_holder else now_ms + _NO_PERMIT_MS
+        self._confirm_reports(peer, call, now_ms)
+        granted: dict[str, int] = {}
+        for grant in reply.grants:
+            granted[grant.team] = grant.tokens
+            self._accept(peer, call, reply.holder_incarnation, grant, now_ms)
+        if not reply.is_holder:
+            return
+        for team, wanted in call.wanted.items():
+            if granted.get(team, 0) >= wanted:
+                peer.short_until_ms.pop(team, None)
+                continue
+            retry_ms = next(
+                (g.retry_after_ms for g in reply.grants if g.team == team), 0
+            )
+            peer.short_until_ms[team] = now_ms + max(retry_ms, _MIN_GAP_MS)
+            if team in self._teams:
+                self._teams[team].scarce_until_ms = now_ms + _SCARCE_MEMORY_MS
+
+    def retry_after_ms(self, team: str, domains: Sequence[str], now_ms: float) -> int:
+        """Return when the first holder is expected to have a token again."""
+        waits = [
+            max(peer.short_until_ms.get(team, now_ms), peer.down_until_ms) - now_ms
+            for peer in (self._peer(domain) for domain in domains)
+        ]
+        return max(1, math.ceil(min(waits, default=_MAX_BACKOFF_MS)))
+
+    def state(self, now_ms: float) -> dict[str, object]:
+        """Return tokens and demand of each team for the dump."""
+        return {
+            "teams": {
+                team: {
+                    "tokens": state.left(now_ms),
+                    "waiting_calls": state.waiting,
+                    "demand_per_s": round(state.rate_now(now_ms), 3),
+                    "is_scarce": now_ms < state.scarce_until_ms,
+                }
+                for team, state in self._teams.items()
+            },
+            "holders": {
+                domain: {
+                    "is_calling": peer.call is not None,
+                    "is_down": now_ms < peer.down_until_ms,
+                    "failures": peer.failures,
+                    "open_grants": len(peer.held),
+                }
+                for domain, peer in self._peers.items()
+            },
+        }
+
+    def _peer(self, domain: str) -> _Peer:
+        peer = self._peers.get(domain)
+        if peer is None:
+            peer = self._peers[domain] = _Peer()
+        return peer
+
+    def _pending(self, team: str, now_ms: float) -> int:
+        return sum(
+            peer.call.wanted.get(team, 0)
+            for peer in self._peers.values()
+            if peer.call is not None and now_ms - peer.call.sent_ms < _HEDGE_MS
+        )
+
+    def _deficit(self, team: str, now_ms: float) -> int:
+        state = self._teams.get(team)
+        if state is None:
+            return 0
+        ahead = state.ahead_calls(now_ms)
+        have = state.left(now_ms + _RENEW_MS) + self._pending(team, now_ms)
+        if have - state.waiting >= ahead / 2 and have >= state.waiting:
+            return 0
+        return state.waiting + ahead - have
+
+    def _spread(
+        self,
+        team: str,
+        deficit: int,
+        domains: Sequence[str],
+        wanted: dict[str, dict[str, int]],
+        now_ms: float,
+    ) -> None:
+        """Ask the own holder, or else all others for a part each."""
+        free = [domain for domain in domains if self._is_free(domain, team, now_ms)]
+        if not free:
+            return
+        own = self._peer(domains[0])
+        if free[0] == domains[0]:
+            free = free[:1]
+        elif own.call is not None and now_ms - own.call.sent_ms < _HEDGE_MS:
+            return
+        part = -(-deficit // len(free))
+        for domain in free:
+            wanted.setdefault(domain, {})[team] = min(part, deficit)
+            deficit -= min(part, deficit)
+            if deficit == 0:
+                return
+
+    def _is_free(self, domain: str, team: str, now_ms: float) -> bool:
+        peer = self._peer(domain)
+        if peer.call is not None or now_ms < peer.down_until_ms:
+            return False
+        return now_ms >= peer.short_until_ms.get(team, -math.inf)
+
+    def _give_back(self, team: str, now_ms: float) -> None:
+        state = self._teams[team]
+        ahead = state.ahead_calls(now_ms)
+        excess = state.left(now_ms) - state.waiting - ahead
+        if excess <= ahead:
+            excess = 0
+        for held in state.held:
+            is_old = held.expires_ms <= now_ms + _RENEW_MS
+            # Tokens close to their end stay usable while there is demand.
+            count = min(held.left(), excess)
+            if is_old and ahead == 0 and state.waiting == 0:
+                count = held.left()
+            if count <= 0:
+                continue
+            held.returned += count
+            excess -= count
+            held.unreported_since_ms = -math.inf
+
+    def _call(
+        self, domain: str, wanted: dict[str, int], now_ms: float
+    ) -> BorrowCall | None:
+        peer = self._peer(domain)
+        if peer.call is not None or now_ms < peer.down_until_ms:
+            return None
+        if not wanted and not self._has_due_report(peer, now_ms):
+            return None
+        reports = [
+            (held, held.spent, held.returned)
+            for held in peer.held.values()
+            if held.has_news()
+        ]
+        call = BorrowCall(domain=domain, sent_ms=now_ms, wanted=wanted, reports=reports)
+        peer.call = call
+        peer.last_sent_ms = now_ms
+        return call
+
+    def _has_due_report(self, peer: _Peer, now_ms: float) -> bool:
+        for held in peer.held.values():
+            if not held.has_news():
+                continue
+            state = self._teams.get(held.team)
+            is_scarce = state is not None and now_ms < state.scarce_until_ms
+            wait_ms = _SCARCE_REPORT_MS if is_scarce else _REPORT_MS
+            if now_ms - held.unreported_since_ms >= wait_ms:
+                return now_ms - peer.last_sent_ms >= _MIN_GAP_MS
+        return False
+
+    def _confirm_reports(self, peer: _Peer, call: BorrowCall, now_ms: float) -> None:
+        for held, spent, returned in call.reports:
+            held.known_spent = max(held.known_spent, spent)
+            held.known_returned = max(held.known_returned, returned)
+            held.unreported_since_ms = now_ms if held.has_news() else math.inf
+            if held.is_closed():
+                peer.held.pop((held.holder_incarnation, held.grant_id), None)
+
+    def _accept(
+        self,
+        peer: _Peer,
+        call: BorrowCall,
+        holder_incarnation: str,
+        grant: control_pb2.TokenGrant,
+        now_ms: float,
+    ) -> None:
+        expires_ms = call.sent_ms + shortened_ms(grant.life_ms)
+        key = (call.domain, holder_incarnation, grant.grant_id)
+        if grant.tokens == 0 or expires_ms <= now_ms or key in self._seen:
+            return
+        # A second copy of the reply after this time has expired by itself.
+        self._seen[key] = expires_ms
+        held = _Held(
+            team=grant.team,
+            domain=call.domain,
+            holder_incarnation=holder_incarnation,
+            grant_id=grant.grant_id,
+            tokens=grant.tokens,
+            expires_ms=expires_ms,
+        )
+        peer.held[(holder_incarnation, grant.grant_id)] = held
+        state = self._teams.setdefault(grant.team, _Team())
+        insort(state.held, held, key=lambda item: item.expires_ms)
+
+    def _forget_expired(self, now_ms: float) -> None:
+        self._seen = {k: v for k, v in self._seen.items() if v > now_ms}
+        for peer in self._peers.values():
+            ended = [k for k, v in peer.held.items() if v.expires_ms <= now_ms]
+            for key in ended:
+                del peer.held[key]
+        idle = []
+        for team, state in self._teams.items():
+            state.held = [h for h in state.held if h.expires_ms > now_ms and h.left()]
+            is_quiet = state.rate_now(now_ms) < _IDLE_RATE_PER_S / 10
+            if is_quiet and not state.held and not state.waiting:
+                idle.append(team)
+        for team in idle:
+            del self._teams[team]
