--- /dev/null
+++ b/src/eelgrassweir/daemon/admin_bridge.py
@@ -0,0 +1,81 @@
+"""Bridge from the threads of the admin listener to the event loop."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import TYPE_CHECKING, Any, TypeVar
+
+import attrs
+
+from eelgrassweir.daemon.admin import AdminSources
+from eelgrassweir.proto import control_pb2
+
+if TYPE_CHECKING:
+    from eelgrassweir.daemon.app import Application
+
+CALL_LIMIT_S = 10.0
+
+T = TypeVar("T")
+
+
+def make_sources(app: "Application", loop: asyncio.AbstractEventLoop) -> AdminSources:
+    """Return the callables of the admin listener; each runs on the loop."""
+
+    def wait(coroutine: Coroutine[Any, Any, T]) -> T:
+        return asyncio.run_coroutine_threadsafe(coroutine, loop).result(CALL_LIMIT_S)
+
+    def on_loop(function: Callable[[], T]) -> Callable[[], T]:
+        async def call() -> T:
+            return function()
+
+        return lambda: wait(call())
+
+    def commit(
+        base_version: int, change_id: str, document_json: bytes
+    ) -> tuple[str, int]:
+        reply = wait(
+            app.control.commit(
+                base_version=base_version,
+                change_id=change_id,
+                document_json=document_json,
+            )
+        )
+        return reply.result, reply.version
+
+    return AdminSources(
+        dump=on_loop(app.state),
+        status=lambda: wait(fleet_status(app)),
+        config=on_loop(lambda: app.control.config),
+        commit=commit,
+        usage=on_loop(app.usage.rates),
+        targets=on_loop(lambda: ready_targets(app)),
+    )
+
+
+async def fleet_status(app: "Application") -> dict[str, Any]:
+    """Return what this daemon knows of the fleet."""
+    fleet = await app.control.fleet_status()
+    config = app.control.config
+    return {
+        "vm": app.settings.vm,
+        "config_version": config.version if config else 0,
+        "is_fresh": app.control.is_fresh(),
+        "freshness_age_ms": app.control.freshness_age_ms(),
+        "fleet": {
+            "counts": [
+                {"version": version, "daemons": daemons}
+                for version, daemons in sorted(fleet.daemons_by_version.items())
+            ],
+            "lagging": list(fleet.lagging),
+            "daemons_known": fleet.members_known,
+            **attrs.asdict(fleet),
+        },
+    }
+
+
+def ready_targets(app: "Application") -> dict[str, str]:
+    """Return the service of each ready VM."""
+    return {
+        member.vm: member.service
+        for member in app.control.members.all()
+        if member.state == control_pb2.READY and member.service
+    }
--- /dev/null
+++ b/src/eelgrassweir/daemon/app.py
@@ -0,0 +1,258 @@
+"""Application object of the daemon: it owns all parts and their life cycle."""
+
+import asyncio
+import random
+import signal
+from collections.abc import Sequence
+
+from eliot import log_message
+
+from eelgrassweir.clock import Clock
+from eelgrassweir.config.document import ConfigDocument
+from eelgrassweir.daemon.address import split_address
+from eelgrassweir.daemon.admin import AdminServer
+from eelgrassweir.daemon.admin_bridge import make_sources
+from eelgrassweir.daemon.backend import Announcement
+from eelgrassweir.daemon.control import ControlPlane
+from eelgrassweir.daemon.drain import DrainState
+from eelgrassweir.daemon.identity import make_identity
+from eelgrassweir.daemon.logs import open_log
+from eelgrassweir.daemon.metrics import Metrics
+from eelgrassweir.daemon.request_path import RequestPath, Surroundings
+from eelgrassweir.daemon.share_service import ShareService, Successor
+from eelgrassweir.daemon.tokens import TokenService
+from eelgrassweir.daemon.usage import UsageMeter
+from eelgrassweir.proto import control_pb2
+from eelgrassweir.settings.generated import Settings
+from eelgrassweir.store.client import StoreClient
+
+TICK_MS = 100
+DRAIN_POLL_MS = 20
+
+
+class Application:
+    """Start, run and stop the parts of one daemon."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.clock = Clock()
+        seed = settings.seed or random.SystemRandom().getrandbits(63)
+        self.seed = seed
+        rng = random.Random(seed)
+        self.identity = make_identity(settings.vm, self.clock)
+        self.metrics = Metrics()
+        self.drain = DrainState(self.clock, notice_ms=settings.drain_notice_ms)
+        self.usage = UsageMeter(self.clock)
+        self.store = StoreClient(
+            settings.store_urls, timeout_ms=settings.store_timeout_ms
+        )
+        self.control = ControlPlane(
+            settings,
+            clock=self.clock,
+            store=self.store,
+            rng=rng,
+            incarnation=self.identity.incarnation,
+            started_ms=self.identity.started_wall_ms,
+            on_config=self._take_config,
+            on_relay=self._take_relay_role,
+            borrow=lambda request: self.shares.borrow(request),
+            promise=lambda request: self.shares.promise(request),
+            registry=self.metrics.registry,
+        )
+        self.shares = ShareService(
+            clock=self.clock,
+            settings=settings,
+            store=self.store,
+            vm=settings.vm,
+            incarnation=self.identity.incarnation,
+            control_address=(
+                settings.advertised_control_address or settings.control_address
+            ),
+            successors=self._successors,
+            send_promise=self.control.promise,
+            config=lambda: self.control.config,
+        )
+        self.tokens = TokenService(
+            clock=self.clock,
+            vm=settings.vm,
+            incarnation=self.identity.incarnation,
+            borrow=self.control.borrow,
+            holders=self.control.holders,
+            wait_ms=settings.token_wait_ms,
+        )
+        self.requests = RequestPath(
+            settings=settings,
+            identity=self.identity,
+            clock=self.clock,
+            rng=rng,
+            metrics=self.metrics,
+            drain=self.drain,
+            surroundings=Surroundings(
+                config=lambda: self.control.config,
+                is_fresh=self.control.is_fresh,
+                members=self.control.members,
+                tokens=self.tokens,
+                announce=self._take_announcement,
+                usage=self.usage,
+            ),
+        )
+        self.admin: AdminServer | None = None
+        self._stop_requested = asyncio.Event()
+        self._tick_task: asyncio.Task[None] | None = None
+
+    # Life cycle
+
+    async def run(self) -> None:
+        """Run until SIGTERM or SIGINT, then drain and stop."""
+        open_log(self.settings.log_path)
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stop_requested.set)
+        await self.start()
+        try:
+            await self._stop_requested.wait()
+            await self.leave()
+        finally:
+            await self.stop()
+
+    async def start(self) -> None:
+        """Start all parts; the listeners for requests open last."""
+        settings = self.settings
+        log_message(
+            message_type="daemon:start",
+            vm=settings.vm,
+            incarnation=self.identity.incarnation,
+            seed=self.seed,
+        )
+        await self.control.start()
+        await self.shares.start()
+        await self.tokens.start()
+        self.admin = AdminServer(
+            split_address(settings.admin_address),
+            make_sources(self, asyncio.get_running_loop()),
+            clock=self.clock,
+            isolation_limit_ms=settings.isolation_limit_ms,
+            registry=self.metrics.registry,
+        )
+        self.admin.start()
+        await self.requests.start()
+        self._tick_task = asyncio.create_task(self._run_ticks())
+
+    async def leave(self) -> None:
+        """Drain: let work in flight end, callers' answers included."""
+        self._begin_drain("stop")
+        started_ms = self.clock.now_ms()
+        notice_ms = self.settings.drain_notice_ms
+        await asyncio.sleep(notice_ms / 1e3)
+        self.requests.begin_close()
+        while self.requests.in_flight_calls():
+            if self.clock.now_ms() - started_ms > self.settings.drain_limit_ms:
+                break
+            await asyncio.sleep(DRAIN_POLL_MS / 1e3)
+        log_message(
+            message_type="daemon:drained",
+            vm=self.settings.vm,
+            in_flight_calls=self.requests.in_flight_calls(),
+        )
+
+    async def stop(self) -> None:
+        """Stop all parts in the reverse order of their start."""
+        if self._tick_task is not None:
+            self._tick_task.cancel()
+        await self.requests.stop()
+        if self.admin is not None:
+            await asyncio.to_thread(self.admin.stop)
+        await self.tokens.stop()
+        await self.shares.stop()
+        await self.control.stop()
+        log_message(message_type="daemon:stop", vm=self.settings.vm)
+
+    # State
+
+    def state(self) -> dict[str, object]:
+        """Return everything that the daemon decides from, for the dump."""
+        return {
+            "vm": self.settings.vm,
+            "failure_domain": self.settings.failure_domain,
+            "incarnation": self.identity.incarnation,
+            "uptime_ms": int(self.clock.now_ms() - self.identity.started_ms),
+            "seed": self.seed,
+            "requests": self.requests.state(),
+            "control": self.control.state(),
+            "tokens": self.tokens.state(),
+            "shares": self.shares.state(),
+            "usage_per_s": self.usage.rates(),
+        }
+
+    # Reactions
+
+    def _take_config(self, document: ConfigDocument) -> None:
+        self.metrics.config_version.set(document.version)
+        self._judge_planned_stop(document)
+
+    def _take_relay_role(self, is_relay: bool) -> None:
+        self.shares.set_candidate(is_relay)
+
+    def _successors(self) -> Sequence[Successor]:
+        """Return the other relays of the own failure domain."""
+        relays = []
+        for beat in self.control.other_relays():
+            member = self.control.members.get(beat.vm)
+            if member is None or beat.failure_domain != self.settings.failure_domain:
+                continue
+            relays.append(
+                Successor(
+                    vm=beat.vm,
+                    incarnation=member.incarnation,
+                    control_address=beat.control_address,
+                )
+            )
+        return relays
+
+    def _take_announcement(self, announcement: Announcement) -> None:
+        self.requests.backend.announce(announcement)
+        self.requests.gate.set_slots(announcement.slots)
+        if announcement.is_draining:
+            self._begin_drain("backend server drains")
+        else:
+            self._cancel_drain("backend server drains")
+        self._announce()
+
+    def _begin_drain(self, reason: str) -> None:
+        if self.drain.begin(reason):
+            log_message(message_type="daemon:drain", vm=self.settings.vm, reason=reason)
+            self._announce()
+
+    def _cancel_drain(self, reason: str) -> None:
+        if self.drain.cancel(reason):
+            log_message(message_type="daemon:ready", vm=self.settings.vm)
+            self._announce()
+
+    def _announce(self) -> None:
+        """Tell the fleet what stands beside this daemon."""
+        backend = self.requests.backend
+        state = control_pb2.DRAINING if self.drain.is_draining else control_pb2.READY
+        service, slots = "", 0
+        if backend.announcement is not None and backend.is_present():
+            service, slots = backend.announcement.service, backend.announcement.slots
+        self.control.announce(service=service, slots=slots, state=state)
+
+    def _judge_planned_stop(self, document: ConfigDocument) -> None:
+        stop = document.stops.get(self.settings.vm)
+        if stop is not None and self.clock.wall_ms() >= stop.start_wall_ms:
+            self._begin_drain("planned stop")
+        elif stop is None:
+            self._cancel_drain("planned stop")
+
+    async def _run_ticks(self) -> None:
+        """Look at what changes with time alone."""
+        while True:
+            await asyncio.sleep(TICK_MS / 1e3)
+            self._announce()
+            is_holder = self.shares.is_holder()
+            domain = self.settings.failure_domain if is_holder else ""
+            self.control.set_holds_shares_of(domain)
+            if self.control.config is not None:
+                self._judge_planned_stop(self.control.config)
+            age_ms = self.control.freshness_age_ms()
+            self.metrics.config_age.set(-1 if age_ms is None else age_ms / 1e3)
--- a/src/eelgrassweir/daemon/entry.py
+++ b/src/eelgrassweir/daemon/entry.py
@@ -24,6 +24,7 @@
 from eelgrassweir.daemon.metrics import Metrics
 from eelgrassweir.daemon.ticket_page import TICKETS_PATH, answer_tickets
 from eelgrassweir.daemon.tokens import TokenService
+from eelgrassweir.daemon.usage import UsageMeter
 from eelgrassweir.proto import link_pb2
 from eelgrassweir.requests.headers import (
     all_presented_keys,
@@ -60,6 +61,7 @@
         pressure: PressureTable,
         dispatcher: Dispatcher,
         metrics: Metrics,
+        usage: UsageMeter,
         retry_budget_attempts: int,
     ) -> None:
         self._vm = vm
@@ -71,6 +73,7 @@
         self._pressure = pressure
         self._dispatcher = dispatcher
         self._metrics = metrics
+        self._usage = usage
         self._retry_budget_attempts = retry_budget_attempts
         self.in_flight_calls = 0
 
@@ -199,6 +202,7 @@
                 retry_after_ms=decision.retry_after_ms,
             )
         self._metrics.team_calls.labels(identity.team).inc()
+        self._usage.record(identity.team)
         return None
 
     # Answers
--- a/src/eelgrassweir/daemon/http_server.py
+++ b/src/eelgrassweir/daemon/http_server.py
@@ -46,6 +46,8 @@
     def begin_close(self) -> None:
         """Close each connection after its next answer."""
         self.is_closing = True
+        if self._server is not None:
+            self._server.close()
         for connection in list(self._connections):
             connection.close_if_idle()
 
--- a/src/eelgrassweir/daemon/request_path.py
+++ b/src/eelgrassweir/daemon/request_path.py
@@ -22,6 +22,7 @@
 from eelgrassweir.daemon.metrics import Metrics
 from eelgrassweir.daemon.target import TargetService
 from eelgrassweir.daemon.tokens import TokenService
+from eelgrassweir.daemon.usage import UsageMeter
 from eelgrassweir.membership.table import MemberTable
 from eelgrassweir.requests.context import ContextTable
 from eelgrassweir.requests.record import RecordTable
@@ -39,6 +40,7 @@
     members: MemberTable
     tokens: TokenService
     announce: Callable[[Announcement], None]
+    usage: UsageMeter
 
 
 class RequestPath:
@@ -121,6 +123,7 @@
             pressure=pressure,
             dispatcher=dispatcher,
             metrics=metrics,
+            usage=surroundings.usage,
             retry_budget_attempts=settings.retry_budget_attempts,
         )
         self.egress = EgressService(
@@ -149,6 +152,10 @@
         await self.link_server.start(*split_address(settings.link_address))
         await self.ingress_server.start(*split_address(settings.ingress_address))
 
+    def begin_close(self) -> None:
+        """Take no new callers; connections close after their next answer."""
+        self.ingress_server.begin_close()
+
     async def stop(self) -> None:
         """Close listeners, links and connections."""
         await self.ingress_server.stop()
