--- /dev/null
+++ b/src/eelgrassweir/cli/commands.py
@@ -0,0 +1,285 @@
+"""Commands for shift supervisors."""
+
+import json as json_module
+import secrets
+import sys
+import time
+from collections.abc import Callable
+from datetime import UTC, datetime
+from typing import Any
+
+from fire.decorators import SetParseFn
+
+from eelgrassweir.cli.admin_client import AdminClient
+from eelgrassweir.cli.failure import CommandError, ExitStatus
+from eelgrassweir.cli.files import read_json, read_token, write_plan
+from eelgrassweir.cli.progress import Progress, follow, old_version_note
+from eelgrassweir.cli.show import plan_text, status_text, table
+from eelgrassweir.config.document import hash_key
+
+_KEY_BYTES = 32
+_CONFIRM_STATUSES = (200, 409, 503)
+
+
+class Action:
+    """Hold a command until the whole command line has been read.
+
+    Fire reports unknown arguments only after it has called a command, so a
+    command must not act before.
+    """
+
+    def __init__(self, run: Callable[[], None]) -> None:
+        self._run = run
+
+
+def run_action(action: Action) -> None:
+    """Carry out a command."""
+    action._run()
+
+
+class _Session:
+    """Hold the daemon to ask and the form of the output."""
+
+    def __init__(self, admin: str, as_json: bool, token_file: str) -> None:
+        self._as_json = as_json
+        self._admin = admin
+        self._token_file = token_file
+
+    def _client(self) -> AdminClient:
+        return AdminClient(self._admin, read_token(self._token_file))
+
+    def _show(self, value: Any, text: Callable[[], str]) -> None:
+        if self._as_json:
+            print(json_module.dumps(value, indent=1, sort_keys=True))
+        else:
+            print(text())
+
+    def _make_plan(self, intent: Any, out: str, *, key: str = "") -> None:
+        """Ask for a plan, write it to a file and show it, key included."""
+        plan: dict[str, Any] = self._client().post("/plan", intent, (200,)).body
+        if plan["refusals"]:
+            self._show(plan, lambda: plan_text(plan))
+            reason = "the plan is refused; nothing was written"
+            raise CommandError(ExitStatus.REFUSED, reason, "Correct the intent.")
+        path = write_plan(plan, out)
+        shown = {
+            name: plan[name]
+            for name in ("plan_id", "base_version", "changes", "warnings", "refusals")
+        }
+        shown |= {"plan_file": path} | ({"key": key} if key else {})
+        self._show(shown, lambda: self._plan_text(plan, path, key))
+
+    def _plan_text(self, plan: dict[str, Any], path: str, key: str) -> str:
+        parts = [plan_text(plan), ""]
+        if key:
+            parts += [f"Key, shown this once and stored nowhere: {key}", ""]
+        command = f"eelgrassweir --admin {self._admin} confirm {path}"
+        parts.append(f"Nothing has taken effect yet. To carry it out: {command}")
+        return "\n".join(parts)
+
+
+class Keys(_Session):
+    """Grant, withdraw and list keys of teams."""
+
+    @SetParseFn(str)  # type: ignore[untyped-decorator]
+    def grant(self, team: str, *, out: str = "") -> Action:
+        """Plan a new key for a team; the key is shown this once."""
+        return Action(lambda: self._grant(team, out))
+
+    def _grant(self, team: str, out: str) -> None:
+        key = "ew_" + secrets.token_urlsafe(_KEY_BYTES)
+        entry = {"key_id": f"{secrets.token_hex(6)}", "team": team}
+        self._make_plan({"keys": {"grant": {hash_key(key): entry}}}, out, key=key)
+
+    @SetParseFn(str)  # type: ignore[untyped-decorator]
+    def withdraw(self, key_id: str, *, out: str = "") -> Action:
+        """Plan the withdrawal of a key, named by its id."""
+        intent = {"keys": {"withdraw": [key_id]}}
+        return Action(lambda: self._make_plan(intent, out))
+
+    def list(self) -> Action:
+        """Show the ids of all keys and their teams."""
+        return Action(self._list)
+
+    def _list(self) -> None:
+        keys = self._client().get("/config")["keys"]
+        rows = [(key["key_id"], key["team"]) for key in keys]
+        self._show(keys, lambda: table(("KEY ID", "TEAM"), rows))
+
+
+class Stop(_Session):
+    """Plan stops of VMs and cancel them."""
+
+    @SetParseFn(str)  # type: ignore[untyped-decorator]
+    def plan(self, vm: str, *, start: str = "", out: str = "") -> Action:
+        """Plan the stop of a VM, now or at START (2026-01-31T06:00:00Z)."""
+        return Action(lambda: self._plan(vm, start, out))
+
+    def _plan(self, vm: str, start: str, out: str) -> None:
+        start_ms = _wall_ms(start) if start else int(time.time() * 1000)
+        self._make_plan({"stops": {"set": {vm: {"start_wall_ms": start_ms}}}}, out)
+
+    @SetParseFn(str)  # type: ignore[untyped-decorator]
+    def cancel(self, vm: str, *, out: str = "") -> Action:
+        """Plan to cancel the planned stop of a VM."""
+        return Action(lambda: self._make_plan({"stops": {"remove": [vm]}}, out))
+
+
+class Commands(_Session):
+    """Plan and confirm changes, and look at the state of the fleet.
+
+    Flags for all commands: --admin HOST:PORT of any daemon, --json for
+    programs, --token-file FILE with the admin token.
+
+    Exit statuses: 0 done, 1 failed, 2 wrong usage, 3 refused or conflict,
+    4 daemon or store not reachable, 5 accepted but not yet in force
+    everywhere.
+    """
+
+    def __init__(
+        self, *, admin: str = "127.0.0.1:9005", json: bool = False, token_file: str = ""
+    ) -> None:
+        super().__init__(str(admin), bool(json), str(token_file))
+        self.keys = Keys(str(admin), bool(json), str(token_file))
+        self.stop = Stop(str(admin), bool(json), str(token_file))
+
+    @SetParseFn(str)  # type: ignore[untyped-decorator]
+    def plan(self, file: str, *, out: str = "") -> Action:
+        """Plan the intent in FILE and write the plan to a new file."""
+        return Action(lambda: self._make_plan(read_json(file), out))
+
+    @SetParseFn(str)  # type: ignore[untyped-decorator]
+    def confirm(self, plan_file: str, *, wait_s: str = "20") -> Action:
+        """Carry out a plan and follow it to all daemons for WAIT_S seconds."""
+        return Action(lambda: self._confirm(plan_file, _seconds(wait_s)))
+
+    def _confirm(self, plan_file: str, wait_s: float) -> None:
+        client = self._client()
+        answer = client.post("/confirm", read_json(plan_file), _CONFIRM_STATUSES)
+        accepted_wall_ms = time.time() * 1000
+        reply = answer.body
+        if reply["result"] not in ("applied", "already_applied"):
+            self._not_confirmed(reply)
+        progress = follow(
+            lambda: dict(client.get("/status")),
+            reply["version"],
+            wait_s=wait_s,
+            show=lambda text: print(text, file=sys.stderr),
+        )
+        note = old_version_note(accepted_wall_ms, reply["isolation_limit_ms"])
+        shown = reply | {
+            "daemons_have": progress.have,
+            "daemons_known": progress.known,
+            "lagging": progress.lagging,
+            "is_everywhere": progress.is_complete,
+            "old_version_until_wall_ms": int(
+                accepted_wall_ms + reply["isolation_limit_ms"]
+            ),
+        }
+        self._show(shown, lambda: _confirmed_text(reply, progress, note))
+        if not progress.is_complete:
+            raise CommandError(
+                ExitStatus.NOT_YET_EVERYWHERE,
+                "accepted, but not yet in force at every daemon",
+                "See who lags with: status. The change needs no second confirm.",
+            )
+
+    def _not_confirmed(self, reply: dict[str, Any]) -> None:
+        """Show why a plan was not carried out and end the command."""
+        changes = reply["changed_since"]
+        rows = [(change["what"], change["where"]) for change in changes]
+        if self._as_json:
+            print(json_module.dumps(reply, indent=1, sort_keys=True))
+        elif rows:
+            print(table(("CHANGED SINCE THE PLAN", "WHERE"), rows))
+        if reply["result"] == "store_unreachable":
+            advice = "Repeat this command when the store is back; keep the plan file."
+            raise CommandError(ExitStatus.NOT_REACHABLE, reply["reason"], advice)
+        if reply["result"] == "behind":
+            raise CommandError(ExitStatus.FAILED, reply["reason"])
+        raise CommandError(
+            ExitStatus.REFUSED,
+            f"not carried out: {reply['reason']}",
+            "Nothing of this plan has taken effect.",
+        )
+
+    def status(self) -> Action:
+        """Show the daemon's state and which versions the fleet has."""
+        return Action(self._status)
+
+    def _status(self) -> None:
+        status = self._client().get("/status")
+        self._show(status, lambda: status_text(status))
+
+    def dump(self) -> Action:
+        """Show the whole state of the daemon as JSON."""
+        return Action(self._dump)
+
+    def _dump(self) -> None:
+        state = self._client().get("/dump")
+        print(json_module.dumps(state, indent=1, sort_keys=True))
+
+    def teams(self) -> Action:
+        """Show the teams with their rates, bursts and numbers of keys."""
+        return Action(self._teams)
+
+    def _teams(self) -> None:
+        config = self._client().get("/config")
+        owners = [key["team"] for key in config["keys"]]
+        teams = [
+            {"team": name, **team, "keys": owners.count(name)}
+            for name, team in sorted(config["teams"].items())
+        ]
+        head = ("TEAM", "RATE (CALLS/S)", "BURST (CALLS)", "KEYS")
+        rows = [
+            (team["team"], f"{team['rate_per_s']:g}", team["burst_calls"], team["keys"])
+            for team in teams
+        ]
+        self._show(teams, lambda: table(head, rows))
+
+    def history(self) -> Action:
+        """Show the last changes, newest first."""
+        return Action(self._history)
+
+    def _history(self) -> None:
+        config = self._client().get("/config")
+        newest = config["version"]
+        changes = [
+            {"version": newest - place, "plan_id": change_id}
+            for place, change_id in enumerate(reversed(config["change_ids"]))
+        ]
+        rows = [(change["version"], change["plan_id"]) for change in changes]
+        self._show(changes, lambda: table(("VERSION", "PLAN (TIME IN UTC)"), rows))
+
+
+def _confirmed_text(reply: dict[str, Any], progress: Progress, note: str) -> str:
+    done = "Accepted" if reply["result"] == "applied" else "Accepted before"
+    if progress.is_complete:
+        return (
+            f"{done} as version {reply['version']} and in force at all "
+            f"{progress.known} daemons."
+        )
+    return f"{done} as version {reply['version']}. {progress}.\n{note}"
+
+
+def _seconds(text: str) -> float:
+    try:
+        seconds = float(text)
+    except ValueError:
+        seconds = -1
+    if 0 <= seconds <= 3600:
+        return seconds
+    reason = f"--wait-s is {text}; allowed: a number from 0 to 3600"
+    raise CommandError(ExitStatus.USAGE, reason)
+
+
+def _wall_ms(text: str) -> int:
+    try:
+        moment = datetime.fromisoformat(text)
+    except ValueError:
+        reason = f"--start is {text}; allowed: a time like 2026-01-31T06:00:00Z"
+        raise CommandError(ExitStatus.USAGE, reason) from None
+    if moment.tzinfo is None:
+        reason = f"--start is {text}, without a time zone; allowed: Z or an offset"
+        raise CommandError(ExitStatus.USAGE, reason)
+    return int(moment.astimezone(UTC).timestamp() * 1000)
--- /dev/null
+++ b/src/eelgrassweir/cli/main.py
@@ -0,0 +1,51 @@
+"""Entry point of the supervisors' command line."""
+
+import sys
+from collections.abc import Sequence
+
+import fire
+
+from eelgrassweir.cli.commands import Action, Commands, run_action
+from eelgrassweir.cli.failure import CommandError, ExitStatus
+
+
+def run(arguments: Sequence[str]) -> int:
+    """Run one command line and return its exit status."""
+    try:
+        action = fire.Fire(
+            Commands,
+            command=[_spelled_out(argument) for argument in arguments],
+            name="eelgrassweir",
+            serialize=_hide_action,
+        )
+        if not isinstance(action, Action):
+            return ExitStatus.USAGE
+        run_action(action)
+    except fire.core.FireExit as error:
+        return int(error.code)
+    except CommandError as error:
+        print(f"eelgrassweir: {error}", file=sys.stderr)
+        return error.status
+    except KeyboardInterrupt:
+        print("eelgrassweir: interrupted", file=sys.stderr)
+        return ExitStatus.FAILED
+    return ExitStatus.DONE
+
+
+def _spelled_out(argument: str) -> str:
+    # Fire takes the word after a bare flag as its value.
+    return "--json=True" if argument == "--json" else argument
+
+
+def _hide_action(result: object) -> object:
+    """Keep Fire from printing a command that has still to run."""
+    return None if isinstance(result, Action) else result
+
+
+def main() -> None:
+    """Run the command line of this process."""
+    sys.exit(run(sys.argv[1:]))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/eelgrassweir/config/commit.py
@@ -0,0 +1,114 @@
+"""Commit a change of the configuration to the store."""
+
+from typing import Literal
+
+import attrs
+from returns.result import Failure, Result, Success
+
+from eelgrassweir.config.check import CheckError
+from eelgrassweir.config.document import (
+    EMPTY,
+    MAX_DOCUMENT_BYTES,
+    ConfigDocument,
+    parse_document,
+)
+from eelgrassweir.errors import StepError
+from eelgrassweir.store.client import StoreClient
+
+CONFIG_KEY = "config/current"
+# One lost answer and one stale read can follow each other; a store that
+# fails more often than that is reported as not reachable.
+_TRIES = 4
+
+CommitResult = Literal["applied", "already_applied", "conflict", "store_unreachable"]
+
+
+@attrs.frozen(kw_only=True)
+class CommitOutcome:
+    """Hold the result of a commit and the version that the store then has.
+
+    The version is 0 when the store was not reached; the change may then
+    have been applied, and repeating the same commit is safe.
+    """
+
+    result: CommitResult
+    version: int = 0
+
+
+@attrs.frozen(kw_only=True)
+class Stored:
+    """Hold the document in the store and the revision of its key."""
+
+    document: ConfigDocument
+    revision: int
+
+
+def read_config(store: StoreClient) -> Result[Stored, StepError]:
+    """Return the document in the store; an absent one is empty."""
+    found = store.get(CONFIG_KEY)
+    if isinstance(found, Failure):
+        return found
+    value = found.unwrap()
+    if value is None:
+        return Success(Stored(document=EMPTY, revision=0))
+    return parse_document(value.value.encode()).map(
+        lambda document: Stored(document=document, revision=value.revision)
+    )
+
+
+def commit_change(
+    store: StoreClient, *, base_version: int, change_id: str, document_json: bytes
+) -> Result[CommitOutcome, StepError]:
+    """Replace the base version by the document, once.
+
+    Fail if the document is not a valid successor of the base version. After
+    a lost answer the change id in the store shows whether the write took
+    effect. A compare-and-swap of the same revision is repeated when it did
+    not, since only one of the two can succeed.
+    """
+    problem = _check_successor(base_version, change_id, document_json)
+    if problem is not None:
+        return Failure(StepError("commit configuration", "document", str(problem)))
+    seen_version = 0
+    for _ in range(_TRIES):
+        read = read_config(store)
+        if isinstance(read, Failure):
+            continue
+        stored = read.unwrap()
+        seen_version = stored.document.version
+        if change_id in stored.document.change_ids:
+            return Success(
+                CommitOutcome(result="already_applied", version=seen_version)
+            )
+        if seen_version > base_version:
+            return Success(CommitOutcome(result="conflict", version=seen_version))
+        if seen_version < base_version:
+            # A stale read, or a plan made against another store.
+            continue
+        written = store.put(
+            CONFIG_KEY, document_json.decode(), expect_revision=stored.revision
+        )
+        if isinstance(written, Success) and written.unwrap() is not None:
+            return Success(CommitOutcome(result="applied", version=base_version + 1))
+    if 0 < seen_version < base_version:
+        return Success(CommitOutcome(result="conflict", version=seen_version))
+    return Success(CommitOutcome(result="store_unreachable"))
+
+
+def _check_successor(
+    base_version: int, change_id: str, document_json: bytes
+) -> StepError | CheckError | None:
+    if len(document_json) > MAX_DOCUMENT_BYTES:
+        shown = f"{len(document_json)} bytes"
+        return CheckError("document", shown, f"at most {MAX_DOCUMENT_BYTES} bytes")
+    parsed = parse_document(document_json)
+    if isinstance(parsed, Failure):
+        error: StepError = parsed.failure()
+        return error
+    document = parsed.unwrap()
+    if document.version != base_version + 1:
+        shown = str(document.version)
+        return CheckError("version", shown, f"{base_version + 1}, one above the base")
+    if document.change_ids[-1:] != (change_id,):
+        return CheckError("change_ids", "without this change", "this change at the end")
+    return None
--- /dev/null
+++ b/src/eelgrassweir/config/confirm.py
@@ -0,0 +1,89 @@
+"""Confirm a plan: check it against the current version, then commit it."""
+
+from collections.abc import Callable, Sequence
+from typing import Any
+
+import attrs
+
+from eelgrassweir.config.describe import Change, describe_changes
+from eelgrassweir.config.document import ConfigDocument, dump_document
+from eelgrassweir.config.plan import Plan
+
+# (base version, change id, document) -> (result of the CommitReply, version)
+Commit = Callable[[int, str, bytes], tuple[str, int]]
+
+
+@attrs.frozen(kw_only=True)
+class ConfirmReply:
+    """Hold the outcome of a confirm.
+
+    ``result`` is ``applied``, ``already_applied``, ``conflict`` (the
+    configuration has changed since the plan), ``refused``, ``behind`` (this
+    daemon has an older version than the plan) or ``store_unreachable``.
+    """
+
+    result: str
+    version: int
+    reason: str = ""
+    changed_since: Sequence[Change] = ()
+
+
+def json_of_reply(reply: ConfirmReply) -> dict[str, Any]:
+    """Return the reply as values that JSON can hold."""
+    return attrs.asdict(reply)
+
+
+def check_confirm(plan: Plan, current: ConfigDocument) -> ConfirmReply | None:
+    """Return the reply if the plan is not to be committed, else None."""
+    version = current.version
+    if plan.plan_id in current.change_ids:
+        return ConfirmReply(result="already_applied", version=version)
+    if plan.refusals:
+        reason = "; ".join(plan.refusals)
+        return ConfirmReply(result="refused", version=version, reason=reason)
+    if version < plan.base_version:
+        reason = (
+            f"this daemon has version {version} and the plan is against "
+            f"{plan.base_version}; wait, or confirm at another daemon"
+        )
+        return ConfirmReply(result="behind", version=version, reason=reason)
+    if version > plan.base_version:
+        return conflict_reply(plan, current)
+    if current != plan.base_document:
+        reason = "the plan's base is not the configuration here; make a new plan"
+        return ConfirmReply(result="refused", version=version, reason=reason)
+    return None
+
+
+def conflict_reply(plan: Plan, current: ConfigDocument) -> ConfirmReply:
+    """Return the refusal of a plan against an older version."""
+    reason = (
+        f"the plan is against version {plan.base_version} and the current version "
+        f"is {current.version}; make a new plan"
+    )
+    return ConfirmReply(
+        result="conflict",
+        version=current.version,
+        reason=reason,
+        changed_since=tuple(describe_changes(plan.base_document, current)),
+    )
+
+
+def commit_plan(plan: Plan, commit: Commit) -> ConfirmReply:
+    """Commit a checked plan; a conflict does not say yet what has changed."""
+    result, version = commit(
+        plan.base_version, plan.plan_id, dump_document(plan.document)
+    )
+    if result in ("applied", "already_applied"):
+        return ConfirmReply(result=result, version=version)
+    if result == "conflict":
+        reason = (
+            f"the plan is against version {plan.base_version} and the store has "
+            f"version {version}; make a new plan"
+        )
+        return ConfirmReply(result=result, version=version, reason=reason)
+    reason = (
+        "no relay reaches the store; the change may have been written. Repeat the "
+        "confirm of the same plan: it takes effect at most once"
+    )
+    return ConfirmReply(result="store_unreachable", version=version, reason=reason)
--- /dev/null
+++ b/src/eelgrassweir/config/describe.py
@@ -0,0 +1,134 @@
+"""Differences between two configurations in words."""
+
+from collections.abc import Callable, Iterator, Mapping, Sequence
+from datetime import UTC, datetime
+from typing import Any, TypeVar
+
+import attrs
+
+from eelgrassweir.config.document import (
+    ConfigDocument,
+    Key,
+    Route,
+    Stop,
+    Team,
+    json_of_route,
+)
+
+_ENTRIES = "every daemon, for requests that enter there"
+
+T = TypeVar("T")
+
+
+@attrs.frozen(kw_only=True)
+class Change:
+    """Say what changes and where."""
+
+    what: str
+    where: str
+
+
+def describe_changes(old: ConfigDocument, new: ConfigDocument) -> list[Change]:
+    """Return what differs between two documents, in words."""
+    old_routes = {route.name: route for route in old.routes}
+    new_routes = {route.name: route for route in new.routes}
+    holders = "share holders of " + (", ".join(new.failure_domains) or "no domain")
+    return [
+        *_compare(old.teams, new.teams, lambda a, b: _team(a, b, holders)),
+        *_compare(old.keys, new.keys, _key),
+        *_compare(old_routes, new_routes, _route),
+        *_domains(old.failure_domains, new.failure_domains),
+        *_compare(old.stops, new.stops, _stop),
+    ]
+
+
+def _compare(
+    old: Mapping[str, T],
+    new: Mapping[str, T],
+    describe: Callable[[T | None, T | None], Change],
+) -> Iterator[Change]:
+    for name in sorted(old.keys() | new.keys()):
+        if old.get(name) != new.get(name):
+            yield describe(old.get(name), new.get(name))
+
+
+def _team(old: Team | None, new: Team | None, holders: str) -> Change:
+    if new is None:
+        assert old is not None
+        return Change(what=f"team {old.name}: removed", where=holders)
+    limits = f"{new.rate_per_s:g} calls/s, burst of {new.burst_calls} calls"
+    if old is None:
+        return Change(what=f"team {new.name}: added with {limits}", where=holders)
+    before = f"{old.rate_per_s:g} calls/s, burst of {old.burst_calls} calls"
+    return Change(what=f"team {new.name}: {before} -> {limits}", where=holders)
+
+
+def _key(old: Key | None, new: Key | None) -> Change:
+    if new is None:
+        assert old is not None
+        what = f"key {old.key_id} of team {old.team}: withdrawn"
+    elif old is None:
+        what = f"key {new.key_id}: granted to team {new.team}"
+    else:
+        what = f"key {old.key_id} of team {old.team} -> {new.key_id} of {new.team}"
+    return Change(what=what, where=_ENTRIES)
+
+
+def _route(old: Route | None, new: Route | None) -> Change:
+    if new is None:
+        assert old is not None
+        what = f"route {old.name} ({old.path_prefix}): removed"
+    elif old is None:
+        values = ", ".join(_shown(json_of_route(new).items()))
+        what = f"route {new.name}: added with {values}"
+    else:
+        before, after = json_of_route(old), json_of_route(new)
+        parts = [
+            f"{field} {_value(before[field])} -> {_value(after[field])}"
+            for field in after
+            if before[field] != after[field]
+        ]
+        what = f"route {new.name}: " + ", ".join(parts)
+    return Change(what=what, where=_ENTRIES)
+
+
+def _shown(items: Any) -> Iterator[str]:
+    return (f"{field} {_value(value)}" for field, value in items)
+
+
+def _value(value: Any) -> str:
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    if isinstance(value, list):
+        return "+".join(value) or "all"
+    return str(value)
+
+
+def _domains(old: Sequence[str], new: Sequence[str]) -> Iterator[Change]:
+    if tuple(old) == tuple(new):
+        return
+    before, after = ", ".join(old) or "none", ", ".join(new) or "none"
+    yield Change(
+        what=f"failure domains: {before} -> {after}",
+        where="share holders of all failure domains",
+    )
+
+
+def _stop(old: Stop | None, new: Stop | None) -> Change:
+    if new is None:
+        assert old is not None
+        what = f"planned stop of {old.vm} at {show_time(old.start_wall_ms)}: removed"
+        return Change(what=what, where=f"VM {old.vm}")
+    what = f"planned stop of {new.vm} at {show_time(new.start_wall_ms)}"
+    if old is not None:
+        what += f" (before: {show_time(old.start_wall_ms)})"
+    return Change(what=what, where=f"VM {new.vm}")
+
+
+def show_time(wall_ms: float) -> str:
+    """Return a wall time as ISO 8601 in UTC."""
+    try:
+        moment = datetime.fromtimestamp(wall_ms / 1000, UTC)
+    except (OverflowError, ValueError, OSError):
+        return f"{wall_ms} ms"
+    return moment.strftime("%Y-%m-%dT%H:%M:%SZ")
--- /dev/null
+++ b/src/eelgrassweir/daemon/admin.py
@@ -0,0 +1,323 @@
+"""Admin listener: metrics, state, plans and confirms over HTTP.
+
+``GET /healthz`` needs no token. With a token configured, every other request
+needs ``Authorization: Bearer TOKEN``. Answers are JSON except ``/metrics``;
+errors are ``{"error": {"step", "peer", "reason"}}``.
+
+``GET /status`` gives what the daemon's ``status`` callable returns. The
+command line reads these fields of it, and does without those that are
+missing::
+
+    {"vm": "oviedo-fichero-1", "config_version": 7, "is_fresh": true,
+     "freshness_age_ms": 400, "store_reached": true,
+     "fleet": {"counts": [{"version": 7, "daemons": 12}],
+               "lagging": ["oviedo-fichero-2"], "daemons_known": 12}}
+"""
+
+import contextlib
+import hashlib
+import hmac
+import json
+import secrets
+import threading
+import time
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any
+
+import attrs
+import prometheus_client
+from cheroot import wsgi
+from eliot import log_message
+from returns.result import Failure
+
+from eelgrassweir.clock import Clock
+from eelgrassweir.config.check import CheckError, load_json
+from eelgrassweir.config.confirm import (
+    Commit,
+    ConfirmReply,
+    check_confirm,
+    commit_plan,
+    conflict_reply,
+    json_of_reply,
+)
+from eelgrassweir.config.document import EMPTY, ConfigDocument, json_of_document
+from eelgrassweir.config.plan import (
+    Plan,
+    Surroundings,
+    json_of_plan,
+    make_plan,
+    plan_of_json,
+)
+from eelgrassweir.errors import StepError
+
+# A plan carries the document before and after, of up to 1 MB each, and the
+# intent.
+MAX_BODY_BYTES = 4_000_000
+_THREADS = 4
+_SOCKET_TIMEOUT_S = 10
+_STOP_TIMEOUT_S = 5
+# Time for a conflicting version to arrive here, to say what has changed.
+_CONFLICT_WAIT_MS = 2_000
+_CONFLICT_POLL_S = 0.05
+
+_STATUS_LINES = {
+    200: "200 OK",
+    400: "400 Bad Request",
+    401: "401 Unauthorized",
+    404: "404 Not Found",
+    405: "405 Method Not Allowed",
+    409: "409 Conflict",
+    413: "413 Content Too Large",
+    500: "500 Internal Server Error",
+    503: "503 Service Unavailable",
+}
+_STATUS_OF_RESULT = {
+    "applied": 200,
+    "already_applied": 200,
+    "conflict": 409,
+    "refused": 409,
+    "behind": 503,
+    "store_unreachable": 503,
+}
+
+
+@attrs.frozen(kw_only=True)
+class AdminSources:
+    """Hold the callables through which the listener sees the daemon.
+
+    All are called from the listener's threads. ``usage`` gives calls/s by
+    team over the last minute, ``targets`` the service of each ready VM, and
+    ``commit`` takes the base version, the change id and the document and
+    gives the result of a ``CommitReply`` and its version.
+    """
+
+    dump: Callable[[], Mapping[str, Any]]
+    status: Callable[[], Mapping[str, Any]]
+    config: Callable[[], ConfigDocument | None]
+    commit: Commit
+    usage: Callable[[], Mapping[str, float]] = dict
+    targets: Callable[[], Mapping[str, str]] = dict
+
+
+@attrs.frozen(kw_only=True)
+class _Request:
+    method: str
+    path: str
+    authorization: str
+    body: bytes
+
+
+@attrs.frozen(kw_only=True)
+class _Answer:
+    status: int
+    body: bytes
+    content_type: str = "application/json"
+
+
+def _json(status: int, value: Any) -> _Answer:
+    return _Answer(status=status, body=json.dumps(value).encode())
+
+
+def _error(status: int, error: StepError) -> _Answer:
+    return _json(status, {"error": attrs.asdict(error)})
+
+
+def _failed(status: int, step: str, reason: str) -> _Answer:
+    return _error(status, StepError(step, "admin listener", reason))
+
+
+class AdminServer:
+    """Serve the admin interface in a few threads of its own."""
+
+    def __init__(
+        self,
+        address: tuple[str, int],
+        sources: AdminSources,
+        *,
+        clock: Clock,
+        isolation_limit_ms: int,
+        token: str = "",
+        registry: prometheus_client.CollectorRegistry = prometheus_client.REGISTRY,
+    ) -> None:
+        self._sources = sources
+        self._clock = clock
+        self._isolation_limit_ms = isolation_limit_ms
+        self._token_hash = _hash_token(token) if token else None
+        self._registry = registry
+        self._thread: threading.Thread | None = None
+        # One plan is confirmed at a time; the store orders those of others.
+        self._confirm_lock = threading.Lock()
+        self._server = wsgi.Server(address, self._serve, numthreads=_THREADS)
+        self._server.timeout = _SOCKET_TIMEOUT_S
+        self._server.shutdown_timeout = _STOP_TIMEOUT_S
+        self._server.max_request_body_size = MAX_BODY_BYTES
+        self._handlers: dict[tuple[str, str], Callable[[_Request], _Answer]] = {
+            ("GET", "/healthz"): lambda _: _json(200, {"ok": True}),
+            ("GET", "/metrics"): lambda _: self._metrics(),
+            ("GET", "/dump"): lambda _: _json(200, dict(sources.dump())),
+            ("GET", "/status"): lambda _: _json(200, dict(sources.status())),
+            ("GET", "/config"): lambda _: self._config(),
+            ("POST", "/plan"): self._plan,
+            ("POST", "/confirm"): self._confirm,
+        }
+
+    def start(self) -> tuple[str, int]:
+        """Bind, serve in a thread and return the bound address.
+
+        Raise OSError if the address cannot be bound.
+        """
+        self._server.prepare()
+        self._thread = threading.Thread(
+            target=self._server.serve, name="admin", daemon=True
+        )
+        self._thread.start()
+        host, port = self._server.bind_addr[:2]
+        return host, port
+
+    def stop(self) -> None:
+        """Stop serving; end requests that run for longer than 5 s."""
+        self._server.stop()
+        if self._thread is not None:
+            self._thread.join(_STOP_TIMEOUT_S)
+
+    def _serve(
+        self, environ: dict[str, Any], start_response: Callable[..., Any]
+    ) -> Iterable[bytes]:
+        answer = self._answer(_request_of(environ))
+        headers = [
+            ("Content-Type", answer.content_type),
+            ("Content-Length", str(len(answer.body))),
+        ]
+        if answer.status == 401:
+            headers.append(("WWW-Authenticate", "Bearer"))
+        start_response(_STATUS_LINES[answer.status], headers)
+        return [answer.body]
+
+    def _answer(self, request: _Request) -> _Answer:
+        if request.path != "/healthz" and not self._is_allowed(request):
+            reason = "the token is missing or wrong; pass the daemon's admin token"
+            return _failed(401, "check token", reason)
+        handler = self._handlers.get((request.method, request.path))
+        if handler is None:
+            if any(path == request.path for _, path in self._handlers):
+                return _failed(405, "find request", "this path has another method")
+            return _failed(404, "find request", "no such path")
+        try:
+            return handler(request)
+        except Exception as error:
+            # The message may hold what a caller sent, so only the type is
+            # logged and none of it is answered.
+            name = type(error).__name__
+            log_message("admin:request_failed", path=request.path, error=name)
+            return _failed(500, f"answer {request.path}", f"internal error ({name})")
+
+    def _is_allowed(self, request: _Request) -> bool:
+        if self._token_hash is None:
+            return True
+        scheme, _, token = request.authorization.partition(" ")
+        given = _hash_token(token.strip())
+        is_equal = hmac.compare_digest(given, self._token_hash)
+        return is_equal and scheme.lower() == "bearer"
+
+    def _metrics(self) -> _Answer:
+        return _Answer(
+            status=200,
+            body=prometheus_client.generate_latest(self._registry),
+            content_type=prometheus_client.CONTENT_TYPE_LATEST,
+        )
+
+    def _config(self) -> _Answer:
+        document = self._sources.config()
+        if document is None:
+            reason = "this daemon has no configuration yet"
+            return _failed(503, "read configuration", reason)
+        shown = json_of_document(document)
+        # Readers need the ids; the hashes stay between daemons and store.
+        shown["keys"] = sorted(shown["keys"].values(), key=lambda key: key["key_id"])
+        return _json(200, shown)
+
+    def _plan(self, request: _Request) -> _Answer:
+        try:
+            intent = load_json(request.body)
+        except CheckError as error:
+            return _failed(400, "read intent", str(error))
+        now_wall_ms = self._clock.wall_ms()
+        made = make_plan(
+            intent,
+            self._sources.config() or EMPTY,
+            plan_id=new_plan_id(now_wall_ms),
+            now_wall_ms=now_wall_ms,
+            surroundings=Surroundings(
+                usage=self._sources.usage(), targets=self._sources.targets()
+            ),
+        )
+        if isinstance(made, Failure):
+            return _error(400, made.failure())
+        return _json(200, json_of_plan(made.unwrap()))
+
+    def _confirm(self, request: _Request) -> _Answer:
+        try:
+            given = load_json(request.body)
+        except CheckError as error:
+            return _failed(400, "read plan", str(error))
+        read = plan_of_json(given)
+        if isinstance(read, Failure):
+            return _error(400, read.failure())
+        with self._confirm_lock:
+            reply = self._confirmed(read.unwrap())
+        log_message(
+            "admin:confirm",
+            plan_id=read.unwrap().plan_id,
+            result=reply.result,
+            version=reply.version,
+        )
+        body = json_of_reply(reply) | {"isolation_limit_ms": self._isolation_limit_ms}
+        return _json(_STATUS_OF_RESULT[reply.result], body)
+
+    def _confirmed(self, plan: Plan) -> ConfirmReply:
+        refused = check_confirm(plan, self._sources.config() or EMPTY)
+        if refused is not None:
+            return refused
+        reply = commit_plan(plan, self._committed)
+        if reply.result != "conflict":
+            return reply
+        current = self._await_version(reply.version)
+        return reply if current is None else conflict_reply(plan, current)
+
+    def _committed(self, base_version: int, plan_id: str, document: bytes) -> Any:
+        try:
+            return self._sources.commit(base_version, plan_id, document)
+        except (TimeoutError, StepError):
+            return "store_unreachable", 0
+
+    def _await_version(self, version: int) -> ConfigDocument | None:
+        end_ms = self._clock.now_ms() + _CONFLICT_WAIT_MS
+        while self._clock.now_ms() < end_ms:
+            current = self._sources.config()
+            if current is not None and current.version >= version:
+                return current
+            time.sleep(_CONFLICT_POLL_S)
+        return None
+
+
+def new_plan_id(now_wall_ms: int) -> str:
+    """Return a new change id: the time in UTC and a random part."""
+    moment = time.strftime("%Y%m%dT%H%M%SZ", time.gmtime(now_wall_ms / 1000))
+    return f"{moment}-{secrets.token_hex(6)}"
+
+
+def _hash_token(token: str) -> bytes:
+    # Equal lengths keep the comparison constant in time for any token.
+    return hashlib.sha256(token.encode("utf-8", "surrogatepass")).digest()
+
+
+def _request_of(environ: Mapping[str, Any]) -> _Request:
+    size_bytes = 0
+    with contextlib.suppress(ValueError):
+        size_bytes = int(environ.get("CONTENT_LENGTH") or 0)
+    return _Request(
+        method=environ["REQUEST_METHOD"],
+        path=environ["PATH_INFO"],
+        authorization=environ.get("HTTP_AUTHORIZATION", ""),
+        body=environ["wsgi.input"].read(size_bytes) if size_bytes > 0 else b"",
+    )
