--- /dev/null
+++ b/testing/fleet.py
@@ -0,0 +1,385 @@
+"""Start a fleet of daemons and stand-ins as processes, and break it."""
+
+import contextlib
+import json
+import os
+import pathlib
+import random
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+import urllib3
+
+from testing.shapes import ServiceShape, Shape
+from testing.stand_ins.tcp_proxy import TcpProxy
+
+ROOT = pathlib.Path(__file__).resolve().parents[1]
+START_DEADLINE_MS = 20_000.0
+STOP_DEADLINE_MS = 5_000.0
+
+
+class FleetError(Exception):
+    """Report a fleet that did not reach a state in time."""
+
+
+@attrs.define(eq=False)
+class Vm:
+    """One VM: its daemon, its backend server and their addresses."""
+
+    name: str
+    failure_domain: str
+    service: ServiceShape
+    settings: dict[str, Any]
+    spec: dict[str, Any]
+    daemon: subprocess.Popen[bytes] | None = None
+    backend: subprocess.Popen[bytes] | None = None
+
+    @property
+    def ingress_address(self) -> str:
+        """Return the address for callers."""
+        return str(self.settings["ingress_address"])
+
+    @property
+    def admin_address(self) -> str:
+        """Return the address for operators."""
+        return str(self.settings["admin_address"])
+
+    @property
+    def backend_address(self) -> str:
+        """Return the address of the backend server."""
+        return f"127.0.0.1:{self.spec['port']}"
+
+
+def wait_until(check: Callable[[], Any], deadline_ms: float, what: str = "") -> Any:
+    """Call ``check`` until it returns a true value, and return that value."""
+    end_s = time.monotonic() + deadline_ms / 1000
+    while True:
+        value = check()
+        if value:
+            return value
+        if time.monotonic() > end_s:
+            raise FleetError(f"not within {deadline_ms:.0f} ms: {what or check}")
+        time.sleep(0.02)
+
+
+class Fleet:
+    """Run the processes of one shape; a context manager.
+
+    With ``proxied``, a TCP proxy sits in front of the link and control
+    listeners of each daemon, under the names ``VM/link`` and ``VM/control``.
+    """
+
+    def __init__(
+        self,
+        shape: Shape,
+        directory: pathlib.Path,
+        *,
+        proxied: bool = False,
+        seed: int = 1,
+        settings: dict[str, Any] | None = None,
+        spec: dict[str, Any] | None = None,
+        environment: dict[str, str] | None = None,
+    ) -> None:
+        self.shape = shape
+        self.directory = directory
+        self.seed = seed
+        self.proxy = TcpProxy() if proxied else None
+        self.vms: dict[str, Vm] = {}
+        self.store: subprocess.Popen[bytes] | None = None
+        self.store_url = ""
+        self._settings = settings or {}
+        self._spec = spec or {}
+        self._environment = environment or {}
+        self._taken_ports: set[int] = set()
+        self._http = urllib3.PoolManager(retries=False, num_pools=200)
+
+    def __enter__(self) -> "Fleet":
+        try:
+            self.start()
+        except BaseException:
+            self.close()
+            raise
+        return self
+
+    def __exit__(self, *_exc: object) -> None:
+        self.close()
+
+    def start(self) -> None:
+        """Start the store, the daemons and the backend servers."""
+        self.directory.mkdir(parents=True, exist_ok=True)
+        if self.proxy is not None:
+            self.proxy.__enter__()
+        self.start_store()
+        self.write_document(self.shape.document())
+        for position, (name, domain, service) in enumerate(self.shape.vms()):
+            self.vms[name] = self._make_vm(name, domain, service, position)
+        for vm in self.vms.values():
+            self.start_vm(vm.name)
+
+    def close(self) -> None:
+        """End every process that this fleet started."""
+        processes = [self.store]
+        for vm in self.vms.values():
+            processes += [vm.daemon, vm.backend]
+        for process in processes:
+            if process is not None and process.poll() is None:
+                process.kill()
+        for process in processes:
+            if process is not None:
+                process.wait()
+        if self.proxy is not None:
+            self.proxy.close()
+        self._http.clear()
+
+    # Store.
+
+    def start_store(self) -> None:
+        """Start the store stand-in, empty, and wait until it listens."""
+        if not self.store_url:
+            self.store_url = f"http://127.0.0.1:{self._free_port()}"
+        port = self.store_url.rpartition(":")[2]
+        port_file = self.directory / "store.port"
+        port_file.unlink(missing_ok=True)
+        self.store = self._spawn(
+            "store",
+            "testing.stand_ins.store",
+            "--port",
+            port,
+            "--port-file",
+            str(port_file),
+        )
+        wait_until(port_file.exists, START_DEADLINE_MS, "store listens")
+
+    def write_document(self, document: dict[str, Any], expect_revision: int = 0) -> int:
+        """Write the configuration into the store; return its revision."""
+        body = {"value": json.dumps(document), "expect_revision": expect_revision}
+        url = f"{self.store_url}/v1/kv/config/current"
+        response = self._http.request("PUT", url, json=body, timeout=5.0)
+        if response.status != 200:
+            raise FleetError(f"write of the configuration: {response.status}")
+        return int(response.json()["revision"])
+
+    def read_document(self) -> tuple[dict[str, Any], int]:
+        """Return the configuration in the store and its revision."""
+        url = f"{self.store_url}/v1/kv/config/current"
+        answer = self._http.request("GET", url, timeout=5.0).json()
+        return json.loads(answer["value"]), int(answer["revision"])
+
+    # VMs.
+
+    def start_vm(self, name: str, *, daemon: bool = True, backend: bool = True) -> None:
+        """Start the daemon and the backend server of ``name``."""
+        vm = self.vms[name]
+        if daemon:
+            path = self.directory / f"{name}.json"
+            path.write_text(json.dumps(vm.settings))
+            vm.daemon = self._spawn(
+                name, "eelgrassweir.daemon.main", "--settings", str(path)
+            )
+        if backend:
+            vm.backend = self._spawn(
+                f"{name}.backend",
+                "testing.stand_ins.backend_server",
+                "--spec",
+                json.dumps(vm.spec),
+            )
+
+    def signal_vm(
+        self, name: str, number: int, *, daemon: bool = True, backend: bool = True
+    ) -> None:
+        """Send a signal to the processes of ``name``."""
+        vm = self.vms[name]
+        chosen = ((vm.daemon, daemon), (vm.backend, backend))
+        for process, is_chosen in chosen:
+            if is_chosen and process is not None and process.poll() is None:
+                process.send_signal(number)
+
+    def kill(self, name: str, *, daemon: bool = True, backend: bool = True) -> None:
+        """Kill the processes of ``name`` and wait for their end."""
+        self.signal_vm(name, signal.SIGKILL, daemon=daemon, backend=backend)
+        vm = self.vms[name]
+        if daemon and vm.daemon is not None:
+            vm.daemon.wait()
+        if backend and vm.backend is not None:
+            vm.backend.wait()
+
+    def stop(self, name: str) -> None:
+        """Pause the VM ``name`` as SIGSTOP does."""
+        self.signal_vm(name, signal.SIGSTOP)
+
+    def cont(self, name: str) -> None:
+        """Let the paused VM ``name`` go on."""
+        self.signal_vm(name, signal.SIGCONT)
+
+    def terminate(self, name: str) -> None:
+        """Ask the daemon of ``name`` to drain and end."""
+        self.signal_vm(name, signal.SIGTERM, backend=False)
+
+    def restart(self, name: str) -> None:
+        """Kill the VM ``name`` and start it again at the same addresses."""
+        self.kill(name)
+        self.start_vm(name)
+
+    def vms_of(self, *, service: str = "", failure_domain: str = "") -> list[Vm]:
+        """Return the VMs of a service, of a failure domain, or of both."""
+        return [
+            vm
+            for vm in self.vms.values()
+            if service in ("", vm.service.name)
+            and failure_domain in ("", vm.failure_domain)
+        ]
+
+    # Observation.
+
+    def backend_state(self, name: str, *, full: bool = False) -> dict[str, Any]:
+        """Return the counts of one backend server."""
+        query = "?full" if full else ""
+        url = f"http://{self.vms[name].backend_address}/stand-in/state{query}"
+        state: dict[str, Any] = self._http.request("GET", url, timeout=5.0).json()
+        return state
+
+    def set_backend(self, name: str, **changes: Any) -> None:
+        """Change fields of the spec of one backend server."""
+        url = f"http://{self.vms[name].backend_address}/stand-in/set"
+        response = self._http.request("POST", url, json=changes, timeout=5.0)
+        if response.status != 200:
+            raise FleetError(f"{name}: {response.data!r}")
+
+    def call(
+        self,
+        name: str,
+        method: str,
+        path: str,
+        *,
+        headers: dict[str, str] | None = None,
+        body: bytes = b"",
+        timeout_s: float = 5.0,
+    ) -> urllib3.BaseHTTPResponse:
+        """Send one request to the ingress listener of ``name``."""
+        url = f"http://{self.vms[name].ingress_address}{path}"
+        return self._http.request(
+            method, url, headers=headers, body=body, timeout=timeout_s
+        )
+
+    def admin(self, name: str, path: str, timeout_s: float = 5.0) -> Any:
+        """Return the JSON that the admin listener answers at ``path``."""
+        url = f"http://{self.vms[name].admin_address}{path}"
+        return self._http.request("GET", url, timeout=timeout_s).json()
+
+    def wait_ready(self, deadline_ms: float = START_DEADLINE_MS) -> None:
+        """Wait until every daemon serves every service."""
+        team = self.shape.teams[0]
+        waiting = {(vm, s.name) for vm in self.vms for s in self.shape.services}
+        last = ""
+
+        def check() -> bool:
+            nonlocal last
+            for vm, service in sorted(waiting):
+                last = f"{vm} -> {service}: {self._probe(vm, service, team.key)}"
+                if not last.endswith(": 200"):
+                    return False
+                waiting.discard((vm, service))
+            return True
+
+        try:
+            wait_until(check, deadline_ms)
+        except FleetError as error:
+            raise FleetError(f"not ready in {deadline_ms:.0f} ms: {last}") from error
+
+    def _probe(self, vm: str, service: str, key: str) -> str:
+        headers = {"Authorization": f"Bearer {key}", "X-Marker": "ready"}
+        try:
+            response = self.call(vm, "GET", f"/{service}/view", headers=headers)
+        except urllib3.exceptions.HTTPError as error:
+            return type(error).__name__
+        if response.status == 200:
+            return "200"
+        return f"{response.status} {response.data[:300]!r}"
+
+    def processor_ms(self, name: str) -> float:
+        """Return the processor time of the daemon of ``name``, in ms."""
+        process = self.vms[name].daemon
+        return 0.0 if process is None else processor_ms(process.pid)
+
+    # Construction.
+
+    def _make_vm(
+        self, name: str, domain: str, service: ServiceShape, position: int
+    ) -> Vm:
+        names = ("ingress", "egress", "link", "control", "admin")
+        addresses = {
+            f"{part}_address": f"127.0.0.1:{self._free_port()}" for part in names
+        }
+        settings: dict[str, Any] = {
+            "vm": name,
+            "failure_domain": domain,
+            "store_urls": [self.store_url],
+            "log_path": str(self.directory / f"{name}.log"),
+            "seed": self.seed * 1000 + position + 1,
+            **addresses,
+            **self.shape.settings,
+            **self._settings,
+        }
+        if self.proxy is not None:
+            for part in ("link", "control"):
+                settings[f"advertised_{part}_address"] = self.proxy.listen(
+                    f"{name}/{part}", addresses[f"{part}_address"]
+                )
+        spec: dict[str, Any] = {
+            "service": service.name,
+            "egress_address": addresses["egress_address"],
+            "port": self._free_port(),
+            "slots": service.slots,
+            "service_ms": service.service_ms,
+            "seed": self.seed * 1000 + position + 1,
+            "children": self.shape.children(service.name),
+            **self._spec,
+        }
+        return Vm(name, domain, service, settings, spec)
+
+    def _free_port(self) -> int:
+        """Return a free port below the range of outgoing connections.
+
+        A port of that range could be taken by a connection while the process
+        that is to listen on it starts again.
+        """
+        choice = random.SystemRandom()
+        while True:
+            port = choice.randrange(12_000, 32_000)
+            if port in self._taken_ports:
+                continue
+            with socket.socket() as probe, contextlib.suppress(OSError):
+                probe.bind(("127.0.0.1", port))
+                self._taken_ports.add(port)
+                return port
+
+    def _spawn(
+        self, log_name: str, module: str, *arguments: str
+    ) -> subprocess.Popen[bytes]:
+        environment = {
+            **os.environ,
+            **self._environment,
+            "PYTHONPATH": f"{ROOT / 'src'}{os.pathsep}{ROOT}",
+        }
+        with (self.directory / f"{log_name}.out").open("ab") as log:
+            return subprocess.Popen(
+                [sys.executable, "-m", module, *arguments],
+                cwd=self.directory,
+                env=environment,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+            )
+
+
+def processor_ms(process_id: int) -> float:
+    """Return the user and system time of a process, in ms."""
+    fields = pathlib.Path(f"/proc/{process_id}/stat").read_text().rpartition(")")[2]
+    ticks = sum(int(value) for value in fields.split()[11:13])
+    return ticks * 1000 / os.sysconf("SC_CLK_TCK")
--- /dev/null
+++ b/testing/shapes.py
@@ -0,0 +1,249 @@
+"""Shapes of the fleets that tests and experiments start."""
+
+import hashlib
+from typing import Any
+
+import attrs
+
+# Routes of every service: name, method, priority, idempotent.
+ROUTE_KINDS = (
+    ("view", "GET", 1, True),
+    ("file", "POST", 2, False),
+    ("report", "GET", 0, True),
+)
+
+
+@attrs.frozen(kw_only=True)
+class ServiceShape:
+    """One service, its targets and the calls it makes itself."""
+
+    name: str
+    targets: int
+    slots: int
+    service_ms: float
+    calls: tuple[str, ...] = ()
+
+
+@attrs.frozen(kw_only=True)
+class TeamShape:
+    """One team, its key and its allowance."""
+
+    name: str
+    rate_per_s: float
+    burst_calls: int
+
+    @property
+    def key(self) -> str:
+        """Return the key in clear, as the team's callers send it."""
+        return f"key-of-{self.name}-31c7"
+
+
+@attrs.frozen(kw_only=True)
+class Shape:
+    """Failure domains, services and teams of one fleet."""
+
+    name: str
+    failure_domains: tuple[str, ...]
+    services: tuple[ServiceShape, ...]
+    teams: tuple[TeamShape, ...]
+    # Completed root requests a second at which the deepest service is full.
+    capacity_per_s: float
+    attempt_timeout_ms: int = 1_500
+    deadline_ms: int = 3_000
+    settings: dict[str, Any] = attrs.field(factory=dict)
+
+    @property
+    def front(self) -> str:
+        """Return the service that callers use."""
+        return self.services[0].name
+
+    def service(self, name: str) -> ServiceShape:
+        """Return the service called ``name``."""
+        return next(service for service in self.services if service.name == name)
+
+    def children(self, service: str) -> dict[str, list[dict[str, str]]]:
+        """Return the child calls of ``service`` for each of its paths."""
+        return {
+            f"/{service}/{kind}": [
+                {"method": method, "path": f"/{callee}/{kind}"}
+                for callee in self.service(service).calls
+            ]
+            for kind, method, _, _ in ROUTE_KINDS
+        }
+
+    def vms(self) -> list[tuple[str, str, ServiceShape]]:
+        """Return (vm, failure domain, service), domains in rotation."""
+        placed = []
+        for offset, service in enumerate(self.services):
+            for number in range(service.targets):
+                position = (number + offset) % len(self.failure_domains)
+                domain = self.failure_domains[position]
+                placed.append((f"{service.name}-{number + 1}", domain, service))
+        return placed
+
+    def document(self) -> dict[str, Any]:
+        """Return the first configuration as the store keeps it."""
+        return {
+            "version": 1,
+            "teams": {team.name: attrs.asdict(team) for team in self.teams},
+            "keys": {key["key_hash"]: key for key in map(_key, self.teams)},
+            "routes": [
+                {
+                    "name": f"{service.name}-{kind}",
+                    "path_prefix": f"/{service.name}/{kind}",
+                    "methods": [method],
+                    "service": service.name,
+                    "priority": priority,
+                    "idempotent": idempotent,
+                    "is_open": False,
+                    "attempt_timeout_ms": self.attempt_timeout_ms,
+                    "deadline_ms": self.deadline_ms,
+                }
+                for service in self.services
+                for kind, method, priority, idempotent in ROUTE_KINDS
+            ],
+            "failure_domains": list(self.failure_domains),
+            "stops": {},
+            "change_ids": [],
+        }
+
+
+def _key(team: TeamShape) -> dict[str, str]:
+    key_hash = hashlib.sha256(team.key.encode()).hexdigest()
+    return {"key_hash": key_hash, "key_id": f"{team.name}-1", "team": team.name}
+
+
+def _teams(
+    names: tuple[str, ...], shares: tuple[float, ...], total_per_s: float
+) -> tuple[TeamShape, ...]:
+    return tuple(
+        TeamShape(
+            name=name,
+            rate_per_s=total_per_s * share,
+            burst_calls=max(8, int(total_per_s * share)),
+        )
+        for name, share in zip(names, shares, strict=True)
+    )
+
+
+# A few teams are large.
+SHARES = (0.30, 0.25, 0.20, 0.05, 0.05, 0.05, 0.05, 0.05)
+# Slots are a tenth of the real ones, and service times are longer, so that
+# one machine can overload the fleet while its processors are not the limit.
+DEMO = Shape(
+    name="demo",
+    failure_domains=("bilbao", "santander", "oviedo"),
+    services=(
+        ServiceShape(
+            name="fichero", targets=2, slots=12, service_ms=5, calls=("registro",)
+        ),
+        ServiceShape(
+            name="registro", targets=2, slots=12, service_ms=10, calls=("lemario",)
+        ),
+        ServiceShape(name="lemario", targets=2, slots=6, service_ms=20),
+    ),
+    teams=_teams(("academia", "editorial", "taller"), (0.6, 0.3, 0.1), 200.0),
+    capacity_per_s=600.0,
+)
+URQUIOLA = Shape(
+    name="urquiola",
+    failure_domains=("bilbao", "santander", "oviedo", "donostia"),
+    services=(
+        ServiceShape(
+            name="fichero", targets=4, slots=11, service_ms=20, calls=("registro",)
+        ),
+        ServiceShape(
+            name="registro", targets=4, slots=11, service_ms=30, calls=("redaccion",)
+        ),
+        ServiceShape(
+            name="redaccion", targets=4, slots=11, service_ms=30, calls=("lemario",)
+        ),
+        ServiceShape(name="lemario", targets=4, slots=4, service_ms=80),
+    ),
+    teams=_teams(
+        (
+            "academia",
+            "ministerio",
+            "editorial",
+            "archivo",
+            "escuela",
+            "museo",
+            "prensa",
+            "taller",
+        ),
+        SHARES,
+        300.0,
+    ),
+    capacity_per_s=200.0,
+)
+UMGENI = Shape(
+    name="umgeni",
+    failure_domains=("stanger", "tongaat", "darnall"),
+    services=(
+        ServiceShape(
+            name="rota-board",
+            targets=5,
+            slots=14,
+            service_ms=20,
+            calls=("payroll", "allocations"),
+        ),
+        ServiceShape(name="payroll", targets=3, slots=23, service_ms=30),
+        ServiceShape(
+            name="allocations",
+            targets=3,
+            slots=23,
+            service_ms=30,
+            calls=("burn-planner",),
+        ),
+        ServiceShape(name="burn-planner", targets=3, slots=7, service_ms=90),
+    ),
+    teams=_teams(
+        (
+            "harvest",
+            "mill",
+            "transport",
+            "nursery",
+            "workshop",
+            "clinic",
+            "stores",
+            "office",
+        ),
+        SHARES,
+        340.0,
+    ),
+    capacity_per_s=230.0,
+)
+SHAPES = {shape.name: shape for shape in (DEMO, URQUIOLA, UMGENI)}
+
+
+def chain(depth: int, failure_domains: int = 1) -> Shape:
+    """Return a chain of ``depth`` services with one target each."""
+    names = [f"level-{number}" for number in range(1, depth + 1)]
+    services = tuple(
+        ServiceShape(
+            name=name,
+            targets=1,
+            slots=20,
+            service_ms=2,
+            calls=(names[index + 1],) if index + 1 < depth else (),
+        )
+        for index, name in enumerate(names)
+    )
+    return Shape(
+        name=f"chain-{depth}",
+        failure_domains=tuple(f"domain-{i + 1}" for i in range(failure_domains)),
+        services=services,
+        teams=_teams(("academia",), (1.0,), 1_000.0),
+        capacity_per_s=1_000.0,
+    )
+
+
+def flat(vms: int, failure_domains: int) -> Shape:
+    """Return one service on ``vms`` targets that calls nobody."""
+    return Shape(
+        name=f"flat-{vms}",
+        failure_domains=tuple(f"domain-{i + 1}" for i in range(failure_domains)),
+        services=(ServiceShape(name="fichero", targets=vms, slots=20, service_ms=2),),
+        teams=_teams(("academia",), (1.0,), 2_000.0),
+        capacity_per_s=2_000.0,
+    )
--- /dev/null
+++ b/testing/stand_ins/backend_server.py
@@ -0,0 +1,411 @@
+"""Backend server stand-in: slots, a queue, child calls and counts of runs."""
+
+import argparse
+import asyncio
+import collections
+import json
+import pathlib
+import random
+import signal
+import time
+import zlib
+from typing import Any
+
+import attrs
+
+from testing.stand_ins.http1 import (
+    ClientPool,
+    ExchangeError,
+    Request,
+    Response,
+    port_of,
+    serve,
+)
+
+MARKER = b"X-Marker"
+CONTEXT = b"Eelgrassweir-Context"
+DEADLINE = b"Eelgrassweir-Deadline-Ms"
+
+
+@attrs.define(kw_only=True)
+class Spec:
+    """Behaviour of one backend server; every field can change at run time."""
+
+    service: str
+    egress_address: str = ""
+    port: int = 0
+    port_file: str = ""
+    slots: int = 10
+    announced_slots: int = 0
+    queue_limit: int = 100
+    service_ms: float = 5.0
+    spread: float = 0.2
+    seed: int = 1
+    slowdown: float = 1.0
+    cold_ms: float = 0.0
+    cold_factor: float = 5.0
+    health_status: int = 200
+    load_percent: float = -1.0
+    state: str = "ready"
+    stop_on_close: bool = True
+    stop_on_deadline: bool = True
+    children: dict[str, list[dict[str, str]]] = attrs.field(factory=dict)
+    child_retries: int = 0
+    child_timeout_ms: float = 10_000.0
+    keep_context: bool = True
+    fail_percent: float = 0.0
+    fail_status: int = 500
+    payload_bytes: int = 100
+    announce_ms: float = 1_000.0
+    drain_limit_ms: float = 10_000.0
+
+
+def make_payload(marker: str, path: str, length: int) -> str:
+    """Return the text that the answer to ``marker`` at ``path`` carries."""
+    unit = f"{marker}|{path};"
+    return (unit * (length // len(unit) + 1))[:length]
+
+
+def is_whole(answer: Any, marker: str) -> bool:
+    """Check marker, length and checksum of an answer and its children."""
+    if not isinstance(answer, dict) or answer.get("marker") != marker:
+        return False
+    payload = answer.get("payload")
+    if not isinstance(payload, str) or len(payload) != answer.get("length"):
+        return False
+    if payload != make_payload(marker, str(answer.get("path")), len(payload)):
+        return False
+    if zlib.crc32(payload.encode()) != answer.get("checksum"):
+        return False
+    children = answer.get("children", [])
+    return all(
+        is_whole(child["answer"], marker)
+        for child in children
+        if child["status"] == 200
+    )
+
+
+class Slots:
+    """Bound the requests at work; the others wait in arrival order."""
+
+    def __init__(self) -> None:
+        self.busy = 0
+        self.max_busy = 0
+        self.waiting: collections.deque[asyncio.Future[None]] = collections.deque()
+
+    async def take(self, slots: int, queue_limit: int) -> bool:
+        """Wait for a slot; return False at once when the queue is full."""
+        if self.busy < slots:
+            self._count()
+            return True
+        if len(self.waiting) >= queue_limit:
+            return False
+        turn: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self.waiting.append(turn)
+        try:
+            await turn
+        except asyncio.CancelledError:
+            if turn.done() and not turn.cancelled():
+                self.free(slots)
+            else:
+                self.waiting.remove(turn)
+            raise
+        return True
+
+    def free(self, slots: int) -> None:
+        """Give a slot back and start whoever waits longest."""
+        self.busy -= 1
+        while self.waiting and self.busy < slots:
+            turn = self.waiting.popleft()
+            if not turn.done():
+                self._count()
+                turn.set_result(None)
+
+    def _count(self) -> None:
+        self.busy += 1
+        self.max_busy = max(self.max_busy, self.busy)
+
+
+class BackendServer:
+    """Serve requests of one service as its spec says."""
+
+    def __init__(self, spec: Spec) -> None:
+        self.spec = spec
+        self._random = random.Random(spec.seed)
+        self._slots = Slots()
+        self._started_s = time.monotonic()
+        self._egress = ClientPool(spec.egress_address) if spec.egress_address else None
+        self._server: asyncio.Server | None = None
+        self._announcer: asyncio.Task[None] | None = None
+        self.counts: collections.Counter[str] = collections.Counter()
+        # (method and path, marker) to the runs started and completed.
+        self.runs: dict[tuple[str, str], list[int]] = {}
+        self.headers: dict[str, set[str]] = {}
+
+    @property
+    def address(self) -> str:
+        """Return the address that the server listens on."""
+        assert self._server is not None
+        return f"127.0.0.1:{port_of(self._server)}"
+
+    async def start(self) -> None:
+        """Listen and announce the server to the local daemon."""
+        self._server = await serve(self._handle, self.spec.port)
+        if self.spec.port_file:
+            pathlib.Path(self.spec.port_file).write_text(str(port_of(self._server)))
+        if self._egress is not None:
+            self._announcer = asyncio.ensure_future(self._announce_forever())
+
+    async def drain(self) -> None:
+        """Announce the drain and wait until nothing is in flight."""
+        self.spec.state = "draining"
+        await self._announce()
+        end_s = time.monotonic() + self.spec.drain_limit_ms / 1000
+        while time.monotonic() < end_s and (self._slots.busy or self._slots.waiting):
+            await asyncio.sleep(0.02)
+
+    async def stop(self) -> None:
+        """Close the listener."""
+        if self._announcer is not None:
+            self._announcer.cancel()
+        if self._server is not None:
+            self._server.close()
+
+    async def _announce_forever(self) -> None:
+        while True:
+            await self._announce()
+            await asyncio.sleep(self.spec.announce_ms / 1000)
+
+    async def _announce(self) -> None:
+        if self._egress is None:
+            return
+        body = {
+            "service": self.spec.service,
+            "address": self.address,
+            "slots": self.spec.announced_slots or self.spec.slots,
+            "state": self.spec.state,
+        }
+        try:
+            response = await self._egress.request(
+                "POST",
+                "/.eelgrassweir/announce",
+                [(b"content-type", b"application/json")],
+                json.dumps(body).encode(),
+                timeout_ms=self.spec.announce_ms,
+            )
+        except (ExchangeError, TimeoutError):
+            self.counts["announce_failed"] += 1
+            return
+        self.counts[f"announce_{response.status}"] += 1
+
+    async def _handle(self, request: Request) -> Response:
+        path = request.path
+        if path == "/health":
+            return Response(self.spec.health_status, b"{}")
+        if path == "/load":
+            return _json(200, {"load_percent": self._load_percent()})
+        if path == "/stand-in/state":
+            return _json(200, self.state(full="full" in request.target))
+        if path == "/stand-in/set":
+            return self._set(json.loads(request.body))
+        self._see_headers(request)
+        if self.spec.stop_on_close:
+            return await self._run_to_deadline(request)
+        return await asyncio.shield(self._run_to_deadline(request))
+
+    def _load_percent(self) -> float:
+        if self.spec.load_percent >= 0:
+            return self.spec.load_percent
+        return 100.0 * self._slots.busy / max(1, self.spec.slots)
+
+    def _set(self, changes: dict[str, Any]) -> Response:
+        for name, value in changes.items():
+            if not hasattr(self.spec, name):
+                return _json(400, {"unknown": name})
+            setattr(self.spec, name, value)
+        if "state" in changes:
+            self._announce_soon = asyncio.ensure_future(self._announce())
+        return _json(200, {})
+
+    def _see_headers(self, request: Request) -> None:
+        for name, value in request.headers:
+            seen = self.headers.setdefault(name.decode("latin-1"), set())
+            seen.add(value.decode("latin-1"))
+
+    def state(self, *, full: bool) -> dict[str, Any]:
+        """Return counts; with ``full`` also every run and header value."""
+        most: dict[str, int] = {}
+        for (act, _), (started, _completed) in self.runs.items():
+            most[act] = max(most.get(act, 0), started)
+        state: dict[str, Any] = {
+            "service": self.spec.service,
+            "counts": dict(self.counts),
+            "in_flight": self._slots.busy,
+            "waiting": len(self._slots.waiting),
+            "max_in_flight": self._slots.max_busy,
+            "most_runs": most,
+            "header_names": sorted(self.headers),
+        }
+        if full:
+            state["headers"] = {
+                name: sorted(values) for name, values in self.headers.items()
+            }
+            state["runs"] = [
+                [act, marker, started, completed]
+                for (act, marker), (started, completed) in self.runs.items()
+            ]
+        return state
+
+    async def _run_to_deadline(self, request: Request) -> Response:
+        deadline = request.header(DEADLINE)
+        if not deadline or not self.spec.stop_on_deadline:
+            return await self._count_cancel(request)
+        try:
+            async with asyncio.timeout(float(deadline) / 1000):
+                return await self._count_cancel(request)
+        except TimeoutError:
+            self.counts["deadline_passed"] += 1
+            return _json(504, {"error": "deadline passed"})
+
+    async def _count_cancel(self, request: Request) -> Response:
+        try:
+            return await self._run(request)
+        except asyncio.CancelledError:
+            self.counts["stopped"] += 1
+            raise
+
+    async def _run(self, request: Request) -> Response:
+        self.counts["received"] += 1
+        slots = self.spec.slots
+        if not await self._slots.take(slots, self.spec.queue_limit):
+            self.counts["shed"] += 1
+            return _json(503, {"error": "slots and queue are full"})
+        try:
+            return await self._work(request)
+        finally:
+            self._slots.free(self.spec.slots)
+
+    async def _work(self, request: Request) -> Response:
+        marker = request.header(MARKER).decode("latin-1")
+        act = f"{request.method} {request.path}"
+        run = self.runs.setdefault((act, marker), [0, 0])
+        run[0] += 1
+        self.counts["started"] += 1
+        await asyncio.sleep(self._service_s())
+        if self._random.uniform(0, 100) < self.spec.fail_percent:
+            self.counts["failed"] += 1
+            return _json(self.spec.fail_status, {"error": "set to fail"})
+        children = await self._call_children(request, marker)
+        run[1] += 1
+        self.counts["completed"] += 1
+        is_complete = all(child["status"] == 200 for child in children)
+        return _json(200 if is_complete else 502, self._answer(request, children))
+
+    def _service_s(self) -> float:
+        spec = self.spec
+        factor = spec.slowdown * self._random.uniform(1 - spec.spread, 1 + spec.spread)
+        if (time.monotonic() - self._started_s) * 1000 < spec.cold_ms:
+            factor *= spec.cold_factor
+        return spec.service_ms * factor / 1000
+
+    def _answer(
+        self, request: Request, children: list[dict[str, Any]]
+    ) -> dict[str, Any]:
+        marker = request.header(MARKER).decode("latin-1")
+        payload = make_payload(marker, request.path, self.spec.payload_bytes)
+        return {
+            "marker": marker,
+            "service": self.spec.service,
+            "path": request.path,
+            "length": len(payload),
+            "checksum": zlib.crc32(payload.encode()),
+            "payload": payload,
+            "children": children,
+        }
+
+    async def _call_children(
+        self, request: Request, marker: str
+    ) -> list[dict[str, Any]]:
+        children: list[dict[str, Any]] = []
+        for index, call in enumerate(self._child_calls(request.path)):
+            child = await self._call_child(request, marker, index, call)
+            children.append(child)
+            if child["status"] != 200:
+                break
+        return children
+
+    def _child_calls(self, path: str) -> list[dict[str, str]]:
+        prefixes = [prefix for prefix in self.spec.children if path.startswith(prefix)]
+        if not prefixes:
+            return []
+        return self.spec.children[max(prefixes, key=len)]
+
+    async def _call_child(
+        self, request: Request, marker: str, index: int, call: dict[str, str]
+    ) -> dict[str, Any]:
+        headers = [(MARKER, marker.encode("latin-1"))]
+        context = request.header(CONTEXT)
+        if context and self.spec.keep_context:
+            headers.append((CONTEXT, context))
+        # The index keeps two equal calls of one parent apart.
+        body = json.dumps({"marker": marker, "index": index}).encode()
+        child: dict[str, Any] = {}
+        for _attempt in range(1 + self.spec.child_retries):
+            child = await self._try_child(call, headers, body)
+            if child["status"] == 200:
+                break
+        return child
+
+    async def _try_child(
+        self, call: dict[str, str], headers: list[tuple[bytes, bytes]], body: bytes
+    ) -> dict[str, Any]:
+        self.counts["child_calls"] += 1
+        child: dict[str, Any] = {"path": call["path"], "status": 0, "answer": None}
+        if self._egress is None:
+            return child
+        try:
+            response = await self._egress.request(
+                call.get("method", "GET"),
+                call["path"],
+                headers,
+                body,
+                self.spec.child_timeout_ms,
+            )
+        except (ExchangeError, TimeoutError) as error:
+            self.counts[f"child_{type(error).__name__}"] += 1
+            return child
+        code = response.header(b"Eelgrassweir-Refusal").decode("latin-1")
+        self.counts[f"child_{code or response.status}"] += 1
+        child |= {"status": response.status, "refusal": code}
+        try:
+            child["answer"] = json.loads(response.body)
+        except ValueError:
+            child["status"] = 0
+        return child
+
+
+def _json(status: int, document: Any) -> Response:
+    return Response(status, json.dumps(document).encode())
+
+
+async def _main(spec: Spec) -> None:
+    server = BackendServer(spec)
+    await server.start()
+    ended = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, ended.set)
+    await ended.wait()
+    await server.drain()
+    await server.stop()
+
+
+def main() -> None:
+    """Run one backend server until SIGTERM."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--spec", required=True, help="JSON of the Spec fields")
+    spec = Spec(**json.loads(parser.parse_args().spec))
+    asyncio.run(_main(spec))
+
+
+if __name__ == "__main__":
+    main()
