--- a/testing/shapes.py
+++ b/testing/shapes.py
@@ -5,11 +5,11 @@
 
 import attrs
 
-# Routes of every service: name, method, priority, idempotent.
+# Routes of every service: name, method, class, idempotent.
 ROUTE_KINDS = (
-    ("view", "GET", 1, True),
-    ("file", "POST", 2, False),
-    ("report", "GET", 0, True),
+    ("view", "GET", "normal", True),
+    ("file", "POST", "critical", False),
+    ("report", "GET", "background", True),
 )
 
 
@@ -85,34 +85,40 @@
         """Return the first configuration as the store keeps it."""
         return {
             "version": 1,
-            "teams": {team.name: attrs.asdict(team) for team in self.teams},
-            "keys": {key["key_hash"]: key for key in map(_key, self.teams)},
-            "routes": [
-                {
-                    "name": f"{service.name}-{kind}",
+            "teams": {
+                team.name: {
+                    "rate_per_s": team.rate_per_s,
+                    "burst_calls": team.burst_calls,
+                }
+                for team in self.teams
+            },
+            "keys": {
+                hashlib.sha256(team.key.encode()).hexdigest(): {
+                    "key_id": f"{team.name}-1",
+                    "team": team.name,
+                }
+                for team in self.teams
+            },
+            "routes": {
+                f"{service.name}-{kind}": {
                     "path_prefix": f"/{service.name}/{kind}",
                     "methods": [method],
                     "service": service.name,
-                    "priority": priority,
+                    "class": priority,
                     "idempotent": idempotent,
-                    "is_open": False,
+                    "open": False,
                     "attempt_timeout_ms": self.attempt_timeout_ms,
                     "deadline_ms": self.deadline_ms,
                 }
                 for service in self.services
                 for kind, method, priority, idempotent in ROUTE_KINDS
-            ],
+            },
             "failure_domains": list(self.failure_domains),
             "stops": {},
             "change_ids": [],
         }
 
 
-def _key(team: TeamShape) -> dict[str, str]:
-    key_hash = hashlib.sha256(team.key.encode()).hexdigest()
-    return {"key_hash": key_hash, "key_id": f"{team.name}-1", "team": team.name}
-
-
 def _teams(
     names: tuple[str, ...], shares: tuple[float, ...], total_per_s: float
 ) -> tuple[TeamShape, ...]:
