--- /dev/null
+++ b/testing/stand_ins/caller.py
@@ -0,0 +1,253 @@
+"""Caller stand-in: open-loop load with impatient, aggressive resends."""
+
+import argparse
+import asyncio
+import collections
+import json
+import pathlib
+import random
+import time
+from typing import Any
+
+import attrs
+
+from testing.stand_ins.backend_server import is_whole
+from testing.stand_ins.http1 import ClientPool, ExchangeError, Response
+
+REFUSAL = b"Eelgrassweir-Refusal"
+# An open loop against a stalled fleet would otherwise grow without bound.
+MAX_IN_FLIGHT = 4_000
+
+
+@attrs.frozen(kw_only=True)
+class Stream:
+    """Requests of one team and class at one arrival rate."""
+
+    team: str
+    key: str
+    kind: str
+    method: str
+    path: str
+    rate_per_s: float
+    patience_ms: float = 2_000.0
+    # Longest wait of one attempt; zero waits as long as the patience lasts.
+    attempt_ms: float = 0.0
+    resends: int = 3
+    # Take tickets ahead in batches of this size; zero waits for the 428.
+    tickets_ahead: int = 0
+
+    @property
+    def is_ticketed(self) -> bool:
+        """Return whether the request must run at most once."""
+        return self.method != "GET"
+
+
+@attrs.frozen(kw_only=True)
+class Plan:
+    """Work of one caller process."""
+
+    entries: list[str]
+    streams: list[Stream]
+    duration_ms: float
+    output: str
+    seed: int
+    # Monotonic time of the first arrival, in ms; zero starts at once.
+    start_ms: float = 0.0
+
+
+@attrs.define(kw_only=True)
+class Outcome:
+    """One request as its caller saw it; one line of the output."""
+
+    team: str
+    kind: str
+    marker: str
+    start_ms: float
+    end_ms: float = 0.0
+    status: int = 0
+    code: str = ""
+    not_run: bool = False
+    # Every attempt of this request was refused as not run.
+    never_run: bool = True
+    whole: bool = False
+    resends: int = 0
+    entry: str = ""
+    reason: str = ""
+
+
+def now_ms() -> float:
+    """Return the monotonic time in ms, the same in all processes."""
+    return time.monotonic() * 1000
+
+
+class Caller:
+    """Send the requests of one plan and keep their outcomes."""
+
+    def __init__(self, plan: Plan) -> None:
+        self._plan = plan
+        self._random = random.Random(plan.seed)
+        self._pools = {entry: ClientPool(entry) for entry in plan.entries}
+        self._tickets: dict[int, collections.deque[str]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.outcomes: list[Outcome] = []
+        self.not_sent = 0
+
+    async def run(self) -> None:
+        """Run every stream and wait for the requests in flight."""
+        streams = [
+            self._arrive(index, stream)
+            for index, stream in enumerate(self._plan.streams)
+            if stream.rate_per_s > 0
+        ]
+        await asyncio.gather(*streams)
+        while self._tasks:
+            await asyncio.wait(self._tasks)
+        for pool in self._pools.values():
+            pool.close()
+
+    async def _arrive(self, index: int, stream: Stream) -> None:
+        start_ms = self._plan.start_ms or now_ms()
+        gaps = random.Random(f"{self._plan.seed}/{index}")
+        due_ms = start_ms
+        number = 0
+        while True:
+            due_ms += gaps.expovariate(stream.rate_per_s) * 1000
+            if due_ms > start_ms + self._plan.duration_ms:
+                return
+            if due_ms > now_ms():
+                await asyncio.sleep((due_ms - now_ms()) / 1000)
+            number += 1
+            if len(self._tasks) >= MAX_IN_FLIGHT:
+                self.not_sent += 1
+                continue
+            marker = f"{self._plan.seed}-{index}-{number}"
+            task = asyncio.ensure_future(self._request(index, stream, marker))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _request(self, index: int, stream: Stream, marker: str) -> None:
+        outcome = Outcome(
+            team=stream.team, kind=stream.kind, marker=marker, start_ms=now_ms()
+        )
+        self.outcomes.append(outcome)
+        ticket = ""
+        try:
+            async with asyncio.timeout(stream.patience_ms / 1000):
+                if stream.tickets_ahead:
+                    ticket = await self._ticket_ahead(index, stream)
+                await self._send_until_served(stream, outcome, ticket)
+        except TimeoutError:
+            outcome.status, outcome.code = 0, "gave_up"
+            outcome.not_run = outcome.never_run = False
+        outcome.end_ms = now_ms()
+
+    async def _send_until_served(
+        self, stream: Stream, outcome: Outcome, ticket: str
+    ) -> None:
+        sends = 0
+        while True:
+            answer = await self._attempt(stream, outcome, ticket)
+            if outcome.status == 200:
+                return
+            if outcome.status == 428 and answer.get("ticket"):
+                ticket = answer["ticket"]
+                continue
+            # A refused ticket is void; any other outcome keeps its ticket.
+            if ticket and outcome.not_run:
+                ticket = answer.get("ticket") or ""
+            if sends >= stream.resends:
+                return
+            sends += 1
+            outcome.resends = sends
+
+    async def _attempt(
+        self, stream: Stream, outcome: Outcome, ticket: str
+    ) -> dict[str, Any]:
+        """Send once, note the result and return the refusal, if any."""
+        entry = self._random.choice(self._plan.entries)
+        outcome.entry = entry
+        left_ms = outcome.start_ms + stream.patience_ms - now_ms()
+        headers = [
+            (b"Authorization", f"Bearer {stream.key}".encode()),
+            (b"X-Marker", outcome.marker.encode()),
+            (b"Eelgrassweir-Deadline-Ms", b"%d" % max(1, int(left_ms))),
+        ]
+        if ticket:
+            headers.append((b"Idempotency-Key", ticket.encode()))
+        body = b'{"filing": 1}' if stream.is_ticketed else b""
+        wait_ms = stream.attempt_ms or stream.patience_ms
+        pool = self._pools[entry]
+        try:
+            response = await pool.request(
+                stream.method, stream.path, headers, body, min(wait_ms, left_ms)
+            )
+        except (ExchangeError, TimeoutError) as error:
+            if isinstance(error, TimeoutError) and left_ms <= wait_ms:
+                raise
+            outcome.status, outcome.whole = 0, False
+            outcome.code = "closed" if isinstance(error, ExchangeError) else "timeout"
+            outcome.reason = str(error)
+            outcome.not_run = isinstance(error, ExchangeError) and not error.sent
+            outcome.never_run = outcome.never_run and outcome.not_run
+            return {}
+        return _note(outcome, response)
+
+    async def _ticket_ahead(self, index: int, stream: Stream) -> str:
+        tickets = self._tickets.setdefault(index, collections.deque())
+        if not tickets:
+            body = {
+                "method": stream.method,
+                "path": stream.path,
+                "count": stream.tickets_ahead,
+            }
+            pool = self._pools[self._random.choice(self._plan.entries)]
+            headers = [(b"Authorization", f"Bearer {stream.key}".encode())]
+            try:
+                response = await pool.request(
+                    "POST",
+                    "/.eelgrassweir/tickets",
+                    headers,
+                    json.dumps(body).encode(),
+                )
+            except ExchangeError:
+                return ""
+            if response.status == 200:
+                tickets.extend(json.loads(response.body)["tickets"])
+        return tickets.popleft() if tickets else ""
+
+
+def _note(outcome: Outcome, response: Response) -> dict[str, Any]:
+    """Note a complete response; return its body if it is a refusal."""
+    outcome.status = response.status
+    outcome.code = response.header(REFUSAL).decode("latin-1")
+    outcome.reason = ""
+    outcome.not_run = False
+    try:
+        answer = json.loads(response.body)
+    except ValueError:
+        answer = {}
+    if outcome.code:
+        outcome.not_run = bool(answer.get("not_run"))
+        outcome.reason = f"{answer.get('step')}: {answer.get('reason')}"
+    outcome.whole = response.status == 200 and is_whole(answer, outcome.marker)
+    outcome.never_run = outcome.never_run and outcome.not_run
+    return answer if outcome.code else {}
+
+
+def main() -> None:
+    """Run one plan and write one JSON line for each request."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--plan", required=True, help="file with JSON of the Plan")
+    document = json.loads(pathlib.Path(parser.parse_args().plan).read_text())
+    streams = [Stream(**stream) for stream in document.pop("streams")]
+    plan = Plan(**document, streams=streams)
+    caller = Caller(plan)
+    asyncio.run(caller.run())
+    lines = [json.dumps(attrs.asdict(outcome)) for outcome in caller.outcomes]
+    if caller.not_sent:
+        lines.append(json.dumps({"not_sent": caller.not_sent}))
+    pathlib.Path(plan.output).write_text("\n".join(lines) + "\n")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/testing/stand_ins/test_caller.py
@@ -0,0 +1,92 @@
+"""Guard against a caller that accepts wrong answers or misuses tickets."""
+
+import asyncio
+import json
+
+from testing.stand_ins.backend_server import BackendServer, Spec
+from testing.stand_ins.caller import Caller, Outcome, Plan, Stream
+from testing.stand_ins.http1 import Request, Response, port_of, serve
+
+SEED = 7
+
+
+def make_stream(method: str = "GET", **fields: float) -> Stream:
+    return Stream(
+        team="academia",
+        key="k",
+        kind="view",
+        method=method,
+        path="/fichero/view",
+        **{"rate_per_s": 200.0, **fields},  # type: ignore[arg-type]
+    )
+
+
+async def run_against(address: str, stream: Stream) -> list[Outcome]:
+    plan = Plan(
+        entries=[address], streams=[stream], duration_ms=150, output="", seed=SEED
+    )
+    caller = Caller(plan)
+    await caller.run()
+    return caller.outcomes
+
+
+def test_whole_answers_of_a_backend_server_count() -> None:
+    async def test() -> None:
+        server = BackendServer(Spec(service="fichero", service_ms=1.0))
+        await server.start()
+        outcomes = await run_against(server.address, make_stream())
+        await server.stop()
+        assert len(outcomes) >= 10
+        assert all(outcome.whole for outcome in outcomes)
+
+    asyncio.run(test())
+
+
+def test_answer_to_another_request_is_not_whole() -> None:
+    answers: list[bytes] = []
+
+    async def swap(request: Request) -> Response:
+        """Answer with what the request before should have got."""
+        marker = request.header(b"X-Marker").decode()
+        whole = {"marker": marker, "length": 0, "checksum": 0, "payload": ""}
+        answers.append(json.dumps(whole).encode())
+        return Response(200, answers[max(0, len(answers) - 2)])
+
+    async def test() -> None:
+        server = await serve(swap)
+        address = f"127.0.0.1:{port_of(server)}"
+        outcomes = await run_against(address, make_stream())
+        server.close()
+        assert [outcome.whole for outcome in outcomes[:3]] == [True, False, False]
+
+    asyncio.run(test())
+
+
+def test_ticket_is_kept_until_a_refusal_says_not_run() -> None:
+    seen: dict[str, list[str]] = {}
+
+    def refuse(status: int, code: str, not_run: bool, ticket: str) -> Response:
+        body = json.dumps({"code": code, "not_run": not_run, "ticket": ticket})
+        header = (b"Eelgrassweir-Refusal", code.encode())
+        return Response(status, body.encode(), [header])
+
+    async def handle(request: Request) -> Response:
+        tickets = seen.setdefault(request.header(b"X-Marker").decode(), [])
+        tickets.append(request.header(b"Idempotency-Key").decode())
+        if len(tickets) == 1:
+            return refuse(428, "ticket_required", True, "t1")
+        if len(tickets) == 2:
+            return refuse(502, "outcome_unknown", False, "")
+        if len(tickets) == 3:
+            return refuse(503, "overloaded", True, "t2")
+        return refuse(503, "overloaded", True, "t3")
+
+    async def test() -> None:
+        server = await serve(handle)
+        address = f"127.0.0.1:{port_of(server)}"
+        outcomes = await run_against(address, make_stream("POST", resends=3))
+        server.close()
+        assert list(seen.values())[0] == ["", "t1", "t1", "t2", "t3"]
+        assert not any(outcome.never_run for outcome in outcomes)
+
+    asyncio.run(test())
