--- /dev/null
+++ b/experiments/scenarios.py
@@ -0,0 +1,371 @@
+"""Scenarios: each runs one fleet and returns rows of measures."""
+
+import collections
+import concurrent.futures
+import pathlib
+import time
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+
+from experiments.harness import (
+    Load,
+    check_integrity,
+    percentile,
+    recovery_ms,
+    run_load,
+    streams,
+    summarise,
+)
+from testing.fleet import Fleet, processor_ms
+from testing.shapes import Shape, chain, flat
+from testing.stand_ins.caller import Stream
+
+SWITCH = "EELGRASSWEIR_EXPERIMENT_WITHOUT"
+WARM_UP_MS = 2_000.0
+Row = tuple[str, dict[str, float]]
+
+
+@attrs.frozen(kw_only=True)
+class Run:
+    """Shape, seed and directory of one run of a scenario."""
+
+    shape: Shape
+    seed: int
+    directory: pathlib.Path
+    # Mechanisms to switch off, for the comparison.
+    without: str = ""
+    seconds: float = 0.0
+
+    def fleet(self, shape: Shape | None = None, **options: Any) -> Fleet:
+        """Return a fleet of the run's seed and switches, not yet started."""
+        environment = {SWITCH: self.without} if self.without else {}
+        used = shape or self.shape
+        return Fleet(
+            used,
+            self.directory / used.name,
+            seed=self.seed,
+            environment=environment,
+            **options,
+        )
+
+    def duration_ms(self, default_s: float) -> float:
+        """Return the length of a load in ms."""
+        return (self.seconds or default_s) * 1000
+
+
+def deepest(shape: Shape) -> str:
+    """Return the service that the longest chain ends in."""
+    return shape.services[-1].name
+
+
+def steady(run: Run) -> list[Row]:
+    """Base load without a fault."""
+    with run.fleet() as fleet:
+        fleet.wait_ready()
+        length_ms = run.duration_ms(10)
+        load = run_load(fleet, streams(run.shape, 1.0), length_ms, seed=run.seed)
+        measures = summarise(run.shape, load, WARM_UP_MS)
+        return [("1x", measures | check_integrity(fleet, [load]))]
+
+
+def surge(run: Run) -> list[Row]:
+    """Base load times 1, 2, 4 and 8, with aggressive resends."""
+    rows: list[Row] = []
+    loads = []
+    with run.fleet() as fleet:
+        fleet.wait_ready()
+        for factor in (1.0, 2.0, 4.0, 8.0):
+            load = run_load(
+                fleet,
+                streams(run.shape, factor),
+                run.duration_ms(8),
+                seed=run.seed * 10 + int(factor),
+                name=f"surge-{factor:g}",
+            )
+            loads.append(load)
+            measures = summarise(run.shape, load, WARM_UP_MS)
+            rows.append((f"{factor:g}x", measures))
+        rows.append(("all", check_integrity(fleet, loads)))
+    return rows
+
+
+def slow_deep_service(run: Run) -> list[Row]:
+    """Let the deepest service be five times slower for 6 s."""
+
+    def slow(slowdown: float) -> Callable[[Fleet], None]:
+        def act(fleet: Fleet) -> None:
+            for vm in fleet.vms_of(service=deepest(run.shape)):
+                fleet.set_backend(vm.name, slowdown=slowdown)
+
+        return act
+
+    events = [(4_000.0, slow(5.0)), (10_000.0, slow(1.0))]
+    return _fault(run, events, 4_000.0, 10_000.0, 20)
+
+
+def hot_team(run: Run) -> list[Row]:
+    """Let one small team send 20 times its share."""
+    hot = run.shape.teams[-1].name
+    work = streams(run.shape, 1.0, team_factors={hot: 20.0})
+    with run.fleet() as fleet:
+        fleet.wait_ready()
+        load = run_load(fleet, work, run.duration_ms(10), seed=run.seed)
+        measures = summarise(run.shape, load, WARM_UP_MS)
+        for team in run.shape.teams:
+            own = [one for one in load.outcomes if one.team == team.name]
+            served = sum(one.whole for one in own)
+            measures[f"served_{team.name}_percent"] = 100.0 * served / max(1, len(own))
+        return [(hot, measures | check_integrity(fleet, [load]))]
+
+
+def kill_rack(run: Run) -> list[Row]:
+    """Kill every VM of one failure domain at once."""
+    domain = run.shape.failure_domains[0]
+
+    def kill(fleet: Fleet) -> None:
+        for vm in fleet.vms_of(failure_domain=domain):
+            fleet.kill(vm.name)
+
+    return _fault(run, [(4_000.0, kill)], 4_000.0, 4_000.0, 18)
+
+
+def cold_start(run: Run) -> list[Row]:
+    """Replace one VM of the deepest service by one with a cold start."""
+    name = f"{deepest(run.shape)}-1"
+
+    def replace(fleet: Fleet) -> None:
+        fleet.kill(name)
+        fleet.vms[name].spec |= {"cold_ms": 6_000.0, "cold_factor": 8.0}
+        fleet.start_vm(name)
+
+    return _fault(run, [(4_000.0, replace)], 4_000.0, 4_000.0, 18)
+
+
+def silent_links(run: Run) -> list[Row]:
+    """Silence every established link into the deepest service."""
+
+    def silence(fleet: Fleet) -> None:
+        assert fleet.proxy is not None
+        for vm in fleet.vms_of(service=deepest(run.shape)):
+            fleet.proxy.silence(f"{vm.name}/link")
+
+    return _fault(run, [(4_000.0, silence)], 4_000.0, 4_000.0, 12, proxied=True)
+
+
+def _fault(
+    run: Run,
+    events: list[tuple[float, Callable[[Fleet], None]]],
+    fault_ms: float,
+    cleared_ms: float,
+    default_s: float,
+    **options: Any,
+) -> list[Row]:
+    with run.fleet(**options) as fleet:
+        fleet.wait_ready()
+        length_ms = run.duration_ms(default_s)
+        work = streams(run.shape, 1.0)
+        load = run_load(fleet, work, length_ms, seed=run.seed, events=events)
+        recovered = {"recovery_ms": recovery_ms(load, fault_ms, cleared_ms)}
+        checks = check_integrity(fleet, [load])
+        return [
+            ("before", summarise(run.shape, load, WARM_UP_MS, fault_ms)),
+            ("after", summarise(run.shape, load, fault_ms) | recovered | checks),
+        ]
+
+
+def retry_storm(run: Run) -> list[Row]:
+    """Fail at the bottom of a chain of 8 whose levels all retry twice."""
+    rows = []
+    for label, upper_percent in (("deepest fails", 0.0), ("every level fails", 30.0)):
+        rows.append((label, _retry_storm(run, label, upper_percent)))
+    return rows
+
+
+def _retry_storm(run: Run, label: str, upper_percent: float) -> dict[str, float]:
+    shape = chain(8)
+    spec = {"child_retries": 2, "fail_percent": upper_percent}
+    bottom = deepest(shape)
+    work = [
+        Stream(
+            team=shape.teams[0].name,
+            key=shape.teams[0].key,
+            kind="view",
+            method="GET",
+            path=f"/{shape.front}/view",
+            rate_per_s=10.0,
+            patience_ms=10_000.0,
+            resends=0,
+        )
+    ]
+    with run.fleet(shape) as fleet:
+        fleet.wait_ready()
+        for vm in fleet.vms_of():
+            fleet.set_backend(vm.name, **spec)
+        fleet.set_backend(f"{bottom}-1", fail_percent=100.0)
+        entry = fleet.vms_of(service=shape.front)[0].ingress_address
+        load = run_load(
+            fleet,
+            work,
+            run.duration_ms(8),
+            seed=run.seed,
+            name=label.replace(" ", "-"),
+            entries=[entry],
+            processes=1,
+        )
+        # One marker is one request of the caller.
+        runs = _runs_by_level(fleet)
+        markers = {one.marker for one in load.outcomes}
+        bottom_runs = [runs[bottom].get(marker, 0) for marker in markers]
+        totals = [sum(level.get(m, 0) for level in runs.values()) for m in markers]
+        return {
+            "requests": len(markers),
+            "deepest_runs_max": max(bottom_runs, default=0),
+            "deepest_runs_mean": sum(bottom_runs) / max(1, len(bottom_runs)),
+            "all_runs_max": max(totals, default=0),
+            "served": sum(one.whole for one in load.outcomes),
+        }
+
+
+def _runs_by_level(fleet: Fleet) -> dict[str, collections.Counter[str]]:
+    runs: dict[str, collections.Counter[str]] = {}
+    for vm in fleet.vms.values():
+        level = runs.setdefault(vm.service.name, collections.Counter())
+        for _, marker, started, _ in fleet.backend_state(vm.name, full=True)["runs"]:
+            level[marker] += started
+    return runs
+
+
+def latency(run: Run) -> list[Row]:
+    """Compare calls through two daemons with direct calls in one run."""
+    shape = flat(2, 2)
+    rows = []
+    with run.fleet(shape, spec={"spread": 0.0, "slots": 100}) as fleet:
+        fleet.wait_ready()
+        for per_daemon in (50.0, 160.0, 320.0):
+            rows.append((f"{per_daemon:g}/s", _latency(run, fleet, per_daemon)))
+    return rows
+
+
+def _latency(run: Run, fleet: Fleet, per_daemon: float) -> dict[str, float]:
+    shape = fleet.shape
+    team = shape.teams[0]
+    through = Stream(
+        team=team.name,
+        key=team.key,
+        kind="view",
+        method="GET",
+        path=f"/{shape.front}/view",
+        rate_per_s=per_daemon * len(fleet.vms),
+        resends=0,
+    )
+    # The direct calls are few, so that they hardly load the backend servers.
+    direct = attrs.evolve(through, rate_per_s=50.0)
+    pids = [vm.daemon.pid for vm in fleet.vms.values() if vm.daemon is not None]
+    used_ms = sum(map(processor_ms, pids))
+    through_load, direct_load = _run_both(run, fleet, through, direct)
+    used_ms = sum(map(processor_ms, pids)) - used_ms
+    measures: dict[str, float] = {}
+    for label, load in (("through", through_load), ("direct", direct_load)):
+        times = [one.end_ms - one.start_ms for one in load.outcomes if one.whole]
+        for percent in (50, 99):
+            measures[f"{label}_p{percent}_ms"] = percentile(times, percent)
+    for percent in (50, 99):
+        added = measures[f"through_p{percent}_ms"] - measures[f"direct_p{percent}_ms"]
+        measures[f"added_p{percent}_ms"] = added
+    calls = max(1, len(through_load.outcomes))
+    measures["calls"] = calls
+    measures["served"] = sum(one.whole for one in through_load.outcomes)
+    measures["processor_ms_per_call"] = used_ms / calls
+    return measures
+
+
+def _run_both(
+    run: Run, fleet: Fleet, through: Stream, direct: Stream
+) -> tuple[Load, Load]:
+    """Run both streams at the same time, each in a process of its own."""
+    length_ms = run.duration_ms(8)
+    backends = [vm.backend_address for vm in fleet.vms.values()]
+    with concurrent.futures.ThreadPoolExecutor() as pool:
+        other = pool.submit(
+            run_load,
+            fleet,
+            [direct],
+            length_ms,
+            seed=run.seed + 1,
+            name="direct",
+            entries=backends,
+            processes=1,
+        )
+        load = run_load(
+            fleet, [through], length_ms, seed=run.seed, name="through", processes=1
+        )
+        return load, other.result()
+
+
+def control_cost(run: Run) -> list[Row]:
+    """Measure the control plane of idle fleets of 6, 14 and 30 daemons."""
+    rows = []
+    for count in (6, 14, 30):
+        shape = flat(count, 3)
+        with run.fleet(shape, proxied=True) as fleet:
+            fleet.wait_ready(60_000)
+            rows.append((f"{count} daemons", _control_cost(run, fleet)))
+    return rows
+
+
+def _control_cost(run: Run, fleet: Fleet) -> dict[str, float]:
+    assert fleet.proxy is not None
+    pids = [vm.daemon.pid for vm in fleet.vms.values() if vm.daemon is not None]
+    time.sleep(2.0)  # The measured interval starts after the fleet has settled.
+    before = (_store_calls(fleet), _control_bytes(fleet), sum(map(processor_ms, pids)))
+    start_s = time.monotonic()
+    time.sleep(run.duration_ms(10) / 1000)
+    seconds = time.monotonic() - start_s
+    after = (_store_calls(fleet), _control_bytes(fleet), sum(map(processor_ms, pids)))
+    store, control, used_ms = (b - a for a, b in zip(before, after, strict=True))
+    return {
+        "store_calls_per_s": store / seconds,
+        "control_bytes_per_s_per_daemon": control / seconds / len(pids),
+        "core_percent_per_daemon": used_ms / seconds / 10 / len(pids),
+        "max_resident_mb": max(map(_resident_mb, pids)),
+    }
+
+
+def _store_calls(fleet: Fleet) -> float:
+    return float(sum(fleet.store_counts().values()))
+
+
+def _control_bytes(fleet: Fleet) -> float:
+    assert fleet.proxy is not None
+    return float(
+        sum(
+            sum(fleet.proxy.forwarded_bytes(f"{name}/control").values())
+            for name in fleet.vms
+        )
+    )
+
+
+def _resident_mb(process_id: int) -> float:
+    for line in pathlib.Path(f"/proc/{process_id}/status").read_text().splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1]) / 1024
+    return 0.0
+
+
+SCENARIOS: dict[str, Callable[[Run], list[Row]]] = {
+    scenario.__name__: scenario
+    for scenario in (
+        steady,
+        surge,
+        slow_deep_service,
+        hot_team,
+        kill_rack,
+        cold_start,
+        silent_links,
+        retry_storm,
+        latency,
+        control_cost,
+    )
+}
--- a/testing/fleet.py
+++ b/testing/fleet.py
@@ -171,6 +171,12 @@
         answer = self._http.request("GET", url, timeout=5.0).json()
         return json.loads(answer["value"]), int(answer["revision"])
 
+    def store_counts(self) -> dict[str, int]:
+        """Return the calls of the store so far by kind."""
+        url = f"{self.store_url}/stand-in/counts"
+        counts: dict[str, int] = self._http.request("GET", url, timeout=5.0).json()
+        return counts
+
     # VMs.
 
     def start_vm(self, name: str, *, daemon: bool = True, backend: bool = True) -> None:
