--- /dev/null
+++ b/testing/stand_ins/test_harness.py
@@ -0,0 +1,89 @@
+"""Guard against measures that hide refusals or second runs."""
+
+import pathlib
+
+from experiments.harness import (
+    Load,
+    check_integrity,
+    percentile,
+    recovery_ms,
+    run_load,
+    streams,
+    worst_team_percent,
+    wrongful_percent,
+)
+from testing.fleet import Fleet, Vm, wait_until
+from testing.shapes import flat
+from testing.stand_ins.caller import Outcome, Stream
+
+SEED = 3
+SHAPE = flat(1, 1)
+
+
+def outcome(start_ms: float, whole: bool = True, resends: int = 0) -> Outcome:
+    return Outcome(
+        team="academia",
+        kind="view",
+        marker="m",
+        start_ms=start_ms,
+        whole=whole,
+        resends=resends,
+    )
+
+
+def test_recovery_counts_from_the_end_of_the_fault() -> None:
+    outcomes = [
+        outcome(at, whole=not 3_000 <= at < 6_000) for at in range(0, 10_000, 10)
+    ]
+    load = Load(outcomes=outcomes, start_ms=0, duration_ms=10_000, not_sent=0)
+    # The first window of 1 s with at most 5% failed starts at 5,950 ms.
+    assert recovery_ms(load, 3_000, 5_000) == 1_000
+    broken = [outcome(at, whole=at < 3_000) for at in range(0, 10_000, 10)]
+    load = Load(outcomes=broken, start_ms=0, duration_ms=10_000, not_sent=0)
+    assert recovery_ms(load, 3_000, 5_000) == -1
+
+
+def test_refusal_within_the_rate_counts_and_beyond_it_does_not() -> None:
+    rate = int(SHAPE.teams[0].rate_per_s)
+    within = [outcome(number / rate * 1000, whole=number > 0) for number in range(rate)]
+    assert wrongful_percent(SHAPE, within) == 100.0 / rate
+    beyond = [*within, outcome(500.0, whole=False)]
+    assert wrongful_percent(SHAPE, beyond) == 0.0
+    assert worst_team_percent(SHAPE, beyond, 1.0) == 100.0 * (rate - 1) / rate
+
+
+def test_percentile_is_by_rank() -> None:
+    assert percentile(list(range(100)), 99) == 99
+    assert percentile([], 50) == 0.0
+
+
+def test_load_through_caller_processes_and_a_second_run(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Run callers directly against one backend server process."""
+    fleet = Fleet(SHAPE, tmp_path, seed=SEED)
+    port_file = tmp_path / "port"
+    spec = {
+        "service": "fichero",
+        "port": fleet._free_port(),
+        "port_file": str(port_file),
+        "service_ms": 1.0,
+    }
+    vm = Vm("fichero-1", "domain-1", SHAPE.services[0], {}, spec)
+    fleet.vms[vm.name] = vm
+    try:
+        fleet.start_vm(vm.name, daemon=False)
+        wait_until(port_file.exists, 10_000)
+        work: list[Stream] = streams(SHAPE, 0.1)
+        entries = [vm.backend_address]
+        load = run_load(fleet, work, 500, seed=SEED, entries=entries)
+        assert len(load.outcomes) >= 20
+        assert all(one.whole for one in load.outcomes)
+        checks = check_integrity(fleet, [load])
+        assert checks["filings_run_twice"] == 0
+        assert checks["keys_seen"] == len(SHAPE.teams)
+        again = run_load(fleet, work, 500, seed=SEED, entries=entries)
+        checks = check_integrity(fleet, [load, again])
+        assert checks["filings_run_twice"] > 0
+    finally:
+        fleet.close()
