Add the control plane: membership, control tree, configuration spread

Daemons attach to relays that hold leases in the store; membership entries and configuration versions go along the tree. The messages get a path against cycles, an echo of beats by which the age of a word is judged on the receiver's own clock, digests that keep a re-attaching daemon from fetching the whole table, and the parent's incarnation, by which relays find daemons that died together with their parent.

--- /dev/null
+++ b/src/eelgrassweir/daemon/control_client.py
@@ -0,0 +1,126 @@
+"""Channels and single calls to the control port of other daemons."""
+
+import asyncio
+from collections import OrderedDict
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+import grpc.aio
+from returns.result import Failure, Result, Success
+
+from eelgrassweir.daemon.control_metrics import ControlMetrics
+from eelgrassweir.errors import StepError
+from eelgrassweir.proto import control_pb2, control_pb2_grpc
+
+# Each channel has its own connection: gRPC otherwise shares connections
+# between channels to one address, and a new channel would get the silent
+# connection again. Reconnecting is up to the caller, who makes a new channel.
+CHANNEL_OPTIONS = (
+    ("grpc.use_local_subchannel_pool", 1),
+    ("grpc.enable_http_proxy", 0),
+    ("grpc.enable_retries", 0),
+    ("grpc.max_receive_message_length", 8_000_000),
+    ("grpc.max_send_message_length", 8_000_000),
+)
+MAX_CHANNELS = 64
+
+Reply = TypeVar("Reply")
+
+
+def open_channel(address: str) -> grpc.aio.Channel:
+    """Open a channel with a connection of its own."""
+    return grpc.aio.insecure_channel(address, options=CHANNEL_OPTIONS)
+
+
+def make_stub(channel: grpc.aio.Channel) -> Any:
+    """Return the stub of the control service; the generated one is untyped."""
+    make: Any = control_pb2_grpc.ControlStub
+    return make(channel)
+
+
+class ControlClient:
+    """Make single calls; a channel that does not answer is replaced."""
+
+    def __init__(self, metrics: ControlMetrics) -> None:
+        self._metrics = metrics
+        self._channels: OrderedDict[str, grpc.aio.Channel] = OrderedDict()
+        self._closing: set[asyncio.Task[None]] = set()
+
+    async def borrow(
+        self, address: str, request: control_pb2.BorrowRequest, timeout_ms: float
+    ) -> Result[control_pb2.BorrowReply, StepError]:
+        """Ask a share holder for tokens."""
+        return await self._call("Borrow", address, request, timeout_ms)
+
+    async def promise(
+        self, address: str, request: control_pb2.PromiseRequest, timeout_ms: float
+    ) -> Result[control_pb2.PromiseReply, StepError]:
+        """Ask a named successor not to take over."""
+        return await self._call("Promise", address, request, timeout_ms)
+
+    async def subtree(
+        self, address: str, timeout_ms: float
+    ) -> Result[control_pb2.SubtreeReply, StepError]:
+        """Ask a relay for the acknowledgements of its subtree."""
+        request = control_pb2.SubtreeRequest()
+        return await self._call("Subtree", address, request, timeout_ms)
+
+    async def commit(
+        self, address: str, request: control_pb2.CommitRequest, timeout_ms: float
+    ) -> Result[control_pb2.CommitReply, StepError]:
+        """Ask a relay to commit a change."""
+        return await self._call("Commit", address, request, timeout_ms)
+
+    async def close(self) -> None:
+        """Close all channels."""
+        channels = list(self._channels.values())
+        self._channels.clear()
+        for channel in channels:
+            await channel.close()
+        for task in list(self._closing):
+            task.cancel()
+
+    async def _call(
+        self, method: str, address: str, request: Any, timeout_ms: float
+    ) -> Result[Any, StepError]:
+        channel = self._channel(address)
+        stub = make_stub(channel)
+        call: Callable[..., Any] = getattr(stub, method)
+        try:
+            return Success(await call(request, timeout=timeout_ms / 1000))
+        except grpc.aio.AioRpcError as error:
+            self._metrics.call_failures.labels(method).inc()
+            if error.code() in (
+                grpc.StatusCode.DEADLINE_EXCEEDED,
+                grpc.StatusCode.UNAVAILABLE,
+            ):
+                self._replace(address, channel, timeout_ms)
+            reason = f"{error.code().name}: {error.details()}"
+            return Failure(StepError(f"call {method}", address, reason))
+        except (grpc.aio.UsageError, grpc.aio.InternalError) as error:
+            self._replace(address, channel, timeout_ms)
+            return Failure(StepError(f"call {method}", address, str(error)))
+
+    def _channel(self, address: str) -> grpc.aio.Channel:
+        channel = self._channels.get(address)
+        if channel is None:
+            channel = open_channel(address)
+            self._channels[address] = channel
+        self._channels.move_to_end(address)
+        if len(self._channels) > MAX_CHANNELS:
+            oldest, unused = self._channels.popitem(last=False)
+            self._close_later(unused, 1000)
+        return channel
+
+    def _replace(
+        self, address: str, channel: grpc.aio.Channel, timeout_ms: float
+    ) -> None:
+        if self._channels.get(address) is not channel:
+            return
+        del self._channels[address]
+        self._close_later(channel, timeout_ms)
+
+    def _close_later(self, channel: grpc.aio.Channel, grace_ms: float) -> None:
+        task = asyncio.create_task(channel.close(grace_ms / 1000))
+        self._closing.add(task)
+        task.add_done_callback(self._closing.discard)
--- /dev/null
+++ b/src/eelgrassweir/daemon/edge.py
@@ -0,0 +1,198 @@
+"""One side of a stream between two daemons of the control plane."""
+
+import asyncio
+from collections.abc import Iterable, Sequence
+
+from eelgrassweir.proto.control_pb2 import (
+    ConfigUpdate,
+    Down,
+    Member,
+    Path,
+    RelayBeat,
+    Up,
+)
+
+# A member entry has about 150 bytes; the default limit of gRPC is 4 MB.
+MEMBERS_PER_MESSAGE = 2_000
+KEPT_BEATS = 8
+
+CHILD = "child"
+PARENT = "parent"
+RELAY = "relay"
+
+
+class Edge:
+    """Hold what is to be sent on one stream and what came from its peer.
+
+    Entries wait here by VM, so a slow peer costs one entry a VM at most.
+    """
+
+    def __init__(self, role: str, *, is_caller: bool) -> None:
+        self.role = role
+        self.is_caller = is_caller
+        self.vm = ""
+        self.incarnation = ""
+        self.address = ""
+        self.is_attached = False
+        self.is_greeted = False
+        self.redirect: Sequence[str] | None = None
+        self.peer_version = 0
+        self.peer_beat: RelayBeat | None = None
+        self.silent_ticks = 0
+        self.close_cause = ""
+        self.closed = asyncio.Event()
+        self._wake = asyncio.Event()
+        self._members: dict[str, Member] = {}
+        self._relay_beats: dict[str, RelayBeat] = {}
+        self._path: Sequence[str] | None = None
+        self._digests: Sequence[int] = ()
+        self._config: list[ConfigUpdate] = []
+        self._beat = 0
+        self._is_beat_due = False
+        self._heard_beat = 0
+        self._sent_ms: dict[int, float] = {}
+        self._said_beat: RelayBeat | None = None
+
+    def close(self, cause: str) -> None:
+        """End the stream; the first cause is kept."""
+        if not self.closed.is_set():
+            self.close_cause = cause
+            self.closed.set()
+
+    async def wait(self) -> None:
+        """Wait until there is something to send."""
+        await self._wake.wait()
+        self._wake.clear()
+
+    def wake(self) -> None:
+        """Send what waits."""
+        self._wake.set()
+
+    def add_members(self, members: Iterable[Member]) -> None:
+        """Queue entries; the newer replaces one of the same VM."""
+        for member in members:
+            self._members[member.vm] = member
+
+    def add_relay_beats(self, beats: Iterable[RelayBeat]) -> None:
+        """Queue beats for a daemon below."""
+        for beat in beats:
+            self._relay_beats[beat.vm] = beat
+
+    def add_path(self, path: Sequence[str]) -> None:
+        """Queue the path from the relay to this daemon."""
+        self._path = tuple(path)
+
+    def add_digests(self, digests: Sequence[int]) -> None:
+        """Queue the digests of the member table."""
+        self._digests = tuple(digests)
+
+    def add_config(self, updates: Sequence[ConfigUpdate]) -> None:
+        """Queue configuration updates that follow from each other."""
+        if not updates:
+            return
+        self._config.extend(updates)
+        self.peer_version = updates[-1].version
+
+    def make_beat_due(self) -> None:
+        """Send a beat now."""
+        self._is_beat_due = True
+        self.wake()
+
+    def hear(self, message: Up | Down) -> float | None:
+        """Record a message; return when the echoed beat was sent, if new."""
+        self.silent_ticks = 0
+        if message.beat:
+            self._heard_beat = message.beat
+        sent_ms = self._sent_ms.get(message.echo) if message.echo else None
+        for beat in [beat for beat in self._sent_ms if beat < message.echo]:
+            del self._sent_ms[beat]
+        return sent_ms
+
+    def say_relay_beat(self, beat: RelayBeat) -> RelayBeat:
+        """Return ``beat`` without the names that the peer knows already."""
+        said, self._said_beat = self._said_beat, beat
+        if said is None or _names(said) != _names(beat):
+            return beat
+        return RelayBeat(
+            sequence=beat.sequence,
+            config_version=beat.config_version,
+            store_reached=beat.store_reached,
+            store_age_ms=beat.store_age_ms,
+        )
+
+    def hear_relay_beat(self, beat: RelayBeat) -> RelayBeat:
+        """Return ``beat`` with the names that the peer left out."""
+        if not beat.vm and self.peer_beat is not None:
+            whole = RelayBeat()
+            whole.CopyFrom(self.peer_beat)
+            whole.sequence = beat.sequence
+            whole.config_version = beat.config_version
+            whole.store_reached = beat.store_reached
+            whole.store_age_ms = beat.store_age_ms
+            beat = whole
+        self.peer_beat = beat
+        return beat
+
+    def take_ups(self, now_ms: float) -> tuple[list[Up], bool]:
+        """Return the queued messages and whether the last is a beat."""
+        ups = [Up(config=update) for update in self._drain_config()]
+        ups += [Up(members=chunk) for chunk in self._drain_members()]
+        last = ups[-1] if ups else Up()
+        if self._digests:
+            last.digests.extend(self._digests)
+            self._digests = ()
+        is_beat = self._stamp(last, now_ms)
+        if not ups and last.ByteSize():
+            ups.append(last)
+        return ups, is_beat
+
+    def take_downs(self, now_ms: float) -> tuple[list[Down], bool]:
+        """Return the queued messages and whether the last is a beat."""
+        downs = [Down(config=update) for update in self._drain_config()]
+        downs += [Down(members=chunk) for chunk in self._drain_members()]
+        last = downs[-1] if downs else Down()
+        if self._digests:
+            last.digests.extend(self._digests)
+            self._digests = ()
+        if self._path is not None:
+            last.path.CopyFrom(Path(vms=self._path))
+            self._path = None
+        last.relay_beats.extend(self._relay_beats.values())
+        self._relay_beats.clear()
+        is_beat = self._stamp(last, now_ms)
+        if not downs and (last.ByteSize() or last.HasField("path")):
+            downs.append(last)
+        return downs, is_beat
+
+    def _stamp(self, message: Up | Down, now_ms: float) -> bool:
+        if not self._is_beat_due:
+            return False
+        self._is_beat_due = False
+        self._beat += 1
+        message.beat = self._beat
+        message.echo = self._heard_beat
+        self._sent_ms[self._beat] = now_ms
+        if len(self._sent_ms) > KEPT_BEATS:
+            del self._sent_ms[min(self._sent_ms)]
+        return True
+
+    def _drain_config(self) -> Sequence[ConfigUpdate]:
+        updates, self._config = self._config, []
+        return updates
+
+    def _drain_members(self) -> Iterable[Sequence[Member]]:
+        members = list(self._members.values())
+        self._members.clear()
+        for start in range(0, len(members), MEMBERS_PER_MESSAGE):
+            yield members[start : start + MEMBERS_PER_MESSAGE]
+
+
+def _names(beat: RelayBeat) -> tuple[str, str, str, str, str, bool]:
+    return (
+        beat.vm,
+        beat.incarnation,
+        beat.failure_domain,
+        beat.control_address,
+        beat.holds_shares_of,
+        beat.stepped_down,
+    )
--- /dev/null
+++ b/src/eelgrassweir/daemon/relay.py
@@ -0,0 +1,263 @@
+"""Relay role of a daemon: its lease in the store and the watches."""
+
+import asyncio
+import json
+import random
+from collections.abc import Callable, Sequence
+
+import attrs
+from returns.result import Failure, Success
+
+from eelgrassweir.clock import Clock
+from eelgrassweir.config.document import ConfigDocument
+from eelgrassweir.daemon.commit import CONFIG_KEY, read_config
+from eelgrassweir.daemon.store_calls import StoreCalls, StoreValue
+from eelgrassweir.settings.generated import Settings
+
+RELAYS_PREFIX = "relays/"
+CONFIG_PREFIX = "config/"
+# Expected time between two daemons of a domain that try for one free slot:
+# longer than the news of a taken slot needs to arrive.
+TRY_SPACING_MS = 100.0
+LIST_EVERY_BEATS = 5
+MAX_BACKOFF_BEATS = 60.0
+
+
+@attrs.frozen(kw_only=True)
+class RelayRecord:
+    """Hold the store's record of one relay slot."""
+
+    failure_domain: str
+    vm: str
+    incarnation: str
+    control_address: str
+
+
+@attrs.frozen(kw_only=True)
+class RelayHooks:
+    """Hold what the relay role asks of and tells the control plane."""
+
+    is_wanted: Callable[[], bool]
+    domain_count: Callable[[], int]
+    control_address: Callable[[], str]
+    on_role: Callable[[bool], None]
+    on_records: Callable[[Sequence[RelayRecord]], None]
+    # Document in the store (None if unchanged) as of a moment of own clock.
+    on_store_reached: Callable[[ConfigDocument | None, float], None]
+
+
+class RelayRole:
+    """Take a free relay slot, renew its lease and watch the store."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        clock: Clock,
+        store: StoreCalls,
+        rng: random.Random,
+        incarnation: str,
+        hooks: RelayHooks,
+    ) -> None:
+        self.is_relay = False
+        self.slot = ""
+        self._settings = settings
+        self._clock = clock
+        self._store = store
+        self._rng = rng
+        self._incarnation = incarnation
+        self._hooks = hooks
+        self._lease_id = ""
+        self._revision = 0
+        self._failures = 0
+
+    async def run(self) -> None:
+        """Hold the role whenever it is wanted and a slot is free."""
+        while True:
+            if self.is_relay:
+                await self._hold()
+            elif self._hooks.is_wanted():
+                await self._try()
+            else:
+                await self._sleep_beats(1.0)
+
+    async def read_records(self) -> bool:
+        """Read all relay records once; tell whether the store answered."""
+        return await self._list() is not None
+
+    async def resign(self) -> None:
+        """Give up the slot at a planned stop."""
+        if self._lease_id:
+            await self._store.revoke_lease(self._lease_id)
+        self._set_role(False)
+
+    async def _try(self) -> None:
+        beat_ms = self._settings.beat_ms
+        spread_ms = self._hooks.domain_count() * TRY_SPACING_MS
+        window_ms = max(2.0 * beat_ms, spread_ms)
+        if self._failures:
+            backoff = min(2.0**self._failures, MAX_BACKOFF_BEATS)
+            window_ms = max(window_ms, backoff * beat_ms)
+        await asyncio.sleep(self._rng.uniform(0.0, window_ms) / 1000)
+        if not self._hooks.is_wanted():
+            return
+        records = await self._list()
+        if records is None:
+            self._failures += 1
+            return
+        self._failures = 0
+        slot = self._free_slot(records)
+        if slot is not None:
+            await self._take(slot)
+
+    def _free_slot(self, records: dict[str, StoreValue]) -> str | None:
+        slots = [
+            f"{RELAYS_PREFIX}{self._settings.failure_domain}/{number}"
+            for number in range(self._settings.relays_per_domain_count)
+        ]
+        free = [slot for slot in slots if slot not in records]
+        return self._rng.choice(free) if free else None
+
+    async def _take(self, slot: str) -> bool:
+        granted = await self._store.grant_lease(self._settings.lease_ms)
+        if isinstance(granted, Failure):
+            return False
+        lease_id = granted.unwrap()
+        written = await self._store.put(slot, self._record(lease_id), 0, lease_id)
+        is_taken = isinstance(written, Success) and written.unwrap() is not None
+        if isinstance(written, Failure):
+            # The write may have taken effect without an answer.
+            read = await self._store.get(slot)
+            found = read.value_or(None)
+            is_taken = found is not None and found.value == self._record(lease_id)
+        if not is_taken:
+            await self._store.revoke_lease(lease_id)
+            return False
+        self.slot, self._lease_id = slot, lease_id
+        self._set_role(True)
+        return True
+
+    def _record(self, lease_id: str) -> str:
+        record = {
+            "vm": self._settings.vm,
+            "incarnation": self._incarnation,
+            "control_address": self._hooks.control_address(),
+            "lease_id": lease_id,
+        }
+        return json.dumps(record, sort_keys=True)
+
+    async def _hold(self) -> None:
+        tasks = [
+            asyncio.create_task(self._renew_loop()),
+            asyncio.create_task(self._watch_loop()),
+            asyncio.create_task(self._list_loop()),
+        ]
+        try:
+            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+            for task in tasks:
+                if task.done():
+                    task.result()
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _renew_loop(self) -> None:
+        """Renew the lease; return when another daemon has the slot."""
+        while self.is_relay:
+            await asyncio.sleep(self._settings.lease_ms / 3000)
+            renewed = await self._store.renew_lease(self._lease_id)
+            # While the store does not answer, relays go on as they are.
+            if isinstance(renewed, Failure) or renewed.unwrap():
+                continue
+            # The lease has lapsed, as all do in a store outage; the slot is
+            # taken again unless another daemon was faster.
+            if not await self._retake():
+                self._set_role(False)
+
+    async def _retake(self) -> bool:
+        records = await self._list()
+        if records is None:
+            return True
+        if self.slot in records:
+            return False
+        return await self._take(self.slot)
+
+    async def _watch_loop(self) -> None:
+        while True:
+            start_ms = self._clock.now_ms()
+            watched = await self._store.watch(
+                CONFIG_PREFIX, self._revision, self._settings.beat_ms
+            )
+            if isinstance(watched, Failure):
+                await self._sleep_beats(1.0)
+                continue
+            newest = watched.unwrap()
+            if newest == self._revision:
+                self._hooks.on_store_reached(None, start_ms)
+                # A watch that returns at once must not become a busy loop.
+                if self._clock.now_ms() - start_ms < self._settings.beat_ms / 2:
+                    await self._sleep_beats(0.5)
+                continue
+            await self._read(newest)
+
+    async def _read(self, newest: int) -> None:
+        start_ms = self._clock.now_ms()
+        read = await read_config(self._store)
+        if isinstance(read, Failure):
+            await self._sleep_beats(1.0)
+            return
+        document, revision = read.unwrap()
+        if document is not None and revision < newest:
+            # A stale read: it says nothing about the newest version.
+            await self._sleep_beats(0.2)
+            return
+        self._revision = max(newest, revision)
+        self._hooks.on_store_reached(document, start_ms)
+
+    async def _list_loop(self) -> None:
+        while True:
+            await self._list()
+            await self._sleep_beats(LIST_EVERY_BEATS)
+
+    async def _list(self) -> dict[str, StoreValue] | None:
+        listed = await self._store.list(RELAYS_PREFIX)
+        if isinstance(listed, Failure):
+            return None
+        records = listed.unwrap()
+        self._hooks.on_records(parse_records(records))
+        return records
+
+    async def _sleep_beats(self, beats: float) -> None:
+        jitter = self._rng.uniform(0.8, 1.2)
+        await asyncio.sleep(beats * jitter * self._settings.beat_ms / 1000)
+
+    def _set_role(self, is_relay: bool) -> None:
+        if not is_relay:
+            self.slot, self._lease_id = "", ""
+        if is_relay == self.is_relay:
+            return
+        self.is_relay = is_relay
+        self._hooks.on_role(is_relay)
+
+
+def parse_records(items: dict[str, StoreValue]) -> Sequence[RelayRecord]:
+    """Return the relay records that are well formed."""
+    found: list[RelayRecord] = []
+    for key, item in items.items():
+        parts = key.split("/")
+        try:
+            record = json.loads(item.value)
+            found.append(
+                RelayRecord(
+                    failure_domain=parts[1],
+                    vm=str(record["vm"]),
+                    incarnation=str(record["incarnation"]),
+                    control_address=str(record["control_address"]),
+                )
+            )
+        except (ValueError, KeyError, TypeError, IndexError):
+            continue
+    return found
+
+
+__all__ = ["CONFIG_KEY", "RelayHooks", "RelayRecord", "RelayRole", "parse_records"]
--- /dev/null
+++ b/testing/daemon/control_fakes.py
@@ -0,0 +1,279 @@
+"""Store and fleet for the tests of the control plane."""
+
+import asyncio
+import json
+import random
+import threading
+import time
+from collections import Counter
+from collections.abc import Callable
+
+import attrs
+from returns.result import Failure, Result, Success
+
+from eelgrassweir.clock import Clock
+from eelgrassweir.config.document import (
+    ConfigDocument,
+    Team,
+    dump_document,
+)
+from eelgrassweir.daemon.control import ControlPlane
+from eelgrassweir.errors import StepError
+from eelgrassweir.settings.generated import Settings
+
+BEAT_MS = 100
+DOMAINS = ("bilbao", "oviedo", "donostia")
+
+
+@attrs.frozen(kw_only=True)
+class Value:
+    """Hold a value and its revision."""
+
+    value: str
+    revision: int
+
+
+class FakeStore:
+    """Keep keys and leases in memory, with faults on request."""
+
+    def __init__(self) -> None:
+        self.lock = threading.Condition()
+        self.items: dict[str, Value] = {}
+        self.touched: dict[str, int] = {}
+        self.leases: dict[str, tuple[int, float]] = {}
+        self.lease_of: dict[str, str] = {}
+        self.revision = 0
+        self.is_down = False
+        self.lose_puts = 0
+        self.counts: Counter[str] = Counter()
+
+    def view(self) -> "StoreView":
+        """Return the store as one daemon reaches it."""
+        return StoreView(self)
+
+    def write(self, key: str, value: str | None) -> int:
+        """Set or delete a key; the lock is held."""
+        self.revision += 1
+        self.touched[key] = self.revision
+        if value is None:
+            self.items.pop(key, None)
+            self.lease_of.pop(key, None)
+        else:
+            self.items[key] = Value(value=value, revision=self.revision)
+        self.lock.notify_all()
+        return self.revision
+
+    def lapse(self) -> None:
+        """Delete the keys of leases that have ended; the lock is held."""
+        now = time.monotonic()
+        for lease_id, (_, until) in list(self.leases.items()):
+            if now >= until:
+                self.end_lease(lease_id)
+
+    def end_lease(self, lease_id: str) -> None:
+        """Drop a lease and its keys; the lock is held."""
+        del self.leases[lease_id]
+        for key in [key for key, owner in self.lease_of.items() if owner == lease_id]:
+            self.write(key, None)
+
+    def newest(self, prefix: str) -> int:
+        """Return the newest revision under a prefix."""
+        found = [n for key, n in self.touched.items() if key.startswith(prefix)]
+        return max(found, default=0)
+
+    def set_config(self, document: ConfigDocument) -> None:
+        """Write the configuration, whatever is there."""
+        with self.lock:
+            self.write("config/current", dump_document(document).decode())
+
+
+class StoreView:
+    """Answer the calls of one daemon."""
+
+    def __init__(self, store: FakeStore) -> None:
+        self._store = store
+        self.is_cut_off = False
+
+    def _check(self, kind: str) -> StepError | None:
+        self._store.counts[kind] += 1
+        if self._store.is_down or self.is_cut_off:
+            return StepError(f"store {kind}", "store", "no answer")
+        self._store.lapse()
+        return None
+
+    def get(self, key: str) -> Result[Value | None, StepError]:
+        """Read one key."""
+        with self._store.lock:
+            error = self._check("get")
+            return Failure(error) if error else Success(self._store.items.get(key))
+
+    def list(self, prefix: str) -> Result[dict[str, Value], StepError]:
+        """Read all keys under a prefix."""
+        with self._store.lock:
+            error = self._check("list")
+            items = self._store.items.items()
+            found = {key: item for key, item in items if key.startswith(prefix)}
+            return Failure(error) if error else Success(found)
+
+    def put(
+        self, key: str, value: str, *, expect_revision: int, lease_id: str = ""
+    ) -> Result[int | None, StepError]:
+        """Write a key if it has the expected revision."""
+        store = self._store
+        with store.lock:
+            error = self._check("put")
+            if error:
+                return Failure(error)
+            known = store.items.get(key)
+            if (known.revision if known else 0) != expect_revision:
+                return Success(None)
+            if lease_id:
+                if lease_id not in store.leases:
+                    return Failure(StepError("store put", "store", "lease lapsed"))
+                store.lease_of[key] = lease_id
+            revision = store.write(key, value)
+            if store.lose_puts > 0:
+                store.lose_puts -= 1
+                return Failure(StepError("store put", "store", "answer lost"))
+            return Success(revision)
+
+    def delete(self, key: str, *, expect_revision: int) -> Result[bool, StepError]:
+        """Delete a key."""
+        with self._store.lock:
+            error = self._check("delete")
+            if error:
+                return Failure(error)
+            known = self._store.items.get(key)
+            if known is None or known.revision != expect_revision:
+                return Success(False)
+            self._store.write(key, None)
+            return Success(True)
+
+    def grant_lease(self, ttl_ms: int) -> Result[str, StepError]:
+        """Make a lease."""
+        with self._store.lock:
+            error = self._check("lease")
+            if error:
+                return Failure(error)
+            lease_id = f"lease-{self._store.counts['lease']}"
+            until = time.monotonic() + ttl_ms / 1000
+            self._store.leases[lease_id] = (ttl_ms, until)
+            return Success(lease_id)
+
+    def renew_lease(self, lease_id: str) -> Result[bool, StepError]:
+        """Extend a lease."""
+        with self._store.lock:
+            error = self._check("renew")
+            if error:
+                return Failure(error)
+            if lease_id not in self._store.leases:
+                return Success(False)
+            ttl_ms, _ = self._store.leases[lease_id]
+            until = time.monotonic() + ttl_ms / 1000
+            self._store.leases[lease_id] = (ttl_ms, until)
+            return Success(True)
+
+    def revoke_lease(self, lease_id: str) -> Result[bool, StepError]:
+        """End a lease."""
+        with self._store.lock:
+            error = self._check("revoke")
+            if error:
+                return Failure(error)
+            if lease_id not in self._store.leases:
+                return Success(False)
+            self._store.end_lease(lease_id)
+            return Success(True)
+
+    def watch(
+        self, prefix: str, *, after_revision: int, wait_ms: int
+    ) -> Result[int, StepError]:
+        """Wait for a change under a prefix."""
+        with self._store.lock:
+            error = self._check("watch")
+            if error:
+                return Failure(error)
+            self._store.lock.wait_for(
+                lambda: self._store.newest(prefix) > after_revision, wait_ms / 1000
+            )
+            return Success(self._store.newest(prefix))
+
+
+def make_document(version: int, rate_per_s: float = 10.0) -> ConfigDocument:
+    """Return a configuration with one team whose rate tells the version."""
+    team = Team(name="turno", rate_per_s=rate_per_s + version, burst_calls=5)
+    return ConfigDocument(
+        version=version,
+        teams={"turno": team},
+        failure_domains=DOMAINS,
+        change_ids=tuple(f"change-{number}" for number in range(1, version + 1)),
+    )
+
+
+class Fleet:
+    """Run several control planes on loopback."""
+
+    def __init__(self, seed: int) -> None:
+        print(f"seed {seed}")
+        self.rng = random.Random(seed)
+        self.store = FakeStore()
+        self.planes: dict[str, ControlPlane] = {}
+        self.views: dict[str, StoreView] = {}
+        self._started = 0
+
+    async def start(self, vm: str, domain: str, **changes: object) -> ControlPlane:
+        """Start a daemon's control plane."""
+        values: dict[str, object] = {
+            "vm": vm,
+            "failure_domain": domain,
+            "store_urls": ("http://127.0.0.1:1",),
+            "ingress_address": "127.0.0.1:1",
+            "egress_address": "127.0.0.1:1",
+            "link_address": "127.0.0.1:1",
+            "control_address": "127.0.0.1:0",
+            "admin_address": "127.0.0.1:1",
+            "beat_ms": BEAT_MS,
+            "lease_ms": 600,
+            "isolation_limit_ms": 1500,
+            "relays_per_domain_count": 1,
+            **changes,
+        }
+        self._started += 1
+        view = self.store.view()
+        plane = ControlPlane(
+            Settings(**values),  # type: ignore[arg-type]
+            clock=Clock(),
+            store=view,
+            rng=random.Random(self.rng.random()),
+            incarnation=f"{vm}-{self._started}",
+            started_ms=1_000 + self._started,
+        )
+        self.planes[vm], self.views[vm] = plane, view
+        await plane.start()
+        return plane
+
+    async def stop(self) -> None:
+        """Stop all control planes."""
+        await asyncio.gather(*(plane.stop() for plane in self.planes.values()))
+
+    async def kill(self, vm: str) -> None:
+        """End a daemon without a word to the others."""
+        plane = self.planes.pop(vm)
+        await kill_plane(plane)
+
+    async def until(self, check: Callable[[], bool], limit_s: float = 15.0) -> None:
+        """Wait until ``check`` holds for the fleet."""
+        deadline = time.monotonic() + limit_s
+        while not check():
+            if time.monotonic() > deadline:
+                states = [plane.state() for plane in self.planes.values()]
+                raise AssertionError(json.dumps(states, indent=1))
+            await asyncio.sleep(0.02)
+
+
+async def kill_plane(plane: ControlPlane) -> None:
+    """Cancel the tasks and the server of a plane, as a crash would."""
+    tasks = [*plane._tasks, *plane._peer_tasks.values()]
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    await plane._server.stop(grace=None)
