--- a/src/eelgrassweir/daemon/control.py
+++ b/src/eelgrassweir/daemon/control.py
@@ -12,10 +12,14 @@
 from returns.result import Failure, Result, Success
 
 from eelgrassweir.clock import Clock
-from eelgrassweir.config.document import ConfigDocument
-from eelgrassweir.daemon.commit import commit_change
+from eelgrassweir.config.document import ConfigDocument, parse_document
+from eelgrassweir.daemon.commit import commit_at_store
 from eelgrassweir.daemon.config_log import ConfigLog
-from eelgrassweir.daemon.control_client import ControlClient
+from eelgrassweir.daemon.control_client import (
+    Connect,
+    ControlClient,
+    open_channel,
+)
 from eelgrassweir.daemon.control_metrics import ControlMetrics, count_of
 from eelgrassweir.daemon.control_server import (
     Borrow,
@@ -28,7 +32,7 @@
 from eelgrassweir.daemon.losses import LossWatch
 from eelgrassweir.daemon.relay import RelayHooks, RelayRecord, RelayRole
 from eelgrassweir.daemon.session import run_caller, run_server, send_and_end
-from eelgrassweir.daemon.store_calls import Store, StoreCalls
+from eelgrassweir.daemon.store_calls import StoreCalls
 from eelgrassweir.errors import StepError
 from eelgrassweir.membership.freshness import (
     Freshness,
@@ -62,6 +66,7 @@
     Up,
 )
 from eelgrassweir.settings.generated import Settings
+from eelgrassweir.store.client import StoreClient
 
 # A stream is silent after so many beats without a message.
 SILENT_BEATS = 3
@@ -71,10 +76,14 @@
 # Relays compare their tables, since entries do not pass through two of them.
 COMPARE_EVERY_TICKS = 30
 REDIRECT_ADDRESSES = 8
+# A relay that counts as down is tried again once in so many ticks.
+LOST_RELAY_TICKS = 10
 SUSPECT_BEATS = 10
 # A parent that has lost its own parent finds another one within a few beats.
 UNROOTED_BEATS = 5
 MAX_PAUSE_BEATS = 8.0
+# A confirm waits for its answer, and so does the admin listener for 10 s.
+COMMIT_LIMIT_MS = 8_000.0
 MAX_RENAMES = 3
 
 
@@ -102,7 +111,7 @@
         settings: Settings,
         *,
         clock: Clock,
-        store: Store,
+        store: StoreClient,
         rng: random.Random,
         incarnation: str,
         started_ms: int,
@@ -111,6 +120,7 @@
         borrow: Borrow | None = None,
         promise: Promise | None = None,
         registry: CollectorRegistry | None = None,
+        connect: Connect = open_channel,
     ) -> None:
         self.members = MemberTable()
         self.address = ""
@@ -123,7 +133,8 @@
         self._borrow = borrow
         self._promise = promise
         self._store = StoreCalls(store, self.metrics)
-        self._client = ControlClient(self.metrics)
+        self._client = ControlClient(self.metrics, connect)
+        self._connect = connect
         self._log = ConfigLog()
         self._relays = RelayView()
         self._freshness = Freshness()
@@ -302,10 +313,14 @@
         relays = list(self.other_relays())
         self._rng.shuffle(relays)
         relays.sort(key=lambda beat: not beat.store_reached)
-        # Read, write and read back have their limits in the store client.
-        limit_ms = 6.0 * self._settings.store_timeout_ms
-        for beat in relays[:REDIRECT_ADDRESSES]:
-            result = await self._client.commit(beat.control_address, request, limit_ms)
+        deadline_ms = self._clock.now_ms() + COMMIT_LIMIT_MS
+        # A relay reads, writes and reads back.
+        limit_ms = 4.0 * self._settings.store_timeout_ms
+        for beat in relays:
+            left_ms = min(limit_ms, deadline_ms - self._clock.now_ms())
+            if left_ms <= 0:
+                break
+            result = await self._client.commit(beat.control_address, request, left_ms)
             reply = result.value_or(unreachable)
             if reply.result != "store_unreachable":
                 return reply
@@ -472,11 +487,16 @@
     async def _serve_commit(self, request: CommitRequest) -> CommitReply:
         if not self.is_relay():
             return CommitReply(result="store_unreachable", version=self._log.version)
-        reply, document = await commit_change(self._store, request, self._log.document)
-        if document is not None and document.version > self._log.version:
-            self._take_document(document, "store")
-            for edge in self._peers:
-                self._send_config(edge)
+        own = self._log.document
+        reply = await commit_at_store(self._store, request, own)
+        if reply.result != "applied":
+            return reply
+        # The store has accepted exactly these bytes.
+        parse_document(request.document_json).map(
+            lambda document: self._take_document(document, "store")
+        )
+        for edge in self._peers:
+            self._send_config(edge)
         return reply
 
     # Acknowledgements.
@@ -653,7 +673,7 @@
 
     def _ensure_peers(self) -> None:
         connected = {edge.vm for edge in self._peers}
-        for beat in self.other_relays():
+        for beat in [*self.other_relays(), *self._lost_relays()]:
             if beat.vm in connected or beat.vm in self._peer_tasks:
                 self._peer_missing_ticks.pop(beat.vm, None)
                 continue
@@ -664,6 +684,21 @@
             if self.address < beat.control_address or missing > SILENT_BEATS:
                 self._open_peer(beat)
 
+    def _lost_relays(self) -> Sequence[RelayBeat]:
+        """Return some of the relays that count as down.
+
+        After a partition each side has marked the other's relays down and
+        only a stream between two relays shows that they are not.
+        """
+        live = {beat.vm for beat in self._live_relays()} | {self._own.vm}
+        return [
+            beat
+            for beat in self._relays.all()
+            if not beat.stepped_down
+            and beat.vm not in live
+            and self._rng.randrange(LOST_RELAY_TICKS) == 0
+        ]
+
     def _open_peer(self, beat: RelayBeat) -> None:
         edge = Edge(RELAY, is_caller=True)
         edge.vm, edge.incarnation = beat.vm, beat.incarnation
@@ -776,10 +811,14 @@
         return False
 
     def _first_addresses(self) -> Sequence[str]:
-        live = self.other_relays()
         domain = self._settings.failure_domain
-        good = [beat for beat in live if not self._is_suspected(beat)]
-        doubtful = [beat for beat in live if self._is_suspected(beat)]
+        good = [beat for beat in self.other_relays() if not self._is_suspected(beat)]
+        tried_first = {beat.vm for beat in good} | {self._own.vm}
+        doubtful = [
+            beat
+            for beat in self._relays.all()
+            if not beat.stepped_down and beat.vm not in tried_first
+        ]
         seeds = list(self._settings.seed_addresses)
         self._rng.shuffle(seeds)
         return [
@@ -819,7 +858,8 @@
 
         self._calling.add(edge)
         try:
-            await run_caller(edge, partial(self._handle_down, edge), take)
+            handle = partial(self._handle_down, edge)
+            await run_caller(edge, handle, take, self._connect)
         finally:
             self._calling.discard(edge)
 
@@ -1052,7 +1092,9 @@
 
     def _is_relay_gone(self, vm: str, incarnation: str) -> bool:
         member = self.members.get(vm)
-        return member is None and not self.members.is_live(vm, incarnation)
+        if member is None:
+            return not self.members.is_live(vm, incarnation)
+        return member.incarnation != incarnation
 
     def _check_silence(self) -> None:
         for edge in {*self._children.values(), *self._peers, *self._calling}:
--- a/src/eelgrassweir/daemon/control_client.py
+++ b/src/eelgrassweir/daemon/control_client.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections import OrderedDict
 from collections.abc import Callable
-from typing import Any, TypeVar
+from typing import Any
 
 import grpc.aio
 from returns.result import Failure, Result, Success
@@ -24,7 +24,7 @@
 )
 MAX_CHANNELS = 64
 
-Reply = TypeVar("Reply")
+Connect = Callable[[str], grpc.aio.Channel]
 
 
 def open_channel(address: str) -> grpc.aio.Channel:
@@ -41,8 +41,11 @@
 class ControlClient:
     """Make single calls; a channel that does not answer is replaced."""
 
-    def __init__(self, metrics: ControlMetrics) -> None:
+    def __init__(
+        self, metrics: ControlMetrics, connect: Connect = open_channel
+    ) -> None:
         self._metrics = metrics
+        self._connect = connect
         self._channels: OrderedDict[str, grpc.aio.Channel] = OrderedDict()
         self._closing: set[asyncio.Task[None]] = set()
 
@@ -104,7 +107,7 @@
     def _channel(self, address: str) -> grpc.aio.Channel:
         channel = self._channels.get(address)
         if channel is None:
-            channel = open_channel(address)
+            channel = self._connect(address)
             self._channels[address] = channel
         self._channels.move_to_end(address)
         if len(self._channels) > MAX_CHANNELS:
--- a/src/eelgrassweir/daemon/relay.py
+++ b/src/eelgrassweir/daemon/relay.py
@@ -9,13 +9,14 @@
 from returns.result import Failure, Success
 
 from eelgrassweir.clock import Clock
+from eelgrassweir.config.commit import CONFIG_KEY
 from eelgrassweir.config.document import ConfigDocument
-from eelgrassweir.daemon.commit import CONFIG_KEY, read_config
-from eelgrassweir.daemon.store_calls import StoreCalls, StoreValue
+from eelgrassweir.daemon.commit import read_stored
+from eelgrassweir.daemon.store_calls import StoreCalls
 from eelgrassweir.settings.generated import Settings
+from eelgrassweir.store.client import Value
 
 RELAYS_PREFIX = "relays/"
-CONFIG_PREFIX = "config/"
 # Expected time between two daemons of a domain that try for one free slot:
 # longer than the news of a taken slot needs to arrive.
 TRY_SPACING_MS = 100.0
@@ -109,7 +110,7 @@
         if slot is not None:
             await self._take(slot)
 
-    def _free_slot(self, records: dict[str, StoreValue]) -> str | None:
+    def _free_slot(self, records: dict[str, Value]) -> str | None:
         slots = [
             f"{RELAYS_PREFIX}{self._settings.failure_domain}/{number}"
             for number in range(self._settings.relays_per_domain_count)
@@ -186,7 +187,7 @@
         while True:
             start_ms = self._clock.now_ms()
             watched = await self._store.watch(
-                CONFIG_PREFIX, self._revision, self._settings.beat_ms
+                CONFIG_KEY, self._revision, self._settings.beat_ms
             )
             if isinstance(watched, Failure):
                 await self._sleep_beats(1.0)
@@ -202,24 +203,30 @@
 
     async def _read(self, newest: int) -> None:
         start_ms = self._clock.now_ms()
-        read = await read_config(self._store)
+        read = await read_stored(self._store)
         if isinstance(read, Failure):
             await self._sleep_beats(1.0)
             return
-        document, revision = read.unwrap()
-        if document is not None and revision < newest:
+        document, revision = read.unwrap().document, read.unwrap().revision
+        if 0 < revision < newest:
             # A stale read: it says nothing about the newest version.
             await self._sleep_beats(0.2)
             return
+        if revision == 0 and newest > 0:
+            # A deleted key or a stale read: look again at the next beat.
+            self._hooks.on_store_reached(None, start_ms)
+            await self._sleep_beats(1.0)
+            return
         self._revision = max(newest, revision)
-        self._hooks.on_store_reached(document, start_ms)
+        known = document if document.version else None
+        self._hooks.on_store_reached(known, start_ms)
 
     async def _list_loop(self) -> None:
         while True:
             await self._list()
             await self._sleep_beats(LIST_EVERY_BEATS)
 
-    async def _list(self) -> dict[str, StoreValue] | None:
+    async def _list(self) -> dict[str, Value] | None:
         listed = await self._store.list(RELAYS_PREFIX)
         if isinstance(listed, Failure):
             return None
@@ -240,7 +247,7 @@
         self._hooks.on_role(is_relay)
 
 
-def parse_records(items: dict[str, StoreValue]) -> Sequence[RelayRecord]:
+def parse_records(items: dict[str, Value]) -> Sequence[RelayRecord]:
     """Return the relay records that are well formed."""
     found: list[RelayRecord] = []
     for key, item in items.items():
@@ -258,6 +265,3 @@
         except (ValueError, KeyError, TypeError, IndexError):
             continue
     return found
-
-
-__all__ = ["CONFIG_KEY", "RelayHooks", "RelayRecord", "RelayRole", "parse_records"]
--- a/src/eelgrassweir/daemon/session.py
+++ b/src/eelgrassweir/daemon/session.py
@@ -7,7 +7,7 @@
 import grpc.aio
 from eliot import write_traceback
 
-from eelgrassweir.daemon.control_client import make_stub, open_channel
+from eelgrassweir.daemon.control_client import Connect, make_stub, open_channel
 from eelgrassweir.daemon.edge import Edge
 from eelgrassweir.proto.control_pb2 import Down, Up
 
@@ -15,9 +15,11 @@
 Take = Callable[[], list[Any]]
 
 
-async def run_caller(edge: Edge, handle: Handle, take: Take) -> str:
+async def run_caller(
+    edge: Edge, handle: Handle, take: Take, connect: Connect = open_channel
+) -> str:
     """Open a stream to ``edge.address`` and run it; return why it ended."""
-    channel = open_channel(edge.address)
+    channel = connect(edge.address)
     call = make_stub(channel).Join()
     try:
         await _run(edge, call.read, call.write, handle, take)
--- a/src/eelgrassweir/daemon/store_calls.py
+++ b/src/eelgrassweir/daemon/store_calls.py
@@ -2,113 +2,96 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import Any, Protocol, TypeVar
+from typing import Any, TypeVar
 
 from returns.result import Result, Success
 
 from eelgrassweir.daemon.control_metrics import ControlMetrics
 from eelgrassweir.errors import StepError
+from eelgrassweir.store.client import StoreClient, Value
 
 T = TypeVar("T")
 
+KINDS = (
+    "get",
+    "list",
+    "put",
+    "delete",
+    "grant_lease",
+    "renew_lease",
+    "revoke_lease",
+    "watch",
+)
 
-class StoreValue(Protocol):
-    """Describe a value read from the store."""
 
-    @property
-    def value(self) -> str:
-        """Return the text stored."""
+class CountedStore:
+    """Pass calls on to the store client and count them."""
 
-    @property
-    def revision(self) -> int:
-        """Return the revision of the write."""
-
-
-class Store(Protocol):
-    """Describe what the control plane uses of the store client."""
-
-    def get(self, key: str) -> Result[Any, StepError]:
-        """Read one key."""
-
-    def list(self, prefix: str) -> Result[dict[str, Any], StepError]:
-        """Read all keys under a prefix."""
-
-    def put(
-        self, key: str, value: str, *, expect_revision: int, lease_id: str = ""
-    ) -> Result[int | None, StepError]:
-        """Write a key if it has the expected revision."""
-
-    def delete(self, key: str, *, expect_revision: int) -> Result[bool, StepError]:
-        """Delete a key if it has the expected revision."""
-
-    def grant_lease(self, ttl_ms: int) -> Result[str, StepError]:
-        """Make a lease."""
+    def __init__(self, store: StoreClient, metrics: ControlMetrics) -> None:
+        self._store = store
+        self._metrics = metrics
 
-    def renew_lease(self, lease_id: str) -> Result[bool, StepError]:
-        """Extend a lease; False if it has lapsed."""
+    def __getattr__(self, name: str) -> Any:
+        """Return the method of the client with a counter around it."""
+        method = getattr(self._store, name)
+        if name not in KINDS:
+            return method
 
-    def revoke_lease(self, lease_id: str) -> Result[bool, StepError]:
-        """End a lease."""
+        def call(*values: Any, **named: Any) -> Any:
+            result = method(*values, **named)
+            outcome = "ok" if isinstance(result, Success) else "failed"
+            self._metrics.store_calls.labels(name, outcome).inc()
+            return result
 
-    def watch(
-        self, prefix: str, *, after_revision: int, wait_ms: int
-    ) -> Result[int, StepError]:
-        """Wait for a change under a prefix."""
+        return call
 
 
 class StoreCalls:
-    """Run calls of the synchronous client in threads and count them."""
+    """Run calls of the synchronous client in threads."""
 
-    def __init__(self, store: Store, metrics: ControlMetrics) -> None:
-        self._store = store
-        self._metrics = metrics
+    def __init__(self, store: StoreClient, metrics: ControlMetrics) -> None:
+        self.counted: Any = CountedStore(store, metrics)
 
-    async def get(self, key: str) -> Result[StoreValue | None, StepError]:
+    async def get(self, key: str) -> Result[Value | None, StepError]:
         """Read one key."""
-        return await self._run("get", lambda: self._store.get(key))
+        return await _run(lambda: self.counted.get(key))
 
-    async def list(self, prefix: str) -> Result[dict[str, StoreValue], StepError]:
+    async def list(self, prefix: str) -> Result[dict[str, Value], StepError]:
         """Read all keys under a prefix."""
-        return await self._run("list", lambda: self._store.list(prefix))
+        return await _run(lambda: self.counted.list(prefix))
 
     async def put(
         self, key: str, value: str, expect_revision: int, lease_id: str = ""
     ) -> Result[int | None, StepError]:
         """Write a key if it has the expected revision."""
-        return await self._run(
-            "put",
-            lambda: self._store.put(
+        return await _run(
+            lambda: self.counted.put(
                 key, value, expect_revision=expect_revision, lease_id=lease_id
-            ),
+            )
         )
 
     async def grant_lease(self, ttl_ms: int) -> Result[str, StepError]:
         """Make a lease."""
-        return await self._run("lease", lambda: self._store.grant_lease(ttl_ms))
+        return await _run(lambda: self.counted.grant_lease(ttl_ms))
 
     async def renew_lease(self, lease_id: str) -> Result[bool, StepError]:
         """Extend a lease; False if it has lapsed."""
-        return await self._run("renew", lambda: self._store.renew_lease(lease_id))
+        return await _run(lambda: self.counted.renew_lease(lease_id))
 
     async def revoke_lease(self, lease_id: str) -> Result[bool, StepError]:
         """End a lease."""
-        return await self._run("revoke", lambda: self._store.revoke_lease(lease_id))
+        return await _run(lambda: self.counted.revoke_lease(lease_id))
 
     async def watch(
         self, prefix: str, after_revision: int, wait_ms: int
     ) -> Result[int, StepError]:
         """Wait for a change under a prefix."""
-        return await self._run(
-            "watch",
-            lambda: self._store.watch(
+        return await _run(
+            lambda: self.counted.watch(
                 prefix, after_revision=after_revision, wait_ms=wait_ms
-            ),
+            )
         )
 
-    async def _run(
-        self, kind: str, call: Callable[[], Result[T, StepError]]
-    ) -> Result[T, StepError]:
-        result = await asyncio.to_thread(call)
-        outcome = "ok" if isinstance(result, Success) else "failed"
-        self._metrics.store_calls.labels(kind, outcome).inc()
-        return result
+
+async def _run(call: Callable[[], Result[T, StepError]]) -> Result[T, StepError]:
+    return await asyncio.to_thread(call)
