--- a/src/eelgrassweir/daemon/control.py
+++ b/src/eelgrassweir/daemon/control.py
@@ -124,6 +124,7 @@
     ) -> None:
         self.members = MemberTable()
         self.address = ""
+        self.port = 0
         self.metrics = ControlMetrics(registry or CollectorRegistry())
         self._settings = settings
         self._clock = clock
@@ -187,10 +188,10 @@
         started = await start_server(self._settings.control_address, handlers)
         if isinstance(started, Failure):
             raise started.failure()
-        self._server, port = started.unwrap()
+        self._server, self.port = started.unwrap()
         advertised = self._settings.advertised_control_address
         host = self._settings.control_address.rpartition(":")[0]
-        self.address = advertised or f"{host}:{port}"
+        self.address = advertised or f"{host}:{self.port}"
         self._own.control_address = self.address
         self._announce_own()
         self._spawn(self._tick_loop())
--- a/testing/daemon/control_fakes.py
+++ b/testing/daemon/control_fakes.py
@@ -1,6 +1,7 @@
 """Store and fleet for the tests of the control plane."""
 
 import asyncio
+import contextlib
 import json
 import random
 import threading
@@ -300,3 +301,56 @@
         task.cancel()
     await asyncio.gather(*tasks, return_exceptions=True)
     await plane._server.stop(grace=None)
+
+
+class SilentProxy:
+    """Pass connections to a daemon; make the open ones silent on request."""
+
+    def __init__(self) -> None:
+        self.target = ""
+        self.address = ""
+        self.connections = 0
+        self._silenced: set[int] = set()
+        self._writers: list[asyncio.StreamWriter] = []
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+
+    def silence(self) -> None:
+        """Pass nothing more on the connections that are open now."""
+        self._silenced = set(range(1, self.connections + 1))
+
+    async def stop(self) -> None:
+        """Close all connections."""
+        assert self._server is not None
+        self._server.close()
+        for writer in self._writers:
+            writer.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.connections += 1
+        number = self.connections
+        host, _, port = self.target.rpartition(":")
+        there, back = await asyncio.open_connection(host, int(port))
+        self._writers += [writer, back]
+        await asyncio.gather(
+            self._pass(number, reader, back), self._pass(number, there, writer)
+        )
+
+    async def _pass(
+        self, number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with contextlib.suppress(OSError):
+            while data := await reader.read(65_536):
+                if number in self._silenced:
+                    continue
+                writer.write(data)
+                await writer.drain()
+            if number not in self._silenced:
+                writer.close()
--- /dev/null
+++ b/testing/daemon/test_config_log.py
@@ -0,0 +1,93 @@
+"""Guard against versions that go back and updates that do not apply."""
+
+import random
+
+import attrs
+import pytest
+from returns.result import Failure, Success
+
+from eelgrassweir.config.document import ConfigDocument, Team
+from eelgrassweir.daemon.config_log import KEPT_DELTAS, ConfigLog
+from eelgrassweir.proto.control_pb2 import ConfigUpdate
+from testing.daemon.control_fakes import make_document
+
+SEED = 11
+
+
+def make_large(version: int) -> ConfigDocument:
+    """Return a document whose delta is smaller than the whole."""
+    teams = {
+        f"team{number}": Team(
+            name=f"team{number}", rate_per_s=number + 1, burst_calls=9
+        )
+        for number in range(200)
+    }
+    small = make_document(version)
+    return attrs.evolve(small, teams={**small.teams, **teams})
+
+
+def filled_log(versions: int) -> ConfigLog:
+    """Return a log that took each version in turn."""
+    log = ConfigLog()
+    for version in range(1, versions + 1):
+        assert log.take(make_large(version), "store") == Success(True)
+    return log
+
+
+def test_chain_of_deltas_leads_to_the_newest_version() -> None:
+    log, follower = filled_log(6), filled_log(2)
+    updates = log.updates_for(2)
+    assert [update.base_version for update in updates] == [2, 3, 4, 5]
+    for update in updates:
+        assert follower.take_update(update, "parent") == Success(True)
+    assert follower.document == log.document
+
+
+@pytest.mark.parametrize("version", [0, 1])
+def test_version_beyond_the_kept_deltas_gets_the_whole_document(version: int) -> None:
+    log, follower = filled_log(KEPT_DELTAS + 3), filled_log(version)
+    updates = log.updates_for(version)
+    assert [update.base_version for update in updates] == [0]
+    assert follower.take_update(updates[0], "parent") == Success(True)
+    assert follower.document == log.document
+
+
+def test_random_mix_of_old_and_new_updates_never_goes_back() -> None:
+    rng = random.Random(SEED)
+    source = filled_log(12)
+    updates = [
+        update
+        for version in range(12)
+        for update in filled_log(12).updates_for(version)
+    ]
+    updates += [filled_log(version).updates_for(0)[0] for version in range(1, 13)]
+    follower = ConfigLog()
+    highest = 0
+    for _ in range(300):
+        follower.take_update(rng.choice(updates), "peer")
+        assert follower.version >= highest
+        highest = follower.version
+    assert follower.document == source.document, f"seed {SEED}"
+
+
+def test_same_version_with_another_content_is_counted_and_not_taken() -> None:
+    log = filled_log(3)
+    other = make_document(3, rate_per_s=99.0)
+    assert isinstance(log.take(other, "store"), Failure)
+    assert log.document == make_large(3)
+    assert log.conflicting == 1
+    assert log.take(make_large(3), "store") == Success(False)
+    assert log.conflicting == 1
+
+
+def test_broken_update_is_an_error_and_changes_nothing() -> None:
+    log = filled_log(3)
+    wrong_base = filled_log(6).updates_for(4)[0]
+    cut = filled_log(4).updates_for(0)[0]
+    cut = ConfigUpdate(version=4, payload_zlib=cut.payload_zlib[:-5])
+    renamed = ConfigUpdate(
+        version=9, payload_zlib=filled_log(4).updates_for(0)[0].payload_zlib
+    )
+    for update in (wrong_base, cut, renamed):
+        assert isinstance(log.take_update(update, "parent"), Failure)
+    assert log.document == make_large(3)
--- a/testing/daemon/test_control.py
+++ b/testing/daemon/test_control.py
@@ -4,12 +4,18 @@
 from collections.abc import Awaitable, Callable
 
 import pytest
+from returns.result import Failure, Success
 
 from eelgrassweir.config.document import dump_document
 from eelgrassweir.daemon.control import ControlPlane
 from eelgrassweir.membership.table import mark_down
-from eelgrassweir.proto.control_pb2 import READY
-from testing.daemon.control_fakes import DOMAINS, Fleet, make_document
+from eelgrassweir.proto.control_pb2 import READY, PromiseRequest
+from testing.daemon.control_fakes import (
+    DOMAINS,
+    Fleet,
+    SilentProxy,
+    make_document,
+)
 
 SEED = 71
 
@@ -292,5 +298,64 @@
     run_fleet(scenario)
 
 
+def test_silent_stream_is_replaced_by_a_new_connection() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        proxy = SilentProxy()
+        await proxy.start()
+        relay = await fleet.start(
+            "relay", "bilbao", advertised_control_address=proxy.address
+        )
+        proxy.target = f"127.0.0.1:{relay.port}"
+        fleet.store.set_config(make_document(1))
+        await fleet.until(relay.is_relay)
+        child = await fleet.start("child", "bilbao")
+        await fleet.until(lambda: all_have(fleet, 1))
+        proxy.silence()
+        before = proxy.connections
+        await fleet.until(lambda: child.state()["attachments"] == 2)
+        assert proxy.connections > before
+        fleet.store.set_config(make_document(2))
+        await fleet.until(lambda: all_have(fleet, 2))
+        await proxy.stop()
+
+    run_fleet(scenario)
+
+
+def test_call_on_a_silent_channel_fails_in_time_and_the_next_one_works() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        proxy = SilentProxy()
+        await proxy.start()
+        server = await fleet.start("server", "bilbao")
+        caller = await fleet.start("caller", "bilbao")
+        proxy.target = server.address
+        request = PromiseRequest(failure_domain="bilbao")
+        first = await caller.promise(proxy.address, request)
+        proxy.silence()
+        second = await caller.promise(proxy.address, request, timeout_ms=200)
+        third = await caller.promise(proxy.address, request)
+        assert isinstance(first, Success)
+        assert isinstance(second, Failure)
+        assert second.failure().peer == proxy.address
+        assert isinstance(third, Success)
+        await proxy.stop()
+
+    run_fleet(scenario)
+
+
+def test_cycle_is_left() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        await start_ready(fleet, 7, tree_fan_out_count=2)
+        plane = next(
+            plane for plane in fleet.planes.values() if plane.state()["parent"]
+        )
+        assert plane._parent is not None
+        plane._take_path(plane._parent, ("vm98", plane.state()["vm"], "vm99"))
+        assert plane.state()["path"][0] != "vm98"
+        await fleet.until(lambda: plane.state()["attachments"] == 2)
+        await fleet.until(lambda: all_have(fleet, 1))
+
+    run_fleet(scenario)
+
+
 def _domain(plane: ControlPlane) -> str:
     return plane._settings.failure_domain
--- /dev/null
+++ b/testing/membership/test_table.py
@@ -0,0 +1,121 @@
+"""Guard against replicas that differ and entries that come back."""
+
+import random
+
+from hypothesis import given, settings, strategies as st
+
+from eelgrassweir.membership.table import (
+    BURIED_MS,
+    TOMBSTONE_MS,
+    MemberTable,
+    mark_down,
+)
+from eelgrassweir.proto.control_pb2 import DOWN, DRAINING, READY, Member
+
+
+def member(vm: str = "vm1", sequence: int = 1, **changes: object) -> Member:
+    """Return an entry of the first incarnation."""
+    values = {"incarnation": "a", "started_ms": 5, "service": "fichero", **changes}
+    return Member(vm=vm, sequence=sequence, **values)  # type: ignore[arg-type]
+
+
+entries = st.builds(
+    Member,
+    vm=st.sampled_from(["vm1", "vm2", "vm3"]),
+    incarnation=st.sampled_from(["a", "b"]),
+    started_ms=st.integers(1, 2),
+    sequence=st.integers(1, 3),
+    state=st.sampled_from([READY, DRAINING, DOWN]),
+    service=st.sampled_from(["", "fichero", "registro"]),
+    slots=st.integers(0, 1),
+    parent_incarnation=st.sampled_from(["", "a"]),
+    failure_domain=st.sampled_from(["bilbao", "oviedo"]),
+)
+
+
+@settings(max_examples=200, derandomize=True)
+@given(st.lists(entries, max_size=20), st.randoms(use_true_random=False))
+def test_any_order_and_duplication_gives_the_same_table(
+    deltas: list[Member], rng: random.Random
+) -> None:
+    first, second = MemberTable(), MemberTable()
+    for entry in deltas:
+        first.merge(entry)
+    again = deltas * 2
+    rng.shuffle(again)
+    for entry in again:
+        second.merge(entry)
+    assert sorted(first.all(), key=str) == sorted(second.all(), key=str)
+    assert first.digests() == second.digests()
+    assert first.live_count() == second.live_count()
+    for service in ("fichero", "registro"):
+        expected = [
+            entry
+            for entry in first.all()
+            if entry.state == READY and entry.service == service
+        ]
+        for table in (first, second):
+            assert sorted(table.ready(service), key=str) == sorted(expected, key=str)
+
+
+@settings(max_examples=100, derandomize=True)
+@given(st.lists(entries, max_size=20), st.lists(entries, max_size=20))
+def test_exchange_by_digests_makes_two_tables_equal(
+    left: list[Member], right: list[Member]
+) -> None:
+    first, second = MemberTable(), MemberTable()
+    for entry in left:
+        first.merge(entry)
+    for entry in right:
+        second.merge(entry)
+    to_second, to_first = (
+        list(first.differing(second.digests())),
+        list(second.differing(first.digests())),
+    )
+    for entry in to_second:
+        second.merge(entry)
+    for entry in to_first:
+        first.merge(entry)
+    assert first.digests() == second.digests()
+
+
+def test_down_mark_beats_an_announcement_of_the_same_sequence() -> None:
+    table = MemberTable()
+    table.merge(member(sequence=2))
+    assert table.merge(mark_down(member(sequence=1)))
+    assert not table.ready("fichero")
+    assert table.merge(member(sequence=3))
+    assert len(table.ready("fichero")) == 1
+
+
+def test_old_entry_does_not_return_after_its_tombstone_is_forgotten() -> None:
+    table, peer = MemberTable(), MemberTable()
+    for replica in (table, peer):
+        replica.merge(member())
+    table.merge(mark_down(member()))
+    table.expire(0.0)
+    table.expire(TOMBSTONE_MS)
+    assert table.get("vm1") is None
+    assert not table.merge(member())
+    assert not table.is_live("vm1", "a")
+    # A peer that was cut off learns that the daemon is down.
+    for entry in table.differing(peer.digests()):
+        peer.merge(entry)
+    assert peer.live_count() == 0
+    assert table.merge(member(incarnation="b", started_ms=6))
+    table.expire(TOMBSTONE_MS + BURIED_MS)
+    assert table.live_count() == 1
+
+
+def test_subscribers_hear_of_entries_and_of_incarnations_that_are_gone() -> None:
+    table = MemberTable()
+    heard: list[str] = []
+    gone: list[str] = []
+    table.subscribe(lambda entry: heard.append(entry.incarnation))
+    table.subscribe_gone(gone.append)
+    table.merge(member())
+    table.merge(member(sequence=2, service="registro"))
+    table.merge(member(incarnation="b", started_ms=6))
+    table.merge(mark_down(member(incarnation="b", started_ms=6)))
+    assert heard == ["a", "a", "b", "b"]
+    assert gone == ["a", "b"]
