--- a/src/eelgrassweir/admission/queue.py
+++ b/src/eelgrassweir/admission/queue.py
@@ -148,9 +148,12 @@
         self._size_calls += 1
 
     def _remove_hopeless(self, now_ms: float) -> list[QueuedCall]:
-        hopeless = [call for call in self if self.is_hopeless(call, now_ms)]
-        for call in hopeless:
-            self.remove(call)
+        """Look at the oldest only, since a full queue is pushed to often."""
+        hopeless = []
+        for calls in list(self._calls.values()):
+            if self.is_hopeless(calls[0], now_ms):
+                hopeless.append(calls[0])
+                self.remove(calls[0])
         return hopeless
 
     def _remove_lowest(self, now_ms: float) -> QueuedCall:
--- /dev/null
+++ b/testing/retries/test_budget.py
@@ -0,0 +1,58 @@
+"""Guard against retries that multiply along the call chain."""
+
+import random
+
+from hypothesis import given, strategies as st
+
+from eelgrassweir.retries.budget import SPARE_RETRIES, RetryBudget, RetryRatio
+
+
+def run_tree(budget: RetryBudget, depth: int, source: random.Random) -> int:
+    """Run one call whose attempts fail at random; return the deepest runs."""
+    deepest = 0
+    while True:
+        if depth == 0:
+            deepest += 1
+        else:
+            child = RetryBudget(budget.split())
+            deepest += run_tree(child, depth - 1, source)
+            # An unknown outcome gives back nothing.
+            budget.give_back(source.choice([0, child.left_calls]))
+        if source.random() < 0.3 or not budget.take():
+            return deepest
+
+
+@given(st.integers(0, 20), st.integers(0, 2**32))
+def test_runs_at_the_deepest_service_are_bounded(total: int, seed: int) -> None:
+    budget = RetryBudget(total)
+    assert run_tree(budget, 8, random.Random(seed)) <= 1 + total
+
+
+@given(st.integers(0, 20), st.lists(st.integers(-3, 30)))
+def test_sum_never_grows(total: int, steps: list[int]) -> None:
+    budget = RetryBudget(total)
+    lent = taken = 0
+    for step in steps:
+        if step == 0:
+            taken += budget.take()
+        elif step < 0:
+            lent += budget.split()
+        else:
+            before = budget.left_calls
+            budget.give_back(step)
+            lent -= budget.left_calls - before
+        assert budget.left_calls >= 0 and lent >= 0
+        assert budget.left_calls + lent + taken == total
+
+
+def test_ratio_counts_only_first_attempts_that_succeed() -> None:
+    ratio = RetryRatio(percent=10)
+    for _ in range(1_000):
+        ratio.record_first("service", 0.0)
+    allowed = sum(ratio.take("service", 0.0) for _ in range(1_000))
+    assert allowed == SPARE_RETRIES
+    for _ in range(500):
+        ratio.record_success("service", 100.0)
+    assert sum(ratio.take("service", 100.0) for _ in range(1_000)) == 50
+    assert not ratio.take("service", 9_000.0)
+    assert ratio.take("service", 10_001.0)
