Compare latencies by geometric mean and standard error

Cause: the median of 8 samples varies so much for long-tailed latencies that the limit fell to its floor without any overload. With 5 and 100 ms calls mixed the limit no longer falls again after it has adapted. Ruled out: 16 samples a window; it adapts to a slower service in 2 s instead of 1 s. Open: slots announced 4 times too high, a spell of 6 s at 0.9x load is not recovered from, since the baseline is measured over the knee.

--- a/src/eelgrassweir/admission/limit.py
+++ b/src/eelgrassweir/admission/limit.py
@@ -1,7 +1,7 @@
 """Adaptive limit of the calls that run at once on one backend server."""
 
 import enum
-import statistics
+import math
 
 import attrs
 
@@ -16,6 +16,9 @@
 DEFAULT_CEILING_CALLS = 1000
 START_CALLS = 16.0
 WINDOW_SAMPLES = 8
+ERRORS = 2.0
+VARIANCE_WEIGHT = 0.1
+SHORTEST_MS = 0.01
 WINDOW_MIN_MS = 10.0
 BASELINE_SPAN_MS = 10_000.0
 
@@ -32,12 +35,35 @@
 
 @attrs.define
 class _Window:
-    """Samples of about one latency."""
+    """Samples of about one latency.
+
+    The logarithm keeps a few long calls from deciding alone. The error of the
+    mean says how far a mix of short and long calls can move it by chance.
+    """
 
     start_ms: float
-    latencies_ms: list[float] = attrs.Factory(list)
+    samples: int = 0
+    log_sum: float = 0.0
+    square_sum: float = 0.0
     peak_calls: int = 0
 
+    def add(self, latency_ms: float, in_flight_calls: int) -> None:
+        log = math.log(max(latency_ms, SHORTEST_MS))
+        self.samples += 1
+        self.log_sum += log
+        self.square_sum += log * log
+        self.peak_calls = max(self.peak_calls, in_flight_calls)
+
+    @property
+    def variance(self) -> float:
+        mean = self.log_sum / self.samples
+        return max(0.0, self.square_sum / self.samples - mean * mean)
+
+    def latency_ms(self, errors: float = 0.0, variance: float = 0.0) -> float:
+        """Return the geometric mean plus some standard errors."""
+        error = math.sqrt(max(variance, self.variance) / self.samples)
+        return math.exp(self.log_sum / self.samples + errors * error)
+
 
 class ConcurrencyLimit:
     """Follow latency, use and refusals with a limit of concurrent calls.
@@ -55,6 +81,7 @@
         self._baselines: list[tuple[float, float]] = []
         self._decreased_ms = float("-inf")
         self._is_slow = False
+        self._variance = 0.0
 
     @property
     def limit_calls(self) -> int:
@@ -96,8 +123,7 @@
         window = self._window
         if window is None:
             window = self._window = _Window(start_ms=now_ms - latency_ms)
-        window.latencies_ms.append(latency_ms)
-        window.peak_calls = max(window.peak_calls, in_flight_calls)
+        window.add(latency_ms, in_flight_calls)
         self._close_window(window, now_ms)
 
     def _is_sample(self, latency_ms: float, outcome: Outcome) -> bool:
@@ -113,15 +139,17 @@
         )
 
     def _close_window(self, window: _Window, now_ms: float) -> None:
-        if len(window.latencies_ms) < WINDOW_SAMPLES:
+        if window.samples < WINDOW_SAMPLES:
             return
-        latency_ms = statistics.median(window.latencies_ms)
+        latency_ms = window.latency_ms()
         if now_ms - window.start_ms < max(WINDOW_MIN_MS, latency_ms):
             return
         self._window = None
-        self._add_baseline(latency_ms, now_ms)
+        variance = self._variance
+        self._variance += VARIANCE_WEIGHT * (window.variance - variance)
+        self._add_baseline(window.latency_ms(ERRORS, variance), now_ms)
         baseline_ms = self.baseline_ms or latency_ms
-        if latency_ms > SLOW_RATIO * baseline_ms:
+        if window.latency_ms(-ERRORS, variance) > SLOW_RATIO * baseline_ms:
             self._slow_window(latency_ms, now_ms)
             return
         if latency_ms <= HEALTHY_RATIO * baseline_ms:
