--- a/src/eelgrassweir/config/check.py
+++ b/src/eelgrassweir/config/check.py
@@ -11,6 +11,7 @@
 
 NAME_FORM = r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}"
 _SHOWN_CHARACTERS = 120
+_SHOWN_NAME_CHARACTERS = 24
 
 
 @attrs.frozen
@@ -111,8 +112,10 @@
     for name in found:
         if name not in known:
             allowed = "a known field: " + ", ".join(sorted(known))
-            # The value is left out: a misplaced field may hold a key.
-            raise CheckError(f"{field}.{name[:63]}", "unknown", allowed)
+            # The value, and a name as long as a key, are left out: either
+            # may be a key in the wrong place.
+            shown = name if len(name) <= _SHOWN_NAME_CHARACTERS else "(long name)"
+            raise CheckError(f"{field}.{shown}", "unknown", allowed)
     for name in required:
         if name not in found:
             raise CheckError(f"{field}.{name}", "missing", "required")
--- a/src/eelgrassweir/config/commit.py
+++ b/src/eelgrassweir/config/commit.py
@@ -70,6 +70,7 @@
     if problem is not None:
         return Failure(StepError("commit configuration", "document", str(problem)))
     seen_version = 0
+    is_written = False
     for _ in range(_TRIES):
         read = read_config(store)
         if isinstance(read, Failure):
@@ -77,9 +78,8 @@
         stored = read.unwrap()
         seen_version = stored.document.version
         if change_id in stored.document.change_ids:
-            return Success(
-                CommitOutcome(result="already_applied", version=seen_version)
-            )
+            result: CommitResult = "applied" if is_written else "already_applied"
+            return Success(CommitOutcome(result=result, version=seen_version))
         if seen_version > base_version:
             return Success(CommitOutcome(result="conflict", version=seen_version))
         if seen_version < base_version:
@@ -88,7 +88,9 @@
         written = store.put(
             CONFIG_KEY, document_json.decode(), expect_revision=stored.revision
         )
-        if isinstance(written, Success) and written.unwrap() is not None:
+        if isinstance(written, Failure):
+            is_written = True
+        elif written.unwrap() is not None:
             return Success(CommitOutcome(result="applied", version=base_version + 1))
     if 0 < seen_version < base_version:
         return Success(CommitOutcome(result="conflict", version=seen_version))
--- /dev/null
+++ b/testing/config/test_commit.py
@@ -0,0 +1,106 @@
+"""Guard against changes that are lost, applied twice or reverted."""
+
+import threading
+from collections.abc import Iterator
+
+import attrs
+import pytest
+from returns.result import Failure, Success
+
+from eelgrassweir.config.commit import CommitOutcome, commit_change, read_config
+from eelgrassweir.config.document import ConfigDocument, dump_document
+from eelgrassweir.store.client import StoreClient
+from testing.config.documents import make_document
+from testing.stand_ins.store_process import StoreProcess
+
+
+@pytest.fixture
+def client(store: StoreProcess) -> Iterator[StoreClient]:
+    client = StoreClient([store.url], timeout_ms=300)
+    yield client
+    client.close()
+
+
+def successor(base_version: int, change_id: str) -> ConfigDocument:
+    document = make_document(base_version + 1)
+    return attrs.evolve(document, change_ids=("c0", change_id))
+
+
+def commit(client: StoreClient, base_version: int, change_id: str) -> CommitOutcome:
+    outcome: CommitOutcome = commit_change(
+        client,
+        base_version=base_version,
+        change_id=change_id,
+        document_json=dump_document(successor(base_version, change_id)),
+    ).unwrap()
+    return outcome
+
+
+def test_one_of_racing_changes_is_applied(client: StoreClient) -> None:
+    outcomes: list[CommitOutcome] = []
+    threads = [
+        threading.Thread(
+            target=lambda n=number: outcomes.append(commit(client, 0, f"p{n}"))
+        )
+        for number in range(8)
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    results = sorted(outcome.result for outcome in outcomes)
+    assert results == ["applied"] + ["conflict"] * 7
+    assert read_config(client).unwrap().document.version == 1
+
+
+def test_repeated_change_is_applied_once(client: StoreClient) -> None:
+    assert commit(client, 0, "p1") == CommitOutcome(result="applied", version=1)
+    again = commit(client, 0, "p1")
+    assert again == CommitOutcome(result="already_applied", version=1)
+
+
+def test_lost_answer_is_resolved_by_the_change_id(
+    client: StoreClient, store: StoreProcess
+) -> None:
+    store.faults(lose_answers=1)
+    outcome = commit(client, 0, "p1")
+    assert outcome == CommitOutcome(result="applied", version=1)
+    assert store.counts()["put"] == 1
+    again = commit(client, 0, "p1")
+    assert again == CommitOutcome(result="already_applied", version=1)
+
+
+@pytest.mark.parametrize("stale_reads", [1, 2])
+def test_stale_read_never_lowers_the_version(
+    client: StoreClient, store: StoreProcess, stale_reads: int
+) -> None:
+    commit(client, 0, "p1")
+    commit(client, 1, "p2")
+    store.faults(stale_reads=stale_reads)
+    outcome = commit(client, 1, "p3")
+    assert outcome == CommitOutcome(result="conflict", version=2)
+    assert read_config(client).unwrap().document == successor(1, "p2")
+
+
+def test_store_that_is_down_is_reported(
+    client: StoreClient, store: StoreProcess
+) -> None:
+    store.faults(down="closed")
+    assert commit(client, 0, "p1") == CommitOutcome(result="store_unreachable")
+    store.faults(down="")
+    assert commit(client, 0, "p1") == CommitOutcome(result="applied", version=1)
+
+
+def test_document_that_does_not_follow_the_base_is_refused(
+    client: StoreClient,
+) -> None:
+    payload = dump_document(successor(3, "p1"))
+    for base_version, change_id in ((1, "p1"), (3, "p2")):
+        result = commit_change(
+            client,
+            base_version=base_version,
+            change_id=change_id,
+            document_json=payload,
+        )
+        assert isinstance(result, Failure)
+    assert read_config(client).map(lambda stored: stored.revision) == Success(0)
--- a/testing/stand_ins/store_process.py
+++ b/testing/stand_ins/store_process.py
@@ -5,8 +5,10 @@
 import subprocess
 import sys
 import time
+from collections.abc import Iterator
 from typing import Any
 
+import pytest
 import urllib3
 
 ROOT = pathlib.Path(__file__).parents[2]
@@ -62,3 +64,10 @@
         )
         if answer.status != 200:
             raise ValueError(answer.data.decode())
+
+
+@pytest.fixture
+def store(tmp_path: pathlib.Path) -> Iterator[StoreProcess]:
+    """Run a store stand-in for one test."""
+    with StoreProcess(tmp_path) as process:
+        yield process
