--- a/testing/stand_ins/tcp_proxy.py
+++ b/testing/stand_ins/tcp_proxy.py
@@ -108,6 +108,9 @@
                 self._pump(pair, "to_target", reader, target_writer),
                 self._pump(pair, "to_client", target_reader, writer),
             )
+        except asyncio.CancelledError:
+            # The proxy is closing; asyncio would log the cancellation.
+            return
         finally:
             pair.cut()
             self._pairs.discard(pair)
