Prove that a filing runs at most once

Cause: the record of a ticket decides alone whether a request runs; nothing had shown that with killed, paused, replaced and leaving homes. Found: a port chosen by two test runs at the same moment stopped a daemon at its start; the fleet now reserves its ports.

--- a/testing/fleet.py
+++ b/testing/fleet.py
@@ -85,6 +85,7 @@
         settings: dict[str, Any] | None = None,
         spec: dict[str, Any] | None = None,
         environment: dict[str, str] | None = None,
+        keep_runs: bool = False,
     ) -> None:
         self.shape = shape
         self.directory = directory
@@ -96,7 +97,8 @@
         self._settings = settings or {}
         self._spec = spec or {}
         self._environment = environment or {}
-        self._taken_ports: set[int] = set()
+        self._keep_runs = keep_runs
+        self._reservations: list[socket.socket] = []
         self._http = urllib3.PoolManager(retries=False, num_pools=200)
 
     def __enter__(self) -> "Fleet":
@@ -135,6 +137,8 @@
                 process.wait()
         if self.proxy is not None:
             self.proxy.close()
+        for reservation in self._reservations:
+            reservation.close()
         self._http.clear()
 
     # Store.
@@ -232,6 +236,14 @@
         self.kill(name)
         self.start_vm(name)
 
+    def repair(self) -> None:
+        """Let paused VMs go on and start again what has ended."""
+        for vm in self.vms.values():
+            self.cont(vm.name)
+            is_daemon_gone = vm.daemon is None or vm.daemon.poll() is not None
+            is_backend_gone = vm.backend is None or vm.backend.poll() is not None
+            self.start_vm(vm.name, daemon=is_daemon_gone, backend=is_backend_gone)
+
     def vms_of(self, *, service: str = "", failure_domain: str = "") -> list[Vm]:
         """Return the VMs of a service, of a failure domain, or of both."""
         return [
@@ -347,6 +359,8 @@
             "children": self.shape.children(service.name),
             **self._spec,
         }
+        if self._keep_runs:
+            spec["runs_path"] = str(self.directory / f"{name}.runs")
         return Vm(name, domain, service, settings, spec)
 
     def _free_port(self) -> int:
@@ -358,12 +372,15 @@
         choice = random.SystemRandom()
         while True:
             port = choice.randrange(12_000, 32_000)
-            if port in self._taken_ports:
-                continue
+            reservation = socket.socket(type=socket.SOCK_DGRAM)
             with socket.socket() as probe, contextlib.suppress(OSError):
+                # Holding the UDP port of the same number tells fleets of other
+                # test runs that this one will listen on the TCP port.
+                reservation.bind(("127.0.0.1", port))
                 probe.bind(("127.0.0.1", port))
-                self._taken_ports.add(port)
+                self._reservations.append(reservation)
                 return port
+            reservation.close()
 
     def _spawn(
         self, log_name: str, module: str, *arguments: str
--- /dev/null
+++ b/testing/promises/__init__.py
@@ -0,0 +1,1 @@
+"""Proofs of what must always hold, with real processes."""
--- /dev/null
+++ b/testing/promises/shapes.py
@@ -0,0 +1,43 @@
+"""Small fleets for the proofs."""
+
+from typing import Any
+
+from testing.shapes import ServiceShape, Shape, TeamShape
+
+# Shorter times than the defaults, so that a test sees several leases pass.
+QUICK_SETTINGS: dict[str, Any] = {
+    "lease_ms": 1_000,
+    "beat_ms": 200,
+    "isolation_limit_ms": 2_000,
+    "drain_notice_ms": 500,
+    "store_timeout_ms": 500,
+    "relays_per_domain_count": 1,
+}
+
+PAIR = Shape(
+    name="pair",
+    failure_domains=("bilbao", "santander", "oviedo"),
+    services=(
+        ServiceShape(name="fichero", targets=3, slots=20, service_ms=5),
+        ServiceShape(name="registro", targets=2, slots=20, service_ms=5),
+    ),
+    teams=(
+        TeamShape(name="academia", rate_per_s=2_000.0, burst_calls=2_000),
+        TeamShape(name="taller", rate_per_s=2_000.0, burst_calls=2_000),
+    ),
+    capacity_per_s=500.0,
+    settings=QUICK_SETTINGS,
+)
+CHAIN = Shape(
+    name="chain",
+    failure_domains=("bilbao", "santander"),
+    services=(
+        ServiceShape(
+            name="fichero", targets=2, slots=20, service_ms=5, calls=("registro",)
+        ),
+        ServiceShape(name="registro", targets=2, slots=20, service_ms=5),
+    ),
+    teams=(TeamShape(name="academia", rate_per_s=2_000.0, burst_calls=2_000),),
+    capacity_per_s=500.0,
+    settings=QUICK_SETTINGS,
+)
--- a/testing/stand_ins/backend_server.py
+++ b/testing/stand_ins/backend_server.py
@@ -58,6 +58,9 @@
     payload_bytes: int = 100
     announce_ms: float = 1_000.0
     drain_limit_ms: float = 10_000.0
+    # File to which each start of a run is added, so that runs still count
+    # after the server was killed.
+    runs_path: str = ""
 
 
 def make_payload(marker: str, path: str, length: int) -> str:
@@ -291,6 +294,9 @@
         run = self.runs.setdefault((act, marker), [0, 0])
         run[0] += 1
         self.counts["started"] += 1
+        if self.spec.runs_path:
+            with open(self.spec.runs_path, "a") as file:
+                file.write(f"{act} {marker}\n")
         await asyncio.sleep(self._service_s())
         if self._random.uniform(0, 100) < self.spec.fail_percent:
             self.counts["failed"] += 1
