Split the control plane by role of the stream and beat less between relays

While both sides reach the store they need no word of each other, so beats between relays are sent every third tick then, and every tick otherwise.

--- /dev/null
+++ b/src/eelgrassweir/daemon/children.py
@@ -0,0 +1,153 @@
+"""Streams that other daemons open to this one."""
+
+from collections.abc import Sequence
+from functools import partial
+from typing import Any
+
+from eelgrassweir.daemon.control_server import read_first
+from eelgrassweir.daemon.edge import CHILD, RELAY, Edge
+from eelgrassweir.daemon.node import SILENT_BEATS, Node
+from eelgrassweir.daemon.peers import RelayPeers
+from eelgrassweir.daemon.session import run_server, send_and_end
+from eelgrassweir.membership.tree import forms_cycle
+from eelgrassweir.proto.control_pb2 import Attach, Down, Redirect, Up
+
+REDIRECT_ADDRESSES = 8
+
+
+class ChildLinks:
+    """Accept or redirect daemons that attach here."""
+
+    def __init__(self, node: Node, peers: RelayPeers) -> None:
+        self.open_streams = 0
+        self._node = node
+        self._peers = peers
+
+    async def serve(self, context: Any) -> None:
+        """Serve one stream until it ends."""
+        limit_ms = SILENT_BEATS * self._node.settings.beat_ms
+        first = await read_first(context, limit_ms)
+        if first is None or not first.HasField("attach"):
+            return
+        refusal = self._refuse(first)
+        if refusal is not None:
+            await send_and_end(context, refusal)
+            return
+        edge = self._accept(first.attach)
+        self._greet(edge, first)
+        self.open_streams += 1
+        try:
+            handle = partial(self._handle, edge)
+            take = partial(self._take_downs, edge)
+            handle(first)
+            await run_server(edge, context, handle, take, self._node.metrics)
+        finally:
+            self.open_streams -= 1
+            self._lose(edge)
+
+    def _refuse(self, first: Up) -> list[Down] | None:
+        """Return the answer to a daemon that cannot attach here, or None."""
+        node = self._node
+        attach = first.attach
+        relays = [beat.control_address for beat in node.other_relays()]
+        if node.is_stopping:
+            return [_redirect(relays)]
+        if attach.is_relay:
+            return None if node.is_relay else [_redirect(relays)]
+        if forms_cycle(attach.member.vm, node.path):
+            return [_redirect(relays)]
+        if not node.path:
+            # A daemon that starts while no relay is reached gets at least
+            # what is known here.
+            return [*self._hand_out(first), _redirect(relays)]
+        others = [
+            edge for edge in node.children.values() if edge.vm != attach.member.vm
+        ]
+        if len(others) < node.settings.tree_fan_out_count:
+            return None
+        chosen = node.rng.sample(others, min(REDIRECT_ADDRESSES, len(others)))
+        return [_redirect([edge.address for edge in chosen])]
+
+    def _hand_out(self, first: Up) -> list[Down]:
+        node = self._node
+        edge = Edge(CHILD, is_caller=False)
+        edge.add_config(node.log.updates_for(first.attach.config_version))
+        edge.add_members(node.members.differing(first.digests))
+        return edge.take_downs(node.clock.now_ms())[0]
+
+    def _accept(self, attach: Attach) -> Edge:
+        node = self._node
+        edge = Edge(RELAY if attach.is_relay else CHILD, is_caller=False)
+        edge.vm, edge.incarnation = attach.member.vm, attach.member.incarnation
+        edge.address = attach.member.control_address
+        edge.peer_version = attach.config_version
+        edge.is_attached = True
+        if attach.is_relay:
+            node.peers.add(edge)
+            return edge
+        former = node.children.get(edge.vm)
+        if former is not None:
+            former.close("replaced")
+        node.children[edge.vm] = edge
+        return edge
+
+    def _greet(self, edge: Edge, first: Up) -> None:
+        node = self._node
+        edge.add_digests(node.members.digests())
+        edge.add_members(node.members.differing(first.digests))
+        edge.add_relay_beats(node.live_relays())
+        if edge.role == CHILD:
+            edge.add_path(node.path)
+        edge.add_config(node.log.updates_for(edge.peer_version))
+        node.take_members([first.attach.member], edge)
+
+    def _lose(self, edge: Edge) -> None:
+        node = self._node
+        if edge.role == RELAY:
+            self._peers.lose(edge)
+            return
+        node.metrics.stream_losses.labels(CHILD, edge.close_cause).inc()
+        if node.children.get(edge.vm) is not edge:
+            return
+        del node.children[edge.vm]
+        node.tally.drop(edge.vm)
+        node.watch_loss(edge)
+
+    def _handle(self, edge: Edge, up: Up) -> None:
+        node = self._node
+        moment_ms = edge.hear(up)
+        if up.HasField("config") and edge.role == RELAY:
+            node.take_update(up.config, edge)
+        node.take_members(up.members, edge)
+        if up.digests and not up.HasField("attach"):
+            edge.add_members(node.members.differing(up.digests))
+            node.flush_soon(edge)
+        if up.HasField("ack") and edge.role == CHILD:
+            node.tally.record(edge.vm, up.ack)
+        if up.HasField("relay_beat") and edge.role == RELAY:
+            self._peers.hear(edge, up.relay_beat, moment_ms)
+        if up.beat:
+            edge.make_beat_due()
+
+    def _take_downs(self, edge: Edge) -> list[Down]:
+        node = self._node
+        downs, is_beat = edge.take_downs(node.clock.now_ms())
+        if not downs:
+            return downs
+        last = downs[-1]
+        if not edge.is_greeted:
+            edge.is_greeted = True
+            last.sender.vm = node.own.vm
+            last.sender.incarnation = node.own.incarnation
+        if is_beat and edge.role == RELAY:
+            beat = edge.say_relay_beat(self._peers.own_beat())
+            last.relay_beats.append(beat)
+        age_ms = node.freshness.age_ms(node.clock.now_ms())
+        if is_beat and edge.role == CHILD and age_ms is not None and node.log.version:
+            last.has_freshness = True
+            last.freshness_age_ms = int(age_ms) + 1
+        return downs
+
+
+def _redirect(addresses: Sequence[str]) -> Down:
+    return Down(redirect=Redirect(control_addresses=addresses))
--- a/src/eelgrassweir/daemon/control_metrics.py
+++ b/src/eelgrassweir/daemon/control_metrics.py
@@ -27,9 +27,9 @@
             "store_calls", "Store calls, by kind and outcome.", "kind", "outcome"
         )
         self.members_taken = counter("members_taken", "Membership entries taken.")
-        self.messages = counter(
-            "messages", "Stream messages, by direction.", "direction"
-        )
+        messages = counter("messages", "Stream messages, by direction.", "direction")
+        self.sent = messages.labels("sent")
+        self.received = messages.labels("received")
         self.down_marks = counter("down_marks", "Daemons marked down by this one.")
         self.call_failures = counter(
             "call_failures", "Failed calls to other daemons, by method.", "method"
--- a/src/eelgrassweir/daemon/edge.py
+++ b/src/eelgrassweir/daemon/edge.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable, Sequence
 
 from eelgrassweir.proto.control_pb2 import (
+    Attach,
     ConfigUpdate,
     Down,
     Member,
@@ -39,6 +40,9 @@
         self.peer_version = 0
         self.peer_beat: RelayBeat | None = None
         self.silent_ticks = 0
+        self.ticks_since_beat = 0
+        # Sent with the first message of a stream that this side opened.
+        self.attach: Attach | None = None
         self.close_cause = ""
         self.closed = asyncio.Event()
         self._wake = asyncio.Event()
@@ -95,6 +99,7 @@
 
     def make_beat_due(self) -> None:
         """Send a beat now."""
+        self.ticks_since_beat = 0
         self._is_beat_due = True
         self.wake()
 
@@ -144,6 +149,9 @@
         is_beat = self._stamp(last, now_ms)
         if not ups and last.ByteSize():
             ups.append(last)
+        if self.attach is not None and ups:
+            ups[0].attach.CopyFrom(self.attach)
+            self.attach = None
         return ups, is_beat
 
     def take_downs(self, now_ms: float) -> tuple[list[Down], bool]:
--- /dev/null
+++ b/src/eelgrassweir/daemon/fleet.py
@@ -0,0 +1,68 @@
+"""Acknowledgements of the whole fleet, as one daemon sees it."""
+
+from collections.abc import Sequence
+
+import attrs
+
+from eelgrassweir.daemon.node import Node
+from eelgrassweir.membership.tree import LAGGING_NAMES
+from eelgrassweir.proto.control_pb2 import SubtreeReply
+
+
+@attrs.frozen(kw_only=True)
+class FleetStatus:
+    """Hold the counts and names that the relays gave."""
+
+    newest_version: int
+    daemons_by_version: dict[int, int]
+    lagging: tuple[str, ...]
+    unreachable_relays: tuple[str, ...]
+    unreachable_domains: tuple[str, ...]
+    members_known: int
+    # Daemons that no relay counts, since they or their relay are cut off.
+    members_unheard: int
+    # A daemon that has heard nothing for this long refuses keyed requests.
+    isolation_limit_ms: int
+
+
+def own_subtree(node: Node) -> SubtreeReply:
+    """Return the acknowledgements of this daemon and those below it."""
+    return SubtreeReply(
+        relay=node.own.vm,
+        ack=node.aggregate(),
+        config_version=node.log.version,
+        store_reached=node.store_reached(),
+    )
+
+
+def sum_up(
+    node: Node, heard: Sequence[SubtreeReply], unreachable: tuple[str, ...]
+) -> FleetStatus:
+    """Add up the subtrees that answered."""
+    counts: dict[int, int] = {}
+    for reply in heard:
+        for count in reply.ack.counts:
+            total = counts.get(count.version, 0) + count.daemons
+            counts[count.version] = total
+    newest = max([node.log.version, *counts])
+    lagging: list[str] = []
+    for reply in heard:
+        lagging += [reply.relay] if reply.config_version < newest else []
+        lagging += reply.ack.lagging
+    names = {reply.relay for reply in heard}
+    reached = {beat.failure_domain for beat in node.live_relays() if beat.vm in names}
+    document = node.log.document
+    domains = () if document is None else document.failure_domains
+    known = node.members.live_count()
+    return FleetStatus(
+        newest_version=newest,
+        daemons_by_version=dict(sorted(counts.items())),
+        lagging=tuple(lagging[:LAGGING_NAMES]),
+        unreachable_relays=unreachable,
+        unreachable_domains=tuple(
+            domain for domain in domains if domain not in reached
+        ),
+        members_known=known,
+        members_unheard=max(0, known - sum(counts.values())),
+        isolation_limit_ms=node.settings.isolation_limit_ms,
+    )
--- /dev/null
+++ b/src/eelgrassweir/daemon/node.py
@@ -0,0 +1,294 @@
+"""State of one daemon's control plane and its spread to the neighbours."""
+
+import asyncio
+import random
+from collections.abc import Callable, Iterable, Sequence
+
+from eliot import log_message
+from returns.result import Failure, Result
+
+from eelgrassweir.clock import Clock
+from eelgrassweir.config.document import ConfigDocument
+from eelgrassweir.daemon.config_log import ConfigLog
+from eelgrassweir.daemon.control_client import Connect
+from eelgrassweir.daemon.control_metrics import ControlMetrics
+from eelgrassweir.daemon.edge import RELAY, Edge
+from eelgrassweir.daemon.losses import LossWatch
+from eelgrassweir.errors import StepError
+from eelgrassweir.membership.freshness import Freshness
+from eelgrassweir.membership.table import MemberTable, is_newer
+from eelgrassweir.membership.tree import AckTally, RelayView
+from eelgrassweir.proto.control_pb2 import (
+    READY,
+    Ack,
+    ConfigUpdate,
+    Member,
+    RelayBeat,
+)
+from eelgrassweir.settings.generated import Settings
+
+# A stream is silent after so many beats without a message.
+SILENT_BEATS = 3
+# Entries that arrive within this time leave in one message.
+FLUSH_MS = 20.0
+SUSPECT_BEATS = 10
+MAX_RENAMES = 3
+
+
+class Node:
+    """Hold what the streams of one daemon share, and pass on what changes."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        *,
+        clock: Clock,
+        rng: random.Random,
+        incarnation: str,
+        started_ms: int,
+        metrics: ControlMetrics,
+        connect: Connect,
+        on_config: Callable[[ConfigDocument], None] | None,
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.rng = rng
+        self.metrics = metrics
+        self.connect = connect
+        self.address = ""
+        self.members = MemberTable()
+        self.log = ConfigLog()
+        self.relays = RelayView()
+        self.freshness = Freshness()
+        self.tally = AckTally()
+        self.losses = LossWatch(self.members)
+        self.is_relay = False
+        self.is_stopping = False
+        self.store_as_of_ms: float | None = None
+        self.config_taken_ms = 0.0
+        # Set after an update that did not apply, until a document is taken.
+        self.ask_whole = False
+        self.children: dict[str, Edge] = {}
+        self.peers: set[Edge] = set()
+        # Streams that this daemon has opened, attached or not.
+        self.calling: set[Edge] = set()
+        self.parent: Edge | None = None
+        # VMs from the relay to this daemon; empty without a relay.
+        self.path: tuple[str, ...] = ()
+        self.own = Member(
+            vm=settings.vm,
+            incarnation=incarnation,
+            started_ms=started_ms,
+            state=READY,
+            failure_domain=settings.failure_domain,
+            region=settings.region,
+            link_address=settings.advertised_link_address or settings.link_address,
+            admin_address=settings.admin_address,
+        )
+        self._on_config = on_config
+        self._renames = 0
+        self._suspected_ms: dict[str, float] = {}
+        self._flushing: set[Edge] = set()
+        self.members.subscribe_gone(self._watch_children)
+
+    # Membership.
+
+    def announce_own(self) -> None:
+        """Tell all daemons of the present entry of this one."""
+        self.own.sequence += 1
+        entry = Member()
+        entry.CopyFrom(self.own)
+        self.members.merge(entry)
+        self._flood([entry], None)
+
+    def take_members(self, members: Iterable[Member], source: Edge | None) -> None:
+        """Merge entries and pass on those that were new."""
+        taken = [member for member in members if self._take_member(member)]
+        if taken:
+            self.metrics.members_taken.inc(len(taken))
+            self._flood(taken, source)
+
+    def edges(self) -> Sequence[Edge]:
+        """Return all attached streams."""
+        parent = [self.parent] if self.parent else []
+        return [*parent, *self.children.values(), *self.peers]
+
+    def flush_soon(self, edge: Edge) -> None:
+        """Send what waits, together with what follows shortly."""
+        if edge in self._flushing:
+            return
+        self._flushing.add(edge)
+
+        def flush() -> None:
+            self._flushing.discard(edge)
+            edge.wake()
+
+        asyncio.get_running_loop().call_later(FLUSH_MS / 1000, flush)
+
+    def watch_loss(self, edge: Edge) -> None:
+        """Mark the peer as down unless it announces itself in time."""
+        if not self.is_stopping:
+            grace_ms = SILENT_BEATS * self.settings.beat_ms
+            self.losses.watch(edge.vm, self.clock.now_ms() + grace_ms)
+
+    def check_losses(self) -> None:
+        """Mark daemons as down whose time is over."""
+        connected = {edge.vm for edge in self.edges()}
+        marks = self.losses.due(self.clock.now_ms(), connected)
+        self.metrics.down_marks.inc(len(marks))
+        self.take_members(marks, None)
+
+    def _take_member(self, member: Member) -> bool:
+        if member.vm == self.own.vm and not self.is_stopping:
+            self._defend_own(member)
+            return False
+        return self.members.merge(member)
+
+    def _defend_own(self, member: Member) -> None:
+        """Announce this daemon again if ``member`` would replace its entry."""
+        if not is_newer(member, self.own):
+            return
+        if member.incarnation == self.own.incarnation:
+            self.own.sequence = member.sequence
+            self.announce_own()
+            return
+        # The clock of the former incarnation was ahead of this one's. Two
+        # live daemons of one name would do this forever, hence the limit.
+        self._renames += 1
+        log_message(
+            message_type="control:other_incarnation",
+            vm=member.vm,
+            incarnation=member.incarnation,
+            started_ms=member.started_ms,
+        )
+        if self._renames <= MAX_RENAMES:
+            self.own.started_ms = member.started_ms + 1
+            self.announce_own()
+
+    def _flood(self, members: Sequence[Member], source: Edge | None) -> None:
+        for edge in self.edges():
+            # Relays are connected each to each, so an entry passes one edge
+            # between relays only.
+            is_repeated = source and source.role == RELAY and edge.role == RELAY
+            if edge is source or is_repeated:
+                continue
+            edge.add_members(members)
+            self.flush_soon(edge)
+
+    def _watch_children(self, incarnation: str) -> None:
+        if self.is_relay:
+            now_ms, beat_ms = self.clock.now_ms(), self.settings.beat_ms
+            self.losses.watch_children(incarnation, now_ms, beat_ms)
+
+    # Configuration.
+
+    def take_document(self, document: ConfigDocument, peer: str) -> None:
+        """Take a document read from the store."""
+        self._after_config(self.log.take(document, peer), peer)
+
+    def take_update(self, update: ConfigUpdate, edge: Edge) -> None:
+        """Take a delta or document from a neighbour."""
+        edge.peer_version = max(edge.peer_version, update.version)
+        result = self.log.take_update(update, edge.address or edge.vm)
+        self._after_config(result, edge.vm)
+        if isinstance(result, Failure) and update.version > self.log.version:
+            self.ask_whole = True
+            edge.close("config")
+
+    def send_config(self, edge: Edge) -> None:
+        """Send what leads from the version of the peer to the newest."""
+        updates = self.log.updates_for(edge.peer_version)
+        if updates:
+            edge.add_config(updates)
+            edge.wake()
+
+    def aggregate(self) -> Ack:
+        """Return the acknowledgement of this daemon and those below it."""
+        return self.tally.aggregate(self.log.version)
+
+    def _after_config(self, result: Result[bool, StepError], peer: str) -> None:
+        if isinstance(result, Failure):
+            self.metrics.config_refused.labels("wrong").inc()
+            error = str(result.failure())
+            log_message(message_type="control:config_refused", error=error)
+            return
+        if not result.unwrap():
+            self.metrics.config_refused.labels("not_newer").inc()
+            return
+        self.metrics.config_taken.inc()
+        self.ask_whole = False
+        self.config_taken_ms = self.clock.now_ms()
+        log_message(message_type="control:config", version=self.log.version, peer=peer)
+        for edge in self.children.values():
+            self.send_config(edge)
+        if self._on_config is not None and self.log.document is not None:
+            self._on_config(self.log.document)
+
+    # Relays and the path to one.
+
+    def set_path(self, path: tuple[str, ...]) -> None:
+        """Take the path to the relay and tell the daemons below."""
+        if path == self.path:
+            return
+        self.path = path
+        for edge in self.children.values():
+            edge.add_path(path)
+            edge.wake()
+
+    def pass_relay_beats(self, beats: Sequence[RelayBeat]) -> None:
+        """Tell the daemons below of relays that have changed."""
+        if not beats:
+            return
+        for edge in self.children.values():
+            edge.add_relay_beats(beats)
+            self.flush_soon(edge)
+
+    def live_relays(self) -> Sequence[RelayBeat]:
+        """Return the beats of the relays that are not down."""
+        return self.relays.live(self.members.is_live)
+
+    def other_relays(self) -> Sequence[RelayBeat]:
+        """Return the beats of the other relays that are not down."""
+        return [beat for beat in self.live_relays() if beat.vm != self.own.vm]
+
+    def suspect(self, address: str) -> None:
+        """Remember that ``address`` did not answer."""
+        self._suspected_ms[address] = self.clock.now_ms()
+
+    def trust(self, address: str) -> None:
+        """Forget that ``address`` did not answer."""
+        self._suspected_ms.pop(address, None)
+
+    def is_suspected(self, beat: RelayBeat) -> bool:
+        """Tell whether a relay did not answer lately."""
+        since_ms = self._suspected_ms.get(beat.control_address)
+        limit_ms = SUSPECT_BEATS * self.settings.beat_ms
+        return since_ms is not None and self.clock.now_ms() - since_ms < limit_ms
+
+    def forget_suspicions(self) -> None:
+        """Drop suspicions that are over."""
+        limit_ms = SUSPECT_BEATS * self.settings.beat_ms
+        now_ms = self.clock.now_ms()
+        for address, since_ms in list(self._suspected_ms.items()):
+            if now_ms - since_ms >= limit_ms:
+                del self._suspected_ms[address]
+
+    # The store, as a relay reaches it.
+
+    def store_age_ms(self) -> float | None:
+        """Return the time since the store was last reached."""
+        if not self.is_relay or self.store_as_of_ms is None:
+            return None
+        return self.clock.now_ms() - self.store_as_of_ms
+
+    def store_reached(self) -> bool:
+        """Tell whether this daemon is a relay and reaches the store."""
+        age_ms = self.store_age_ms()
+        return age_ms is not None and age_ms <= SILENT_BEATS * self.settings.beat_ms
+
+    def reach_store(self, document: ConfigDocument | None, as_of_ms: float) -> None:
+        """Take what the store held at ``as_of_ms``; None if unchanged."""
+        if document is not None:
+            self.take_document(document, "store")
+        self.store_as_of_ms = as_of_ms
+        self.freshness.record(as_of_ms)
--- a/src/eelgrassweir/daemon/relay.py
+++ b/src/eelgrassweir/daemon/relay.py
@@ -187,7 +187,7 @@
         while True:
             start_ms = self._clock.now_ms()
             watched = await self._store.watch(
-                CONFIG_KEY, self._revision, self._settings.beat_ms
+                CONFIG_KEY, self._revision, self._settings.beat_ms // 2
             )
             if isinstance(watched, Failure):
                 await self._sleep_beats(1.0)
@@ -196,8 +196,8 @@
             if newest == self._revision:
                 self._hooks.on_store_reached(None, start_ms)
                 # A watch that returns at once must not become a busy loop.
-                if self._clock.now_ms() - start_ms < self._settings.beat_ms / 2:
-                    await self._sleep_beats(0.5)
+                if self._clock.now_ms() - start_ms < self._settings.beat_ms / 4:
+                    await self._sleep_beats(0.25)
                 continue
             await self._read(newest)
 
--- a/src/eelgrassweir/daemon/session.py
+++ b/src/eelgrassweir/daemon/session.py
@@ -1,52 +1,59 @@
 """The two ends of one stream of the control plane."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from typing import Any
 
 import grpc.aio
 from eliot import write_traceback
 
-from eelgrassweir.daemon.control_client import Connect, make_stub, open_channel
+from eelgrassweir.daemon.control_client import Connect, make_stub
+from eelgrassweir.daemon.control_metrics import ControlMetrics
 from eelgrassweir.daemon.edge import Edge
-from eelgrassweir.proto.control_pb2 import Down, Up
+from eelgrassweir.proto.control_pb2 import Down
+
+STREAM_ERRORS = (
+    grpc.aio.AioRpcError,
+    grpc.aio.UsageError,
+    grpc.aio.InternalError,
+    # Raised by a write on a stream that has ended.
+    asyncio.InvalidStateError,
+)
 
 Handle = Callable[[Any], None]
 Take = Callable[[], list[Any]]
 
 
 async def run_caller(
-    edge: Edge, handle: Handle, take: Take, connect: Connect = open_channel
-) -> str:
-    """Open a stream to ``edge.address`` and run it; return why it ended."""
+    edge: Edge,
+    handle: Handle,
+    take: Take,
+    connect: Connect,
+    metrics: ControlMetrics,
+) -> None:
+    """Open a stream to ``edge.address`` and run it until it ends."""
     channel = connect(edge.address)
     call = make_stub(channel).Join()
     try:
-        await _run(edge, call.read, call.write, handle, take)
+        await _run(edge, call, handle, take, metrics)
     finally:
         call.cancel()
         await channel.close()
-    return edge.close_cause
 
 
 async def run_server(
-    edge: Edge, context: Any, handle: Handle, take: Take, first: Up
+    edge: Edge, context: Any, handle: Handle, take: Take, metrics: ControlMetrics
 ) -> None:
-    """Run the serving end of a stream whose first message was read."""
-    handle(first)
-    await _run(edge, context.read, context.write, handle, take)
+    """Run the serving end of a stream until it ends."""
+    await _run(edge, context, handle, take, metrics)
 
 
 async def _run(
-    edge: Edge,
-    read: Callable[[], Awaitable[Any]],
-    write: Callable[[Any], Awaitable[None]],
-    handle: Handle,
-    take: Take,
+    edge: Edge, stream: Any, handle: Handle, take: Take, metrics: ControlMetrics
 ) -> None:
     tasks = [
-        asyncio.create_task(_read_loop(edge, read, handle)),
-        asyncio.create_task(_write_loop(edge, write, take)),
+        asyncio.create_task(_read_loop(edge, stream, handle, metrics)),
+        asyncio.create_task(_write_loop(edge, stream, take, metrics)),
         asyncio.create_task(edge.closed.wait()),
     ]
     try:
@@ -64,33 +71,30 @@
 
 
 async def _read_loop(
-    edge: Edge, read: Callable[[], Awaitable[Any]], handle: Handle
+    edge: Edge, stream: Any, handle: Handle, metrics: ControlMetrics
 ) -> None:
     try:
         while not edge.closed.is_set():
-            message = await read()
+            message = await stream.read()
             if message is grpc.aio.EOF:
                 edge.close("ended")
                 return
+            metrics.received.inc()
             handle(message)
-    except (grpc.aio.AioRpcError, grpc.aio.UsageError, grpc.aio.InternalError):
+    except STREAM_ERRORS:
         edge.close("broken")
 
 
 async def _write_loop(
-    edge: Edge, write: Callable[[Any], Awaitable[None]], take: Take
+    edge: Edge, stream: Any, take: Take, metrics: ControlMetrics
 ) -> None:
     try:
         while not edge.closed.is_set():
             await edge.wait()
             for message in take():
-                await write(message)
-    except (
-        grpc.aio.AioRpcError,
-        grpc.aio.UsageError,
-        grpc.aio.InternalError,
-        asyncio.InvalidStateError,
-    ):
+                await stream.write(message)
+                metrics.sent.inc()
+    except STREAM_ERRORS:
         edge.close("broken")
 
 
--- a/testing/daemon/control_fakes.py
+++ b/testing/daemon/control_fakes.py
@@ -296,7 +296,7 @@
 
 async def kill_plane(plane: ControlPlane) -> None:
     """Cancel the tasks and the server of a plane, as a crash would."""
-    tasks = [*plane._tasks, *plane._peer_tasks.values()]
+    tasks = [*plane._tasks, *plane._peers.tasks()]
     for task in tasks:
         task.cancel()
     await asyncio.gather(*tasks, return_exceptions=True)
--- a/testing/daemon/test_control.py
+++ b/testing/daemon/test_control.py
@@ -96,7 +96,7 @@
         await start_ready(fleet, 4)
         entry = fleet.planes["vm00"].members.get("vm03")
         assert entry is not None
-        fleet.planes["vm00"]._take_members([mark_down(entry)], None)
+        fleet.planes["vm00"].node.take_members([mark_down(entry)], None)
         assert fleet.planes["vm00"].members.live_count() == 3
         await fleet.until(lambda: all_have(fleet, 1))
 
@@ -142,7 +142,7 @@
         await start_ready(fleet, 6)
         before = relays(fleet)
         fleet.store.is_down = True
-        start_ms = fleet.planes["vm00"]._clock.now_ms()
+        start_ms = fleet.planes["vm00"].node.clock.now_ms()
         seed = fleet.planes[before[0]].address
         await fleet.start("vm99", "oviedo", seed_addresses=(seed,))
         limit_ms = 2.0 * fleet.planes["vm00"]._settings.isolation_limit_ms
@@ -150,7 +150,7 @@
         def is_over() -> bool:
             old = [plane for vm, plane in fleet.planes.items() if vm != "vm99"]
             assert all(plane.is_fresh() for plane in old)
-            elapsed_ms = fleet.planes["vm00"]._clock.now_ms() - start_ms
+            elapsed_ms = fleet.planes["vm00"].node.clock.now_ms() - start_ms
             return elapsed_ms > limit_ms and all_have(fleet, 1)
 
         await fleet.until(is_over)
@@ -200,11 +200,11 @@
             fleet.views[vm].is_cut_off = _domain(plane) == "oviedo"
         fleet.store.set_config(make_document(2))
         await fleet.until(lambda: all_have(fleet, 2))
-        start_ms = fleet.planes["vm00"]._clock.now_ms()
+        start_ms = fleet.planes["vm00"].node.clock.now_ms()
 
         def is_over() -> bool:
             assert all(plane.is_fresh() for plane in fleet.planes.values())
-            return fleet.planes["vm00"]._clock.now_ms() - start_ms > 4_000
+            return fleet.planes["vm00"].node.clock.now_ms() - start_ms > 4_000
 
         await fleet.until(is_over)
 
@@ -219,9 +219,9 @@
         fleet.views["alone"].is_cut_off = True
         fleet.network.group_of_address[fleet.planes["alone"].address] = "alone"
         plane = fleet.planes["alone"]
-        plane._connect = lambda address: fleet.network.connect("alone", address)
-        assert plane._parent is not None
-        plane._parent.close("cut")
+        plane.node.connect = lambda address: fleet.network.connect("alone", address)
+        assert plane.node.parent is not None
+        plane.node.parent.close("cut")
         fleet.network.is_blocked = lambda a, b: "alone" in (a, b)
         await fleet.until(lambda: not plane.is_fresh())
         others = [other for other in fleet.planes.values() if other is not plane]
@@ -348,8 +348,10 @@
         plane = next(
             plane for plane in fleet.planes.values() if plane.state()["parent"]
         )
-        assert plane._parent is not None
-        plane._take_path(plane._parent, ("vm98", plane.state()["vm"], "vm99"))
+        assert plane.node.parent is not None
+        plane._parent.take_path(
+            plane.node.parent, ("vm98", plane.state()["vm"], "vm99")
+        )
         assert plane.state()["path"][0] != "vm98"
         await fleet.until(lambda: plane.state()["attachments"] == 2)
         await fleet.until(lambda: all_have(fleet, 1))
