--- a/experiments/scenarios.py
+++ b/experiments/scenarios.py
@@ -22,7 +22,6 @@
 from testing.shapes import Shape, chain, flat
 from testing.stand_ins.caller import Stream
 
-SWITCH = "EELGRASSWEIR_EXPERIMENT_WITHOUT"
 WARM_UP_MS = 2_000.0
 Row = tuple[str, dict[str, float]]
 
@@ -40,13 +39,13 @@
 
     def fleet(self, shape: Shape | None = None, **options: Any) -> Fleet:
         """Return a fleet of the run's seed and switches, not yet started."""
-        environment = {SWITCH: self.without} if self.without else {}
+        disabled = self.without.split(",") if self.without else []
         used = shape or self.shape
         return Fleet(
             used,
             self.directory / used.name,
             seed=self.seed,
-            environment=environment,
+            settings={"disabled_mechanisms": disabled},
             **options,
         )
 
--- a/src/eelgrassweir/admission/limit.py
+++ b/src/eelgrassweir/admission/limit.py
@@ -193,3 +193,15 @@
         self._limit_calls = min(
             self._ceiling_calls, max(self._floor_calls, limit_calls)
         )
+
+
+class NoLimit(ConcurrencyLimit):
+    """Let every call run; the baseline of measurements."""
+
+    @property
+    def limit_calls(self) -> int:
+        """Return a number that is never reached."""
+        return 1_000_000
+
+    def set_ceiling(self, slots: int) -> None:
+        """Ignore the announced slots."""
--- a/src/eelgrassweir/admission/pressure.py
+++ b/src/eelgrassweir/admission/pressure.py
@@ -74,5 +74,7 @@
         return lowest
 
     def _freshness(self, entry: _Entry, now_ms: float) -> float:
+        if self._ttl_ms <= 0:
+            return 0.0
         age_ms = max(0.0, now_ms - entry.reported_ms)
         return max(0.0, 1.0 - age_ms / self._ttl_ms)
--- a/src/eelgrassweir/daemon/gate.py
+++ b/src/eelgrassweir/daemon/gate.py
@@ -66,11 +66,12 @@
         vm: str,
         queue_limit_calls: int,
         random: random.Random,
+        limit: ConcurrencyLimit | None = None,
     ) -> None:
         self._clock = clock
         self._vm = vm
         self._random = random
-        self._limit = ConcurrencyLimit()
+        self._limit = limit or ConcurrencyLimit()
         self._queue = CallQueue(queue_limit_calls)
         self._in_flight_calls = 0
         self._tallies = [_Tally() for _ in range(PRIORITIES)]
--- a/src/eelgrassweir/daemon/request_path.py
+++ b/src/eelgrassweir/daemon/request_path.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from eelgrassweir.admission.limit import ConcurrencyLimit, NoLimit
 from eelgrassweir.admission.pressure import PressureTable
 from eelgrassweir.clock import Clock
 from eelgrassweir.config.document import ConfigDocument
@@ -73,7 +74,11 @@
             ttl_ms=settings.announce_ttl_ms,
             body_limit_bytes=settings.max_body_bytes,
         )
-        self.gate = Gate(clock, identity.vm, settings.queue_limit_calls, rng)
+        disabled = settings.disabled_mechanisms
+        limit = NoLimit() if "limit" in disabled else ConcurrencyLimit()
+        self.gate = Gate(
+            clock, identity.vm, settings.queue_limit_calls, rng, limit=limit
+        )
         self.contexts = ContextTable()
         self.records = RecordTable(
             started_ms=identity.started_ms,
@@ -95,7 +100,9 @@
             metrics=metrics,
         )
         self.links = LinkPool(options, clock)
-        pressure = PressureTable(ttl_ms=settings.pressure_ttl_ms)
+        # A pressure report of no life refuses nothing.
+        pressure_ttl_ms = 0 if "pressure" in disabled else settings.pressure_ttl_ms
+        pressure = PressureTable(ttl_ms=pressure_ttl_ms)
         dispatcher = Dispatcher(
             vm=identity.vm,
             incarnation=identity.incarnation,
@@ -105,7 +112,7 @@
             members=surroundings.members,
             picker=TargetPicker(rng),
             pressure=pressure,
-            ratio=RetryRatio(percent=settings.ratio_retry_percent),
+            ratio=make_ratio(settings),
             links=self.links,
             target=self.target,
             metrics=metrics,
@@ -124,7 +131,7 @@
             dispatcher=dispatcher,
             metrics=metrics,
             usage=surroundings.usage,
-            retry_budget_attempts=settings.retry_budget_attempts,
+            retry_budget_attempts=retry_budget_of(settings),
         )
         self.egress = EgressService(
             vm=identity.vm,
@@ -185,3 +192,22 @@
             "draining": self._drain.reasons,
             "refuses_new_work": self._drain.refuses_new_work(),
         }
+
+
+# Stands for no bound at all in the baseline of a measurement; halved at each
+# of 8 levels it still leaves several attempts.
+UNBOUNDED_ATTEMPTS = 100_000
+
+
+def retry_budget_of(settings: Settings) -> int:
+    """Return the extra attempts of one root request."""
+    if "retry_budget" in settings.disabled_mechanisms:
+        return UNBOUNDED_ATTEMPTS
+    return settings.retry_budget_attempts
+
+
+def make_ratio(settings: Settings) -> RetryRatio:
+    """Return the bound on the retries to each service."""
+    if "retry_budget" in settings.disabled_mechanisms:
+        return RetryRatio(spare_retries=UNBOUNDED_ATTEMPTS)
+    return RetryRatio(percent=settings.ratio_retry_percent)
--- a/src/eelgrassweir/retries/budget.py
+++ b/src/eelgrassweir/retries/budget.py
@@ -53,8 +53,11 @@
     all calls gets no more than the spare retries.
     """
 
-    def __init__(self, *, percent: int = 10) -> None:
+    def __init__(
+        self, *, percent: int = 10, spare_retries: int = SPARE_RETRIES
+    ) -> None:
         self._percent = percent
+        self._spare_retries = spare_retries
         self._services: dict[str, collections.deque[_Bucket]] = {}
 
     def record_first(self, service: str, now_ms: float) -> None:
@@ -73,7 +76,7 @@
         successes = sum(bucket.successes for bucket in buckets)
         retries = sum(bucket.retries for bucket in buckets)
         earned = min(first_calls, successes) * self._percent // 100
-        if retries >= earned + SPARE_RETRIES:
+        if retries >= earned + self._spare_retries:
             return False
         current.retries += 1
         return True
--- a/src/eelgrassweir/settings/generated.py
+++ b/src/eelgrassweir/settings/generated.py
@@ -47,6 +47,7 @@
     drain_limit_ms: int = 60000
     ratio_retry_percent: int = 10
     log_path: str = ""
+    disabled_mechanisms: tuple[str, ...] = ()
     seed: int = 0
 
 
@@ -283,6 +284,12 @@
         required=False,
         pattern="^.*$",
     ),
+    Field(
+        name="disabled_mechanisms",
+        kind="array",
+        required=False,
+        pattern="^(limit|pressure|retry_budget)$",
+    ),
     Field(
         name="seed",
         kind="integer",
