--- a/src/eelgrassweir/daemon/share_service.py
+++ b/src/eelgrassweir/daemon/share_service.py
@@ -7,7 +7,7 @@
 from typing import Any, Protocol
 
 import attrs
-from eliot import log_message
+from eliot import log_message, write_traceback
 from returns.result import Result, Success
 
 from eelgrassweir.clock import Clock
@@ -199,19 +199,20 @@
         ]
 
     async def stop(self) -> None:
-        """Stop granting and hand the share over."""
+        """Stop granting and hand the share over, within one grant life."""
         self._is_stopping = True
         self._wake.set()
-        limit_s = self._settings.grant_life_ms / 1000.0
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(limit_s):
-                await self._hand_over()
+        half_s = self._settings.grant_life_ms / 2000.0
         if self._tasks:
-            await asyncio.wait(self._tasks, timeout=limit_s)
+            # A write of the record in progress would make the release fail.
+            await asyncio.wait(self._tasks[:1], timeout=half_s)
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self._tasks = []
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(half_s):
+                await self._hand_over()
 
     def set_candidate(self, is_candidate: bool) -> None:
         """Say whether this daemon is a relay and so may hold the share."""
@@ -313,14 +314,18 @@
     async def _run_store(self) -> None:
         lease_ms = self._settings.lease_ms
         while not self._is_stopping:
-            if self._seat is not None:
-                await self._keep(self._seat)
-                delay_ms = lease_ms / _RENEWALS_PER_LEASE
-            elif self._is_candidate:
-                await self._seek()
-                delay_ms = lease_ms / _POLLS_PER_LEASE
-            else:
-                delay_ms = lease_ms
+            delay_ms = lease_ms / _POLLS_PER_LEASE
+            try:
+                if self._seat is not None:
+                    await self._keep(self._seat)
+                    delay_ms = lease_ms / _RENEWALS_PER_LEASE
+                elif self._is_candidate:
+                    await self._seek()
+                else:
+                    delay_ms = lease_ms
+            except Exception:
+                # The share would stay without a holder if this loop ended.
+                write_traceback()
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(delay_ms / 1000.0):
                     await self._wake.wait()
@@ -404,8 +409,7 @@
             return
         seat.lease_id = lease_id
         seat.key_revision = put.unwrap() or 0
-        if self._seat is seat:
-            await self._sync_record(seat)
+        await self._sync_record(seat)
 
     async def _sync_record(self, seat: _Seat) -> None:
         """Write the record when successors change or a new revision is due."""
--- a/src/eelgrassweir/shares/borrower.py
+++ b/src/eelgrassweir/shares/borrower.py
@@ -9,21 +9,22 @@
 from eelgrassweir.proto import control_pb2
 from eelgrassweir.shares.permit import shortened_ms
 
-# Demand is covered for this long ahead.
-_AHEAD_MS = 250.0
-# While holders have too few tokens, little is kept so that no token lies idle
-# at one daemon while a request waits at another.
-_SCARCE_AHEAD_MS = 20.0
-_SCARCE_MEMORY_MS = 1000.0
+# Demand is covered for this long ahead. While all holders are short the time
+# shrinks, so that no token lies idle at one daemon while a request waits at
+# another. Spent tokens count against the burst until they are reported, so
+# reports follow the same time.
+_MAX_AHEAD_MS = 250.0
+_MIN_AHEAD_MS = 10.0
+_SHRINK_FACTOR = 0.7
+_GROWTH_MS = 10.0
+_SHORT_MEMORY_MS = 1000.0
 _RATE_MEMORY_MS = 500.0
-# Below this demand nothing is borrowed ahead of need.
-_IDLE_RATE_PER_S = 0.5
-# Spent tokens are reported at least this often; until then they count against
-# the burst.
-_REPORT_MS = 250.0
-_SCARCE_REPORT_MS = 10.0
-# Tokens with less life than this are given back or replaced.
+# A team with less demand than this and no tokens is forgotten.
+_IDLE_RATE_PER_S = 0.05
+# Tokens with less life than the first are replaced, and with less than the
+# second given back, early enough to arrive before the holder expires them.
 _RENEW_MS = 150.0
+_GIVE_BACK_MS = 75.0
 # A call without an answer for this long is no longer counted on.
 _HEDGE_MS = 10.0
 _MIN_GAP_MS = 5.0
@@ -62,20 +63,27 @@
     rate_per_s: float = 0.0
     rate_at_ms: float = 0.0
     waiting: int = 0
-    scarce_until_ms: float = -math.inf
-    last_demand_ms: float = -math.inf
+    ahead_ms: float = _MAX_AHEAD_MS
+    shrunk_at_ms: float = -math.inf
 
     def rate_now(self, now_ms: float) -> float:
         age_ms = max(0.0, now_ms - self.rate_at_ms)
         return self.rate_per_s * math.exp(-age_ms / _RATE_MEMORY_MS)
 
     def ahead_calls(self, now_ms: float) -> int:
-        rate_per_s = self.rate_now(now_ms)
-        if now_ms < self.scarce_until_ms:
-            return int(rate_per_s * _SCARCE_AHEAD_MS / 1000.0)
-        if rate_per_s < _IDLE_RATE_PER_S:
-            return 0
-        return math.ceil(rate_per_s * _AHEAD_MS / 1000.0)
+        expected = self.rate_now(now_ms) * self.ahead_ms / 1000.0
+        # A single request does not make a token lie idle afterwards.
+        return max(0, math.ceil(expected - 0.5))
+
+    def shrink_ahead(self, now_ms: float) -> None:
+        """Keep less ahead, at most once in the time that is covered."""
+        if now_ms - self.shrunk_at_ms >= self.ahead_ms:
+            self.shrunk_at_ms = now_ms
+            self.ahead_ms = max(_MIN_AHEAD_MS, self.ahead_ms * _SHRINK_FACTOR)
+
+    def grow_ahead(self) -> None:
+        """Keep more ahead again."""
+        self.ahead_ms = min(_MAX_AHEAD_MS, self.ahead_ms + _GROWTH_MS)
 
     def left(self, after_ms: float) -> int:
         return sum(held.left() for held in self.held if held.expires_ms > after_ms)
@@ -106,6 +114,7 @@
     down_until_ms: float = -math.inf
     failures: int = 0
     last_sent_ms: float = -math.inf
+    short_at_ms: dict[str, float] = attrs.field(factory=dict)
     short_until_ms: dict[str, float] = attrs.field(factory=dict)
     held: dict[tuple[str, int], _Held] = attrs.field(factory=dict)
 
@@ -122,6 +131,7 @@
         self._teams: dict[str, _Team] = {}
         self._peers: dict[str, _Peer] = {}
         self._seen: dict[tuple[str, str, int], float] = {}
+        self._domains: tuple[str, ...] = ()
 
     def record_demand(self, team: str, now_ms: float) -> None:
         """Count one request of the team, whether it gets a token or not."""
@@ -130,7 +140,6 @@
             state = self._teams[team] = _Team(rate_at_ms=now_ms)
         state.rate_per_s = state.rate_now(now_ms) + 1000.0 / _RATE_MEMORY_MS
         state.rate_at_ms = now_ms
-        state.last_demand_ms = now_ms
 
     def set_waiting(self, team: str, waiting: int) -> None:
         """Set the number of requests that wait for a token of the team."""
@@ -161,6 +170,7 @@
 
     def plan(self, domains: Sequence[str], now_ms: float) -> list[BorrowCall]:
         """Return the calls to send now; own domain first in ``domains``."""
+        self._domains = tuple(domains)
         self._forget_expired(now_ms)
         wanted: dict[str, dict[str, int]] = {}
         for team in self._teams:
@@ -190,22 +200,9 @@
         peer.failures = 0
         peer.down_until_ms = -math.inf if reply.is_holder else now_ms + _NO_PERMIT_MS
         self._confirm_reports(peer, call, now_ms)
-        granted: dict[str, int] = {}
         for grant in reply.grants:
-            granted[grant.team] = grant.tokens
             self._accept(peer, call, reply.holder_incarnation, grant, now_ms)
-        if not reply.is_holder:
-            return
-        for team, wanted in call.wanted.items():
-            if granted.get(team, 0) >= wanted:
-                peer.short_until_ms.pop(team, None)
-                continue
-            retry_ms = next(
-                (g.retry_after_ms for g in reply.grants if g.team == team), 0
-            )
-            peer.short_until_ms[team] = now_ms + max(retry_ms, _MIN_GAP_MS)
-            if team in self._teams:
-                self._teams[team].scarce_until_ms = now_ms + _SCARCE_MEMORY_MS
+            self._note_supply(peer, call, grant, now_ms)
 
     def retry_after_ms(self, team: str, domains: Sequence[str], now_ms: float) -> int:
         """Return when the first holder is expected to have a token again."""
@@ -223,7 +220,7 @@
                     "tokens": state.left(now_ms),
                     "waiting_calls": state.waiting,
                     "demand_per_s": round(state.rate_now(now_ms), 3),
-                    "is_scarce": now_ms < state.scarce_until_ms,
+                    "ahead_ms": round(state.ahead_ms, 1),
                 }
                 for team, state in self._teams.items()
             },
@@ -298,10 +295,8 @@
         if excess <= ahead:
             excess = 0
         for held in state.held:
-            is_old = held.expires_ms <= now_ms + _RENEW_MS
-            # Tokens close to their end stay usable while there is demand.
             count = min(held.left(), excess)
-            if is_old and ahead == 0 and state.waiting == 0:
+            if held.expires_ms <= now_ms + _GIVE_BACK_MS and state.waiting == 0:
                 count = held.left()
             if count <= 0:
                 continue
@@ -332,8 +327,7 @@
             if not held.has_news():
                 continue
             state = self._teams.get(held.team)
-            is_scarce = state is not None and now_ms < state.scarce_until_ms
-            wait_ms = _SCARCE_REPORT_MS if is_scarce else _REPORT_MS
+            wait_ms = _MAX_AHEAD_MS if state is None else state.ahead_ms
             if now_ms - held.unreported_since_ms >= wait_ms:
                 return now_ms - peer.last_sent_ms >= _MIN_GAP_MS
         return False
@@ -346,6 +340,35 @@
             if held.is_closed():
                 peer.held.pop((held.holder_incarnation, held.grant_id), None)
 
+    def _note_supply(
+        self,
+        peer: _Peer,
+        call: BorrowCall,
+        grant: control_pb2.TokenGrant,
+        now_ms: float,
+    ) -> None:
+        """Adapt to whether the holder had as many tokens as were wanted."""
+        team = grant.team
+        state = self._teams.get(team)
+        if grant.tokens >= call.wanted.get(team, 0):
+            peer.short_at_ms.pop(team, None)
+            peer.short_until_ms.pop(team, None)
+            if state is not None:
+                state.grow_ahead()
+            return
+        peer.short_at_ms[team] = now_ms
+        peer.short_until_ms[team] = now_ms + max(grant.retry_after_ms, _MIN_GAP_MS)
+        if state is not None and self._are_all_short(team, now_ms):
+            state.shrink_ahead(now_ms)
+
+    def _are_all_short(self, team: str, now_ms: float) -> bool:
+        peers = [self._peer(domain) for domain in self._domains]
+        return all(
+            now_ms < peer.down_until_ms
+            or now_ms - peer.short_at_ms.get(team, -math.inf) < _SHORT_MEMORY_MS
+            for peer in peers
+        )
+
     def _accept(
         self,
         peer: _Peer,
@@ -381,8 +404,11 @@
         idle = []
         for team, state in self._teams.items():
             state.held = [h for h in state.held if h.expires_ms > now_ms and h.left()]
-            is_quiet = state.rate_now(now_ms) < _IDLE_RATE_PER_S / 10
+            is_quiet = state.rate_now(now_ms) < _IDLE_RATE_PER_S
             if is_quiet and not state.held and not state.waiting:
                 idle.append(team)
         for team in idle:
             del self._teams[team]
+            for peer in self._peers.values():
+                peer.short_at_ms.pop(team, None)
+                peer.short_until_ms.pop(team, None)
--- a/src/eelgrassweir/shares/holder.py
+++ b/src/eelgrassweir/shares/holder.py
@@ -16,7 +16,7 @@
 # Calls per second that borrowers without tokens may cause at one holder stay
 # near one per this many ms, however many borrowers there are.
 _PACE_MS_PER_ASKER = 2
-_MIN_RETRY_MS = 5
+_MIN_RETRY_MS = 10
 _MAX_RETRY_MS = 60_000
 
 
@@ -148,6 +148,8 @@
         for team in self._buckets.keys() - parts.keys():
             del self._buckets[team]
             self._removed_ns[team] = now_ns + self._life_ms * _NS_PER_MS
+        # A report must not change a bucket that did not lend the grant.
+        self._lent = {k: v for k, v in self._lent.items() if v.team in parts}
         for team, part in parts.items():
             self._set_part(team, part, now_ns)
 
@@ -157,7 +159,8 @@
         if bucket is None:
             # A team that is new here may have spent its burst elsewhere since
             # the start of this holder, but not before it.
-            start_ns = max(self._start_ns, self._removed_ns.pop(team, 0))
+            removed_ns = self._removed_ns.pop(team, self._start_ns)
+            start_ns = max(self._start_ns, removed_ns)
             self._buckets[team] = _Bucket(
                 rate=rate, burst_calls=part.burst_calls, updated_ns=start_ns
             )
@@ -250,8 +253,10 @@
     def _retry_after_ms(self, bucket: _Bucket, tokens: int) -> int:
         pace_ms = max(_MIN_RETRY_MS, _PACE_MS_PER_ASKER * len(bucket.askers))
         left = bucket.level - tokens * _UNITS_PER_TOKEN
-        if left >= _UNITS_PER_TOKEN or bucket.rate == 0:
-            return pace_ms if left >= _UNITS_PER_TOKEN else _MAX_RETRY_MS
+        if left >= _UNITS_PER_TOKEN:
+            return 0
+        if bucket.rate == 0:
+            return _MAX_RETRY_MS
         if bucket.outstanding + tokens >= bucket.burst_calls:
             # Nothing refills before a report or an expiry; it may come soon.
             return pace_ms
--- a/src/eelgrassweir/shares/permit.py
+++ b/src/eelgrassweir/shares/permit.py
@@ -45,6 +45,7 @@
         self._outage_until_ms = float("-inf")
         self._successors: frozenset[str] = frozenset()
         self._promised_until_ms: dict[str, float] = {}
+        self._is_revoked = False
 
     def set_successors(self, successors: Iterable[str]) -> None:
         """Name all daemons whose promises are needed without the store.
@@ -78,11 +79,12 @@
 
     def revoke(self) -> None:
         """End the permit for good."""
-        self._store_until_ms = float("-inf")
-        self._outage_until_ms = float("-inf")
+        self._is_revoked = True
 
     def valid_until_ms(self) -> float:
         """Return the time from which the holder may not grant."""
+        if self._is_revoked:
+            return float("-inf")
         promised_ms = self._outage_until_ms
         for name in self._successors:
             until_ms = self._promised_until_ms.get(name, float("-inf"))
--- /dev/null
+++ b/testing/shares/test_bound.py
@@ -0,0 +1,274 @@
+"""Guard against tokens created by the network, by pauses or by takeovers."""
+
+from random import Random
+from typing import Any
+
+import attrs
+import hypothesis.strategies as st
+import pytest
+from hypothesis import settings
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from eelgrassweir.proto import control_pb2
+from eelgrassweir.shares.borrower import BorrowCall, Borrower
+from eelgrassweir.shares.holder import Part, ShareHolder, split_parts
+from eelgrassweir.shares.permit import Permit
+from testing.shares.window import worst_excess
+
+LIFE_MS = 1000
+LEASE_MS = 4000
+DOMAINS = ("bilbao", "oviedo")
+TEAM = "fichero"
+FATES = ["deliver", "deliver", "double", "delay", "lose_reply"]
+INDEX = st.integers(0, 10**6)
+
+
+@attrs.define
+class Seat:
+    """A holder that may have lost its place without knowing."""
+
+    name: str
+    holder: ShareHolder
+    permit: Permit
+
+
+@attrs.define
+class Entry:
+    """A daemon with a clock of its own rate and origin."""
+
+    name: str
+    clock_rate: float
+    clock_start_ms: float
+    borrower: Borrower = attrs.field(factory=Borrower)
+
+    def local_ms(self, now_ms: float) -> float:
+        return self.clock_start_ms + now_ms * self.clock_rate
+
+
+@attrs.define
+class Message:
+    """A request on its way to a domain, or a reply on its way back."""
+
+    entry: Entry
+    call: BorrowCall
+    request: control_pb2.BorrowRequest
+    reply: control_pb2.BorrowReply | None = None
+
+
+class Fleet(RuleBasedStateMachine):
+    """Deliver, double, delay and lose messages at will."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now_ms = 0
+        self.admitted_ms: list[float] = []
+        self.net: list[Message] = []
+        self.old_seats: list[Seat] = []
+        self.lapse_ms = dict.fromkeys(DOMAINS, 0)
+        self.seats: dict[str, Seat] = {}
+        self.entries: list[Entry] = []
+
+    @initialize(rate=st.sampled_from([0.25, 5, 30, 400]), burst=st.integers(1, 40))
+    def set_up(self, rate: float, burst: int) -> None:
+        self.rate, self.burst = rate, burst
+        self.parts = split_parts(rate, burst, DOMAINS, TEAM)
+        # Within the drift that lifetimes allow for.
+        self.entries = [
+            Entry("a", 0.991, 0),
+            Entry("b", 1.0, 7e5),
+            Entry("c", 1.009, 9),
+        ]
+        for domain in DOMAINS:
+            self.seats[domain] = self.new_seat(domain, 0)
+        # Long enough for buckets to fill at most rates.
+        self.now_ms = 20_000
+        for domain in DOMAINS:
+            self.lapse_ms[domain] = self.now_ms + LEASE_MS
+            self.seats[domain].permit.renew(sent_ms=self.now_ms, life_ms=LEASE_MS)
+
+    def new_seat(self, domain: str, count: int) -> Seat:
+        permit = Permit(outage_limit_ms=LEASE_MS)
+        permit.set_successors(["successor/1"])
+        permit.renew(sent_ms=self.now_ms, life_ms=LEASE_MS)
+        self.lapse_ms[domain] = self.now_ms + LEASE_MS
+        name = f"{domain}/{count}"
+        holder = ShareHolder(
+            epoch=name,
+            grant_life_ms=LIFE_MS,
+            now_ms=self.now_ms,
+            parts={TEAM: self.parts[domain]},
+        )
+        return Seat(name, holder, permit)
+
+    @rule(
+        step_ms=st.one_of(st.integers(0, 30), st.integers(0, 1000)),
+        renews=st.sampled_from([True, True, True, True, False]),
+        delay_ms=st.sampled_from([0, 0, 0, 5, 300]),
+    )
+    def advance(self, step_ms: int, renews: bool, delay_ms: int) -> None:
+        """Let time pass; renewals reach the store after ``delay_ms``."""
+        self.now_ms += step_ms
+        sent_ms = self.now_ms
+        if renews:
+            self.now_ms += delay_ms
+        for domain, seat in self.seats.items():
+            if renews and self.now_ms < self.lapse_ms[domain]:
+                self.lapse_ms[domain] = self.now_ms + LEASE_MS
+                seat.permit.renew(sent_ms=sent_ms, life_ms=LEASE_MS)
+
+    @rule(which=INDEX, count=st.integers(1, 60))
+    def demand(self, which: int, count: int) -> None:
+        entry = self.entries[which % len(self.entries)]
+        local_ms = entry.local_ms(self.now_ms)
+        missed = 0
+        for _ in range(count):
+            entry.borrower.record_demand(TEAM, local_ms)
+            if entry.borrower.take(TEAM, local_ms):
+                self.admitted_ms.append(self.now_ms)
+            else:
+                missed += 1
+        entry.borrower.set_waiting(TEAM, missed)
+
+    @rule(
+        which=INDEX,
+        count=st.integers(1, 60),
+        fates=st.lists(st.sampled_from(FATES), min_size=2, max_size=2),
+    )
+    def work(self, which: int, count: int, fates: list[str]) -> None:
+        """Serve a burst, with calls that each meet a fate."""
+        self.demand(which, count)
+        entry = self.entries[which % len(self.entries)]
+        calls = entry.borrower.plan(DOMAINS, entry.local_ms(self.now_ms))
+        for call, fate in zip(calls, fates, strict=False):
+            message = Message(entry, call, call.message(entry.name, "1"))
+            if fate == "delay":
+                self.net.append(message)
+                continue
+            reply = attrs.evolve(message, reply=self.answer(message, False))
+            if fate == "double":
+                self.net += [message, reply]
+            if fate == "lose_reply":
+                entry.borrower.settle(call, None, entry.local_ms(self.now_ms))
+                continue
+            self.now_ms += 1
+            entry.borrower.settle(call, reply.reply, entry.local_ms(self.now_ms))
+        self.demand(which, count)
+
+    @rule(which=INDEX, is_doubled=st.booleans(), reaches_old=st.booleans())
+    def deliver(self, which: int, is_doubled: bool, reaches_old: bool) -> None:
+        if not self.net:
+            return
+        message = self.net[which % len(self.net)]
+        if not is_doubled:
+            self.net.remove(message)
+        if message.reply is None:
+            reply = self.answer(message, reaches_old)
+            self.net.append(attrs.evolve(message, reply=reply))
+            return
+        entry = message.entry
+        entry.borrower.settle(message.call, message.reply, entry.local_ms(self.now_ms))
+
+    def answer(self, message: Message, reaches_old: bool) -> control_pb2.BorrowReply:
+        seat = self.seats[message.call.domain]
+        old = [s for s in self.old_seats if s.name.startswith(message.call.domain)]
+        if reaches_old and old:
+            seat = old[-1]
+        reply = control_pb2.BorrowReply(holder_incarnation=seat.name)
+        if not seat.permit.is_valid(self.now_ms):
+            return reply
+        reply.is_holder = True
+        for report in message.request.reports:
+            seat.holder.report(
+                message.entry.name,
+                report.grant_id,
+                report.spent,
+                report.returned,
+                self.now_ms,
+            )
+        for wanted in message.request.requests:
+            grant = seat.holder.grant(
+                message.entry.name, wanted.team, wanted.wanted, self.now_ms
+            )
+            reply.grants.add(**attrs.asdict(grant))
+        return reply
+
+    @rule(which=INDEX)
+    def lose(self, which: int) -> None:
+        if self.net:
+            message = self.net.pop(which % len(self.net))
+            entry = message.entry
+            entry.borrower.settle(message.call, None, entry.local_ms(self.now_ms))
+
+    @rule(domain=st.sampled_from(DOMAINS), is_clean=st.booleans())
+    def take_over(self, domain: str, is_clean: bool) -> None:
+        """Start a new holder at the lapse, or at once after a clean stop."""
+        if is_clean:
+            self.seats[domain].permit.revoke()
+        else:
+            self.now_ms = max(self.now_ms, self.lapse_ms[domain])
+        self.old_seats.append(self.seats[domain])
+        self.seats[domain] = self.new_seat(domain, len(self.old_seats))
+
+    @rule(domain=st.sampled_from(DOMAINS), gap_ms=st.integers(0, 1500))
+    def forget_team(self, domain: str, gap_ms: int) -> None:
+        """Remove the team from the configuration and list it again."""
+        self.seats[domain].holder.set_parts({}, self.now_ms)
+        self.now_ms += gap_ms
+        part: dict[str, Part] = {TEAM: self.parts[domain]}
+        self.seats[domain].holder.set_parts(part, self.now_ms)
+
+    @invariant()
+    def no_window_exceeds_the_bound(self) -> None:
+        if self.admitted_ms:
+            assert worst_excess(self.admitted_ms, self.rate, self.burst) <= 0
+
+
+TestFleet: Any = Fleet.TestCase
+TestFleet.settings = settings(
+    max_examples=60, stateful_step_count=50, deadline=None, derandomize=True
+)
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_long_walks_stay_within_the_bound(seed: int) -> None:
+    """Reach faults that need many steps, such as a late use of a grant."""
+    random = Random(seed)
+    fleet = Fleet()
+    fleet.set_up(random.choice([0.7, 5, 30, 400]), random.randint(1, 40))
+    for _ in range(600):
+        step(fleet, random)
+    assert worst_excess(fleet.admitted_ms or [0], fleet.rate, fleet.burst) <= 0
+    assert len(fleet.admitted_ms) > 0
+
+
+def step(fleet: Fleet, random: Random) -> None:
+    """Take one weighted random step."""
+    which = random.randrange(10**6)
+    count = random.choice([1, 3, 10, 50])
+    steps = {
+        "advance": 30,
+        "work": 40,
+        "demand": 10,
+        "deliver": 14,
+        "lose": 2,
+        "take_over": 0.5,
+        "forget": 0.5,
+    }
+    name = random.choices(list(steps), weights=list(steps.values()))[0]
+    if name == "advance":
+        step_ms = random.choice([0, 1, 10, 50, 300, 950])
+        fleet.advance(step_ms, random.random() < 0.9, random.choice([0, 0, 5, 2500]))
+    if name == "work":
+        fleet.work(which, count, random.choices(FATES, k=2))
+    if name == "demand":
+        fleet.demand(which, count)
+    if name == "deliver":
+        fleet.deliver(which, random.random() < 0.5, random.random() < 0.3)
+    if name == "lose":
+        fleet.lose(which)
+    domain = random.choice(DOMAINS)
+    is_lapsed = fleet.now_ms >= fleet.lapse_ms[domain]
+    if name == "take_over" or is_lapsed:
+        fleet.take_over(domain, not is_lapsed and random.random() < 0.5)
+    if name == "forget":
+        fleet.forget_team(domain, random.randrange(1500))
