Keep the caller's ticket when an entry does not listen

The caller had dropped the ticket of a filing that may have run because its next attempt met a killed entry, and so asked for a second run itself. The daemon was not at fault.

--- a/testing/stand_ins/caller.py
+++ b/testing/stand_ins/caller.py
@@ -153,7 +153,8 @@
                 ticket = answer["ticket"]
                 continue
             # A refused ticket is void; any other outcome keeps its ticket.
-            if ticket and outcome.not_run:
+            # An attempt that met no listener says nothing of earlier ones.
+            if ticket and answer.get("not_run"):
                 ticket = answer.get("ticket") or ""
             if sends >= stream.resends:
                 return
--- a/testing/stand_ins/test_backend_server.py
+++ b/testing/stand_ins/test_backend_server.py
@@ -123,8 +123,8 @@
 
 def test_reset_connection_is_an_error_for_the_caller() -> None:
     async def test(start: Start) -> None:
-        _, pool = await start(service="fichero")
-        pool = ClientPool("127.0.0.1:1")
+        server, pool = await start(service="fichero")
+        await server.stop()
         with pytest.raises(ExchangeError) as error:
             await call(pool, "/fichero/view", "m1")
         assert not error.value.sent
--- a/testing/stand_ins/test_caller.py
+++ b/testing/stand_ins/test_caller.py
@@ -90,3 +90,37 @@
         assert not any(outcome.never_run for outcome in outcomes)
 
     asyncio.run(test())
+
+
+def test_ticket_is_kept_when_an_entry_does_not_listen() -> None:
+    """Guard against a fresh ticket for a filing that may have run."""
+    seen: dict[str, list[str]] = {}
+
+    async def handle(request: Request) -> Response:
+        tickets = seen.setdefault(request.header(b"X-Marker").decode(), [])
+        tickets.append(request.header(b"Idempotency-Key").decode())
+        body = json.dumps({"ticket": "t1", "not_run": True})
+        if tickets[-1] == "":
+            return Response(428, body.encode(), [(b"Eelgrassweir-Refusal", b"x")])
+        return Response(500, b"{}")
+
+    async def test() -> None:
+        server = await serve(handle)
+        address = f"127.0.0.1:{port_of(server)}"
+        closed = await serve(handle)
+        closed_address = f"127.0.0.1:{port_of(closed)}"
+        closed.close()
+        plan = Plan(
+            entries=[address, closed_address],
+            streams=[make_stream("POST", resends=20)],
+            duration_ms=150,
+            output="",
+            seed=SEED,
+        )
+        caller = Caller(plan)
+        await caller.run()
+        server.close()
+        for tickets in seen.values():
+            assert set(tickets[1:]) <= {"t1"}
+
+    asyncio.run(test())
