Let a restarted share holder take over its own record at once

Ruled out: a shorter lease, which shortens the outage that can be ridden out. Change: a daemon that listens on the address of the recorded holder knows that process has ended, and takes over without the wait.

--- a/experiments/harness.py
+++ b/experiments/harness.py
@@ -278,10 +278,14 @@
         if vm.backend is None or vm.backend.poll() is not None:
             continue
         state = fleet.backend_state(vm.name, full=True)
-        for act, marker, runs, _ in state["runs"]:
-            started[act, marker] += runs
+        if not fleet.keeps_runs:
+            for act, marker, runs, _ in state["runs"]:
+                started[act, marker] += runs
         values = (value for seen in state["headers"].values() for value in seen)
         keys_seen += sum(any(key in value for key in keys) for value in values)
+    for line in fleet.run_lines():
+        act, _, marker = line.rpartition(" ")
+        started[act, marker] += 1
     twice = [act for act, runs in started.items() if act[0][:4] == "POST" and runs > 1]
     ran = {marker for _, marker in started}
     outcomes = [one for load in loads for one in load.outcomes]
--- a/experiments/scenarios.py
+++ b/experiments/scenarios.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from experiments.faults import plan_faults
 from experiments.harness import (
     Load,
     check_integrity,
@@ -153,6 +154,24 @@
     return _fault(run, [(4_000.0, silence)], 4_000.0, 4_000.0, 12, proxied=True)
 
 
+def random_faults(run: Run) -> list[Row]:
+    """Kill, pause, cut and silence at random, and check every promise."""
+    length_ms = run.duration_ms(30)
+    with run.fleet(proxied=True, keep_runs=True) as fleet:
+        fleet.wait_ready()
+        events, log = plan_faults(
+            list(fleet.vms), seed=run.seed, duration_ms=length_ms, every_ms=900.0
+        )
+        print("\n".join(log))
+        work = streams(run.shape, 0.5, tickets_ahead=4)
+        load = run_load(fleet, work, length_ms, seed=run.seed, events=events)
+        unknown = sum(one.code == "outcome_unknown" for one in load.outcomes)
+        filings = sum(one.kind == "file" for one in load.outcomes)
+        counts = {"filings": filings, "filings_unknown": unknown}
+        checks = check_integrity(fleet, [load])
+        return [("faults", summarise(run.shape, load) | counts | checks)]
+
+
 def _fault(
     run: Run,
     events: list[tuple[float, Callable[[Fleet], None]]],
@@ -363,6 +382,7 @@
         kill_rack,
         cold_start,
         silent_links,
+        random_faults,
         retry_storm,
         latency,
         control_cost,
--- a/src/eelgrassweir/daemon/share_service.py
+++ b/src/eelgrassweir/daemon/share_service.py
@@ -485,6 +485,7 @@
             return
         if held.unwrap() is not None:
             self._note_holder(held.unwrap().value)
+            await self._delete_key_of_predecessor(held.unwrap())
             return
         # The record is read before the key is seen absent, so a lease that
         # came with this revision of the record has lapsed by then.
@@ -516,6 +517,21 @@
         record = _parse_record(value)
         self._current_holder = "" if record is None else record.control_address
 
+    async def _delete_key_of_predecessor(self, held: StoreValue) -> None:
+        """Spare the fleet the rest of the lease of a process that has ended."""
+        if self._is_predecessor(_parse_record(held.value)):
+            await asyncio.to_thread(
+                self._store.delete, self._key, expect_revision=held.revision
+            )
+            self._wake.set()
+
+    def _is_predecessor(self, record: HolderRecord | None) -> bool:
+        """Tell whether an earlier process at the own address was the holder."""
+        if record is None or record.incarnation == self._incarnation:
+            return False
+        mine = (self._vm, self._control_address)
+        return (record.holder, record.control_address) == mine
+
     def _takeover_at_ms(self, lapse: _Lapse) -> float:
         return takeover_at_ms(
             lapse.record,
@@ -524,6 +540,7 @@
             promised_until_ms=self._book.until_ms(self._domain),
             lease_ms=self._settings.lease_ms,
             outage_limit_ms=self._settings.outage_limit_ms,
+            is_predecessor=self._is_predecessor(lapse.record),
         )
 
     async def _take(self, lapse: _Lapse) -> None:
--- a/src/eelgrassweir/shares/permit.py
+++ b/src/eelgrassweir/shares/permit.py
@@ -120,16 +120,20 @@
     promised_until_ms: float,
     lease_ms: float,
     outage_limit_ms: float,
+    is_predecessor: bool = False,
 ) -> float:
     """Return when ``me`` (vm/incarnation) may take over a lapsed share.
 
+    ``is_predecessor`` says that the holder was an earlier process at this
+    daemon's own address. It has ended, since an address has one listener.
+
     ``lapse_seen_ms`` is when this daemon first saw this record without a
     lease. A daemon that is not named as successor has given no promise that
     the holder relies on, so it waits until every permit must have ended.
     """
     if record is None or record.released:
         return max(lapse_seen_ms, promised_until_ms)
-    if me == f"{record.holder}/{record.incarnation}":
+    if me == f"{record.holder}/{record.incarnation}" or is_predecessor:
         return max(lapse_seen_ms, promised_until_ms)
     if me in record.successors:
         return max(lapse_seen_ms + max(lease_ms, record.lease_ms), promised_until_ms)
--- a/testing/fleet.py
+++ b/testing/fleet.py
@@ -97,7 +97,9 @@
         self._settings = settings or {}
         self._spec = spec or {}
         self._environment = environment or {}
-        self._keep_runs = keep_runs
+        # Whether backend servers write their runs to files, so that the runs
+        # of killed ones count as well.
+        self.keeps_runs = keep_runs
         self._reservations: list[socket.socket] = []
         self._http = urllib3.PoolManager(retries=False, num_pools=200)
 
@@ -262,6 +264,13 @@
         state: dict[str, Any] = self._http.request("GET", url, timeout=5.0).json()
         return state
 
+    def run_lines(self) -> list[str]:
+        """Return a line "METHOD PATH MARKER" for each kept start of a run."""
+        lines: list[str] = []
+        for path in self.directory.glob("*.runs"):
+            lines += path.read_text().splitlines()
+        return lines
+
     def set_backend(self, name: str, **changes: Any) -> None:
         """Change fields of the spec of one backend server."""
         url = f"http://{self.vms[name].backend_address}/stand-in/set"
@@ -359,7 +368,7 @@
             "children": self.shape.children(service.name),
             **self._spec,
         }
-        if self._keep_runs:
+        if self.keeps_runs:
             spec["runs_path"] = str(self.directory / f"{name}.runs")
         return Vm(name, domain, service, settings, spec)
 
--- a/testing/shares/test_permit.py
+++ b/testing/shares/test_permit.py
@@ -105,3 +105,17 @@
         lease_ms=LEASE_MS,
         outage_limit_ms=OUTAGE_MS,
     )
+
+
+def test_successor_at_the_address_of_the_holder_takes_over_at_once() -> None:
+    """A daemon that restarts must not cost its domain's part for a lease."""
+    at_ms = takeover_at_ms(
+        RECORD,
+        me="a/2",
+        lapse_seen_ms=1_000.0,
+        promised_until_ms=float("-inf"),
+        lease_ms=5_000.0,
+        outage_limit_ms=600_000.0,
+        is_predecessor=True,
+    )
+    assert at_ms == 1_000.0
