--- a/src/eelgrassweir/daemon/share_service.py
+++ b/src/eelgrassweir/daemon/share_service.py
@@ -518,7 +518,7 @@
         self._current_holder = "" if record is None else record.control_address
 
     async def _delete_key_of_predecessor(self, held: StoreValue) -> None:
-        """Spare the fleet the rest of the lease of a process that has ended."""
+        """Spare the fleet the rest of the lease of an ended process."""
         if self._is_predecessor(_parse_record(held.value)):
             await asyncio.to_thread(
                 self._store.delete, self._key, expect_revision=held.revision
@@ -526,7 +526,7 @@
             self._wake.set()
 
     def _is_predecessor(self, record: HolderRecord | None) -> bool:
-        """Tell whether an earlier process at the own address was the holder."""
+        """Tell whether an earlier process at this address was the holder."""
         if record is None or record.incarnation == self._incarnation:
             return False
         mine = (self._vm, self._control_address)
