Probe the baseline and detect slowness not caused by load

Cause: the baseline could be measured over the knee, where the limit then stayed, and a service slower for good lost its limit for about a second. Change: halve the limit for one latency every 3 s of full use; when three decreases leave the latency as it was, take it as the new baseline and climb back. The ratios are 1.25 and 1.6 instead of 1.4 and 2.0.

--- a/src/eelgrassweir/admission/limit.py
+++ b/src/eelgrassweir/admission/limit.py
@@ -6,21 +6,34 @@
 import attrs
 
 # Load of the backend server shows first in the latency. Below the first ratio
-# to the baseline the limit may grow, above the second one it shrinks.
-HEALTHY_RATIO = 1.4
-SLOW_RATIO = 2.0
+# to the baseline the limit may grow, above the second one it shrinks. Closer
+# ratios (1.15, 1.4) sometimes kept a recovery out, wider ones (1.4, 2.0) held
+# the limit too far above the knee.
+HEALTHY_RATIO = 1.25
+SLOW_RATIO = 1.6
 DECREASE_FACTOR = 0.75
+# Latency from concurrency falls with it. When so much less concurrency (three
+# decreases) leaves so much of the latency, the service itself is slow.
+USELESS_USE_FACTOR = 0.5
+USELESS_LATENCY_FACTOR = 0.8
 CLIMB_FACTOR = 1.6
 FLOOR_CALLS = 3.0
 # Used until the backend server has announced its slots.
 DEFAULT_CEILING_CALLS = 1000
 START_CALLS = 16.0
+# 16 samples see a slower service a second later.
 WINDOW_SAMPLES = 8
 ERRORS = 2.0
 VARIANCE_WEIGHT = 0.1
 SHORTEST_MS = 0.01
 WINDOW_MIN_MS = 10.0
 BASELINE_SPAN_MS = 10_000.0
+# While the limit is in use all the time, the baseline may have been measured
+# over the knee. Halving the limit for one latency shows a true one; at these
+# intervals it costs less than 1% of the capacity.
+PROBE_FACTOR = 0.5
+PROBE_INTERVAL_MS = 3_000.0
+PROBE_INTERVAL_LATENCIES = 50.0
 
 
 class Outcome(enum.Enum):
@@ -70,7 +83,8 @@
 
     The limit grows by steps while it is in use and the latency is near the
     recent minimum, and shrinks by a factor at most once per latency. After a
-    slow spell it climbs by a factor to where it was before.
+    slow spell it climbs by a factor to where it was before. A service that has
+    become slower by itself gets its limit back with a new baseline.
     """
 
     def __init__(self, *, ceiling_calls: int = DEFAULT_CEILING_CALLS) -> None:
@@ -81,7 +95,10 @@
         self._baselines: list[tuple[float, float]] = []
         self._decreased_ms = float("-inf")
         self._is_slow = False
+        self._worst_ms = 0.0
+        self._worst_calls = 0
         self._variance = 0.0
+        self._probed_ms = float("-inf")
 
     @property
     def limit_calls(self) -> int:
@@ -150,23 +167,47 @@
         self._add_baseline(window.latency_ms(ERRORS, variance), now_ms)
         baseline_ms = self.baseline_ms or latency_ms
         if window.latency_ms(-ERRORS, variance) > SLOW_RATIO * baseline_ms:
-            self._slow_window(latency_ms, now_ms)
+            self._slow_window(window, now_ms)
+            return
+        if self._is_probe_due(window, latency_ms, now_ms):
+            self._probe(now_ms)
             return
         if latency_ms <= HEALTHY_RATIO * baseline_ms:
             self._increase(window.peak_calls)
 
+    def _is_probe_due(self, window: _Window, latency_ms: float, now_ms: float) -> bool:
+        is_idle = window.peak_calls < PROBE_FACTOR * self._limit_calls
+        if is_idle or math.isinf(self._probed_ms):
+            self._probed_ms = now_ms
+        interval_ms = max(PROBE_INTERVAL_MS, PROBE_INTERVAL_LATENCIES * latency_ms)
+        return now_ms - self._probed_ms >= interval_ms
+
+    def _probe(self, now_ms: float) -> None:
+        if self._limit_calls >= self._climb_to_calls:
+            self._climb_to_calls = self._limit_calls
+        self._probed_ms = self._decreased_ms = now_ms
+        self._set_limit(self._limit_calls * PROBE_FACTOR)
+
     def _add_baseline(self, latency_ms: float, now_ms: float) -> None:
         oldest_ms = now_ms - BASELINE_SPAN_MS
         kept = [b for b in self._baselines if b[0] > oldest_ms and b[1] < latency_ms]
         self._baselines = [*kept, (now_ms, latency_ms)]
 
-    def _slow_window(self, latency_ms: float, now_ms: float) -> None:
-        if self._limit_calls > self._floor_calls:
-            self._decrease(now_ms)
+    def _slow_window(self, window: _Window, now_ms: float) -> None:
+        latency_ms = window.latency_ms()
+        if not self._is_slow:
+            self._worst_ms = 0.0
+            self._worst_calls = 0
+        has_little_use = window.peak_calls < USELESS_USE_FACTOR * self._worst_calls
+        is_useless = has_little_use and (
+            latency_ms > USELESS_LATENCY_FACTOR * self._worst_ms
+        )
+        self._worst_ms = max(self._worst_ms, latency_ms)
+        self._worst_calls = max(self._worst_calls, window.peak_calls)
+        if is_useless or self._limit_calls <= self._floor_calls:
+            self._baselines = [(now_ms, latency_ms)]
             return
-        # With so few calls the latency cannot come from concurrency: the
-        # service itself has become slower.
-        self._baselines = [(now_ms, latency_ms)]
+        self._decrease(now_ms)
 
     @property
     def _floor_calls(self) -> float:
