Say which version a repeated change made and end without a stop

A repeated confirm named the newest version rather than the one that the change made. A process that ended without stopping the admin listener hung, because cheroot's worker threads are not daemon threads unless the thread that creates them is.

--- a/src/eelgrassweir/cli/commands.py
+++ b/src/eelgrassweir/cli/commands.py
@@ -14,7 +14,7 @@
 from eelgrassweir.cli.failure import CommandError, ExitStatus
 from eelgrassweir.cli.files import read_json, read_token, write_plan
 from eelgrassweir.cli.progress import Progress, follow, old_version_note
-from eelgrassweir.cli.show import plan_text, status_text, table
+from eelgrassweir.cli.show import change_lines, plan_text, status_text, table
 from eelgrassweir.config.document import hash_key
 
 _KEY_BYTES = 32
@@ -186,12 +186,11 @@
 
     def _not_confirmed(self, reply: dict[str, Any]) -> None:
         """Show why a plan was not carried out and end the command."""
-        changes = reply["changed_since"]
-        rows = [(change["what"], change["where"]) for change in changes]
         if self._as_json:
             print(json_module.dumps(reply, indent=1, sort_keys=True))
-        elif rows:
-            print(table(("CHANGED SINCE THE PLAN", "WHERE"), rows))
+        elif reply["changed_since"]:
+            print("Changed since the plan:")
+            print("\n".join(change_lines(reply["changed_since"])))
         if reply["result"] == "store_unreachable":
             advice = "Repeat this command when the store is back; keep the plan file."
             raise CommandError(ExitStatus.NOT_REACHABLE, reply["reason"], advice)
--- a/src/eelgrassweir/cli/progress.py
+++ b/src/eelgrassweir/cli/progress.py
@@ -28,8 +28,8 @@
 
     def __str__(self) -> str:
         if not self.known:
-            return f"version {self.version}: it is not known which daemons have it"
-        text = f"version {self.version}: {self.have} of {self.known} daemons have it"
+            return f"It is not known which daemons have version {self.version}"
+        text = f"{self.have} of {self.known} daemons have version {self.version}"
         if self.lagging:
             text += "; not yet: " + ", ".join(self.lagging)
         return text
--- a/src/eelgrassweir/cli/show.py
+++ b/src/eelgrassweir/cli/show.py
@@ -1,6 +1,6 @@
 """Tables and sentences for people."""
 
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 from typing import Any
 
 
@@ -24,8 +24,8 @@
 def _plan_lines(plan: Mapping[str, Any]) -> Iterator[str]:
     yield f"Plan {plan['plan_id']} against version {plan['base_version']}"
     yield ""
-    rows = [(change["what"], change["where"]) for change in plan["changes"]]
-    yield table(("CHANGE", "WHERE"), rows) if rows else "No changes."
+    yield "Changes:" if plan["changes"] else "No changes."
+    yield from change_lines(plan["changes"])
     for name in ("warnings", "refusals"):
         if plan[name]:
             yield ""
@@ -33,6 +33,13 @@
             yield from (f"- {text}" for text in plan[name])
 
 
+def change_lines(changes: Iterable[Mapping[str, Any]]) -> Iterator[str]:
+    """Return two lines for each change: what it is, and where."""
+    for change in changes:
+        yield f"- {change['what']}"
+        yield f"    at: {change['where']}"
+
+
 def status_text(status: Mapping[str, Any]) -> str:
     """Return the state of the daemon asked and of the fleet it knows."""
     return "\n".join(_status_lines(status))
--- a/src/eelgrassweir/config/commit.py
+++ b/src/eelgrassweir/config/commit.py
@@ -11,6 +11,7 @@
     MAX_DOCUMENT_BYTES,
     ConfigDocument,
     parse_document,
+    version_of_change,
 )
 from eelgrassweir.errors import StepError
 from eelgrassweir.store.client import StoreClient
@@ -25,10 +26,11 @@
 
 @attrs.frozen(kw_only=True)
 class CommitOutcome:
-    """Hold the result of a commit and the version that the store then has.
+    """Hold the result of a commit and a version.
 
-    The version is 0 when the store was not reached; the change may then
-    have been applied, and repeating the same commit is safe.
+    The version is the one that the change made, or for a conflict the one
+    in the store. It is 0 when the store was not reached; the change may
+    then have been applied, and repeating the same commit is safe.
     """
 
     result: CommitResult
@@ -77,9 +79,10 @@
             continue
         stored = read.unwrap()
         seen_version = stored.document.version
-        if change_id in stored.document.change_ids:
+        made = version_of_change(stored.document, change_id)
+        if made is not None:
             result: CommitResult = "applied" if is_written else "already_applied"
-            return Success(CommitOutcome(result=result, version=seen_version))
+            return Success(CommitOutcome(result=result, version=made))
         if seen_version > base_version:
             return Success(CommitOutcome(result="conflict", version=seen_version))
         if seen_version < base_version:
--- a/src/eelgrassweir/config/confirm.py
+++ b/src/eelgrassweir/config/confirm.py
@@ -6,7 +6,11 @@
 import attrs
 
 from eelgrassweir.config.describe import Change, describe_changes
-from eelgrassweir.config.document import ConfigDocument, dump_document
+from eelgrassweir.config.document import (
+    ConfigDocument,
+    dump_document,
+    version_of_change,
+)
 from eelgrassweir.config.plan import Plan
 
 # (base version, change id, document) -> (result of the CommitReply, version)
@@ -20,6 +24,7 @@
     ``result`` is ``applied``, ``already_applied``, ``conflict`` (the
     configuration has changed since the plan), ``refused``, ``behind`` (this
     daemon has an older version than the plan) or ``store_unreachable``.
+    ``version`` is the one that the change made, else the current one.
     """
 
     result: str
@@ -36,8 +41,9 @@
 def check_confirm(plan: Plan, current: ConfigDocument) -> ConfirmReply | None:
     """Return the reply if the plan is not to be committed, else None."""
     version = current.version
-    if plan.plan_id in current.change_ids:
-        return ConfirmReply(result="already_applied", version=version)
+    made = version_of_change(current, plan.plan_id)
+    if made is not None:
+        return ConfirmReply(result="already_applied", version=made)
     if plan.refusals:
         reason = "; ".join(plan.refusals)
         return ConfirmReply(result="refused", version=version, reason=reason)
--- a/src/eelgrassweir/config/document.py
+++ b/src/eelgrassweir/config/document.py
@@ -186,6 +186,15 @@
         prefix = prefix.rpartition("/")[0] or "/"
 
 
+def version_of_change(document: ConfigDocument, change_id: str) -> int | None:
+    """Return the version that a change made, or None if it is not kept."""
+    # Each version adds one change id at the end.
+    for place, kept_id in enumerate(reversed(document.change_ids)):
+        if kept_id == change_id:
+            return document.version - place
+    return None
+
+
 def parse_document(payload: bytes) -> Result[ConfigDocument, StepError]:
     """Return the document that ``payload`` holds as JSON, fully checked."""
     try:
@@ -379,14 +388,15 @@
 
 def check_document(document: ConfigDocument) -> None:
     """Check what the entries of a document require of each other."""
-    seen_ids: dict[str, str] = {}
+    seen_ids: set[str] = set()
     for key in document.keys.values():
-        field = f"keys.{key.key_hash[:8]}..."
         if key.team not in document.teams:
-            raise CheckError(f"{field}.team", key.team, "a team of the document")
+            field = f"keys.{key.key_hash[:8]}....team"
+            raise CheckError(field, key.team, "a team of the document")
         if key.key_id in seen_ids:
-            raise CheckError(f"{field}.key_id", key.key_id, "an id used by no other")
-        seen_ids[key.key_id] = key.key_hash
+            field = f"keys.{key.key_hash[:8]}....key_id"
+            raise CheckError(field, key.key_id, "an id used by no other")
+        seen_ids.add(key.key_id)
     seen_routes: dict[tuple[str, str], str] = {}
     for route in document.routes:
         for method in route.methods or ("",):
--- a/src/eelgrassweir/daemon/admin.py
+++ b/src/eelgrassweir/daemon/admin.py
@@ -22,6 +22,7 @@
 import threading
 import time
 from collections.abc import Callable, Iterable, Mapping
+from concurrent.futures import Future
 from typing import Any
 
 import attrs
@@ -166,14 +167,26 @@
 
         Raise OSError if the address cannot be bound.
         """
-        self._server.prepare()
+        is_bound: Future[None] = Future()
+        # cheroot's workers inherit the daemon flag of this thread; otherwise
+        # they would keep a process alive that ends without a stop.
         self._thread = threading.Thread(
-            target=self._server.serve, name="admin", daemon=True
+            target=self._run, args=(is_bound,), name="admin", daemon=True
         )
         self._thread.start()
+        is_bound.result()
         host, port = self._server.bind_addr[:2]
         return host, port
 
+    def _run(self, is_bound: Future[None]) -> None:
+        try:
+            self._server.prepare()
+        except BaseException as error:
+            is_bound.set_exception(error)
+            return
+        is_bound.set_result(None)
+        self._server.serve()
+
     def stop(self) -> None:
         """Stop serving; end requests that run for longer than 5 s."""
         self._server.stop()
--- a/testing/cli/test_commands.py
+++ b/testing/cli/test_commands.py
@@ -76,7 +76,7 @@
     assert sorted(statuses) == [0, 3], outcomes
     shown = outcomes[statuses.index(3)][1]
     winner = 80 + statuses.index(0)
-    assert "CHANGED SINCE THE PLAN" in shown
+    assert "Changed since the plan:" in shown
     assert f"team alfa: 100 calls/s, burst of 50 calls -> {winner}" in shown
     assert "Nothing of this plan has taken effect" in shown
     daemons[0].refresh()
@@ -137,7 +137,7 @@
     assert (reply["daemons_have"], reply["daemons_known"]) == (2, 3)
     assert reply["lagging"] == ["vm-3"]
     assert reply["old_version_until_wall_ms"] > ISOLATION_LIMIT_MS
-    assert "2 of 3 daemons have it; not yet: vm-3" in shown.err
+    assert "2 of 3 daemons have version 2; not yet: vm-3" in shown.err
 
 
 def test_granted_key_is_shown_once_and_works_after_confirm(
--- a/testing/config/test_commit.py
+++ b/testing/config/test_commit.py
@@ -21,17 +21,19 @@
     client.close()
 
 
-def successor(base_version: int, change_id: str) -> ConfigDocument:
+def successor(base_version: int, change_id: str, before: str = "c0") -> ConfigDocument:
     document = make_document(base_version + 1)
-    return attrs.evolve(document, change_ids=("c0", change_id))
+    return attrs.evolve(document, change_ids=(before, change_id))
 
 
-def commit(client: StoreClient, base_version: int, change_id: str) -> CommitOutcome:
+def commit(
+    client: StoreClient, base_version: int, change_id: str, before: str = "c0"
+) -> CommitOutcome:
     outcome: CommitOutcome = commit_change(
         client,
         base_version=base_version,
         change_id=change_id,
-        document_json=dump_document(successor(base_version, change_id)),
+        document_json=dump_document(successor(base_version, change_id, before)),
     ).unwrap()
     return outcome
 
@@ -55,6 +57,7 @@
 
 def test_repeated_change_is_applied_once(client: StoreClient) -> None:
     assert commit(client, 0, "p1") == CommitOutcome(result="applied", version=1)
+    commit(client, 1, "p2", "p1")
     again = commit(client, 0, "p1")
     assert again == CommitOutcome(result="already_applied", version=1)
 
--- a/testing/daemon/test_admin.py
+++ b/testing/daemon/test_admin.py
@@ -112,6 +112,23 @@
     assert store.counts()["put"] == 1
 
 
+def test_address_in_use_is_an_error(daemon: AdminDaemon, store: StoreProcess) -> None:
+    port = daemon.address.rpartition(":")[2]
+    with pytest.raises(OSError, match="in use"):
+        AdminDaemon(store.url, port=int(port))
+
+
+def test_process_that_ends_without_a_stop_does_not_hang() -> None:
+    code = (
+        "from testing.stand_ins.admin_daemon import AdminDaemon\n"
+        "AdminDaemon('http://127.0.0.1:1')\n"
+        "raise SystemExit(7)\n"
+    )
+    environment = {"PYTHONPATH": ":".join(sys.path)}
+    ended = subprocess.run([sys.executable, "-c", code], env=environment, timeout=30)
+    assert ended.returncode == 7
+
+
 @pytest.mark.parametrize(
     ("module", "absent"),
     [
--- a/testing/stand_ins/admin_daemon.py
+++ b/testing/stand_ins/admin_daemon.py
@@ -17,13 +17,13 @@
 class AdminDaemon:
     """Serve the admin interface over a store, as a relay would."""
 
-    def __init__(self, store_url: str, *, token: str = "") -> None:
+    def __init__(self, store_url: str, *, token: str = "", port: int = 0) -> None:
         self.store = StoreClient([store_url], timeout_ms=500)
         self.document: ConfigDocument | None = None
         self.usage: dict[str, float] = {}
         self.lagging: list[str] = []
         self.server = AdminServer(
-            ("127.0.0.1", 0),
+            ("127.0.0.1", port),
             AdminSources(
                 dump=lambda: {"teams": len(self._present().teams)},
                 status=self._status,
