End a store call whose answer trickles in

A read with a timeout for each receive never ended while single bytes kept arriving; the body is now read one receive at a time against the limit.

--- a/src/eelgrassweir/store/client.py
+++ b/src/eelgrassweir/store/client.py
@@ -260,7 +260,8 @@
     """Read the whole body; an answer that trickles in ends the attempt."""
     parts: list[bytes] = []
     size_bytes = 0
-    for part in response.stream(_CHUNK_BYTES):
+    # read1 returns after one receive, so that the end is checked in between.
+    while part := response.read1(_CHUNK_BYTES):
         parts.append(part)
         size_bytes += len(part)
         if size_bytes > MAX_ANSWER_BYTES or time.monotonic() > end_s:
--- a/testing/store/test_client.py
+++ b/testing/store/test_client.py
@@ -1,5 +1,6 @@
 """Guard against store calls that hang, lie about a write or lose updates."""
 
+import socket
 import threading
 import time
 from collections.abc import Iterator
@@ -167,3 +168,48 @@
     start_s = time.monotonic()
     assert client.watch("k", after_revision=0, wait_ms=200) == Success(revision)
     assert time.monotonic() - start_s >= 0.2
+
+
+def answer_once(listener: socket.socket, parts: list[bytes], pause_s: float) -> None:
+    """Answer one request in parts; stop when the client goes away."""
+    connection, _ = listener.accept()
+    with connection:
+        connection.recv(65_536)
+        for part in parts:
+            try:
+                connection.sendall(part)
+            except OSError:
+                return
+            time.sleep(pause_s)
+
+
+@pytest.mark.parametrize(
+    ("parts", "pause_s", "is_found"),
+    [
+        (
+            [b"Transfer-Encoding: chunked\r\n\r\n1d\r\n", b'{"value": "v", ']
+            + [b'"revision": 1}\r\n0\r\n\r\n'],
+            0.0,
+            True,
+        ),
+        ([b"Content-Length: 900\r\n\r\n"] + [b" "] * 900, TIMEOUT_MS / 3_000, False),
+        ([b"Content-Length: 90\r\n\r\n{}"], 0.0, False),
+    ],
+    ids=["chunked", "trickling", "truncated"],
+)
+def test_answer_is_whole_and_in_time_or_an_error(
+    parts: list[bytes], pause_s: float, is_found: bool
+) -> None:
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        parts = [b"HTTP/1.1 200 OK\r\n", *parts]
+        thread = threading.Thread(target=answer_once, args=(listener, parts, pause_s))
+        thread.start()
+        port = listener.getsockname()[1]
+        client = StoreClient([f"http://127.0.0.1:{port}"], timeout_ms=TIMEOUT_MS)
+        start_s = time.monotonic()
+        result = client.get("k")
+        # The trickling answer takes 90 s in all.
+        assert time.monotonic() - start_s < 10 * TIMEOUT_MS / 1000
+        client.close()
+        thread.join()
+    assert isinstance(result, Success) == is_found, result
