--- a/src/eelgrassweir/daemon/app.py
+++ b/src/eelgrassweir/daemon/app.py
@@ -1,6 +1,7 @@
 """Application object of the daemon: it owns all parts and their life cycle."""
 
 import asyncio
+import pathlib
 import random
 import signal
 from collections.abc import Sequence
@@ -132,6 +133,7 @@
             make_sources(self, asyncio.get_running_loop()),
             clock=self.clock,
             isolation_limit_ms=settings.isolation_limit_ms,
+            token=read_token(settings.admin_token_path),
             registry=self.metrics.registry,
         )
         self.admin.start()
@@ -239,6 +241,10 @@
 
     def _judge_planned_stop(self, document: ConfigDocument) -> None:
         stop = document.stops.get(self.settings.vm)
+        # A stop that began before this process did was meant for the VM that
+        # this one replaces.
+        if stop is not None and stop.start_wall_ms < self.identity.started_wall_ms:
+            stop = None
         if stop is not None and self.clock.wall_ms() >= stop.start_wall_ms:
             self._begin_drain("planned stop")
         elif stop is None:
@@ -256,3 +262,8 @@
                 self._judge_planned_stop(self.control.config)
             age_ms = self.control.freshness_age_ms()
             self.metrics.config_age.set(-1 if age_ms is None else age_ms / 1e3)
+
+
+def read_token(path: str) -> str:
+    """Return the token in the file at ``path``; empty for no path."""
+    return pathlib.Path(path).read_text().strip() if path else ""
--- a/src/eelgrassweir/settings/generated.py
+++ b/src/eelgrassweir/settings/generated.py
@@ -46,6 +46,7 @@
     drain_notice_ms: int = 2000
     drain_limit_ms: int = 60000
     ratio_retry_percent: int = 10
+    admin_token_path: str = ""
     log_path: str = ""
     disabled_mechanisms: tuple[str, ...] = ()
     seed: int = 0
@@ -278,6 +279,12 @@
         minimum=0,
         maximum=100,
     ),
+    Field(
+        name="admin_token_path",
+        kind="string",
+        required=False,
+        pattern="^.*$",
+    ),
     Field(
         name="log_path",
         kind="string",
