--- a/src/eelgrassweir/daemon/app.py
+++ b/src/eelgrassweir/daemon/app.py
@@ -29,6 +29,11 @@
 
 TICK_MS = 100
 DRAIN_POLL_MS = 20
+# Callers take the answer that ends their connection and close it well within
+# this time; a silent one does not hold up the stop.
+CLOSE_LIMIT_MS = 1_500
+# The daemon beside a backend server that drains goes on to serve callers.
+BACKEND_DRAINS = "backend server drains"
 
 
 class Application:
@@ -144,13 +149,13 @@
         """Drain: let work in flight end, callers' answers included."""
         self._begin_drain("stop")
         started_ms = self.clock.now_ms()
-        notice_ms = self.settings.drain_notice_ms
-        await asyncio.sleep(notice_ms / 1e3)
-        self.requests.begin_close()
+        await asyncio.sleep(self.settings.drain_notice_ms / 1e3)
+        self.requests.refuse_callers()
         while self.requests.in_flight_calls():
             if self.clock.now_ms() - started_ms > self.settings.drain_limit_ms:
                 break
             await asyncio.sleep(DRAIN_POLL_MS / 1e3)
+        await self.requests.close_callers(CLOSE_LIMIT_MS)
         log_message(
             message_type="daemon:drained",
             vm=self.settings.vm,
@@ -215,20 +220,26 @@
         self.requests.backend.announce(announcement)
         self.requests.gate.set_slots(announcement.slots)
         if announcement.is_draining:
-            self._begin_drain("backend server drains")
+            self._begin_drain(BACKEND_DRAINS)
         else:
-            self._cancel_drain("backend server drains")
+            self._cancel_drain(BACKEND_DRAINS)
         self._announce()
 
     def _begin_drain(self, reason: str) -> None:
         if self.drain.begin(reason):
             log_message(message_type="daemon:drain", vm=self.settings.vm, reason=reason)
             self._announce()
+        self._tell_callers()
 
     def _cancel_drain(self, reason: str) -> None:
         if self.drain.cancel(reason):
             log_message(message_type="daemon:ready", vm=self.settings.vm)
             self._announce()
+        self._tell_callers()
+
+    def _tell_callers(self) -> None:
+        reasons = set(self.drain.reasons) - {BACKEND_DRAINS}
+        self.requests.announce_close(bool(reasons))
 
     def _announce(self) -> None:
         """Tell the fleet what stands beside this daemon."""
--- a/src/eelgrassweir/daemon/dispatch.py
+++ b/src/eelgrassweir/daemon/dispatch.py
@@ -43,6 +43,8 @@
     is_only_sender: bool = False
     accepts_from: int = 0
     tried: set[str] = attrs.field(factory=set)
+    # Targets whose link failed; over a new link they may still answer.
+    link_failed: set[str] = attrs.field(factory=set)
 
 
 class Dispatcher:
@@ -137,7 +139,7 @@
         self._ratio.record_first(call.service, self._clock.now_ms())
         result: HttpResponse | Refusal | None = None
         for _ in range(MAX_ATTEMPTS):
-            member = self._choose(call.service, call.tried)
+            member = self._choose_untried(call)
             if member is None:
                 break
             if result is not None and not self._may_retry(call, result):
@@ -152,6 +154,14 @@
             result = self._refuse("no_target", f"no target of {call.service} is ready")
         return self._final(call, result)
 
+    def _choose_untried(self, call: Call) -> control_pb2.Member | None:
+        """Return a target not tried yet, or one whose link failed under it."""
+        member = self._choose(call.service, call.tried)
+        if member is None and call.link_failed:
+            member = self._choose(call.service, call.tried - call.link_failed)
+            call.link_failed.clear()
+        return member
+
     def _may_retry(self, call: Call, result: HttpResponse | Refusal) -> bool:
         """Take what one more attempt costs."""
         if isinstance(result, Refusal) and result.code == "draining":
@@ -202,6 +212,7 @@
     ) -> Refusal:
         if not error.is_timeout or not error.maybe_sent:
             self._picker.record_failure(member.vm, self._clock.now_ms())
+            call.link_failed.add(member.vm)
         call.maybe_run = call.maybe_run or error.maybe_sent
         code = "outcome_unknown" if error.maybe_sent else "no_target"
         if error.is_timeout:
--- a/src/eelgrassweir/daemon/http_client.py
+++ b/src/eelgrassweir/daemon/http_client.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import enum
+from collections.abc import Callable
 
 import attrs
 import httptools
@@ -30,6 +31,9 @@
 
     sent: Sent = Sent.MAYBE_SENT
     is_timeout: bool = False
+    # A pooled connection carried no byte of the answer for a while; another
+    # exchange would use a new connection.
+    is_silent: bool = False
 
 
 class BackendClient:
@@ -42,21 +46,42 @@
         self._idle: list[BackendConnection] = []
         self._is_closed = False
 
-    async def exchange(self, request: HttpRequest, *, limit_ms: float) -> HttpResponse:
+    async def exchange(
+        self,
+        request: HttpRequest,
+        *,
+        limit_ms: float,
+        silence_ms: float = 0.0,
+        is_alive: Callable[[], bool] = bool,
+    ) -> HttpResponse:
         """Return the complete answer.
 
+        With ``silence_ms``, a pooled connection that carries no byte for this
+        long is given up sooner than ``limit_ms``, unless ``is_alive`` has seen
+        the backend server work on the request since it was last asked.
+
         :raises ExchangeError: without one; ``sent`` says whether the backend
             server can have seen the request.
         """
+        started_ms = self._clock.now_ms()
         connection = self._take_idle()
+        is_pooled = connection is not None
         if connection is None:
             connection = await self._connect(min(limit_ms, CONNECT_LIMIT_MS))
         is_complete = False
+        if is_pooled and 0 < silence_ms < limit_ms:
+            connection.watch(silence_ms, is_alive)
         try:
             async with asyncio.timeout(limit_ms / 1e3):
                 response = await connection.exchange(request)
             is_complete = True
+        except ExchangeError as error:
+            if error.is_silent:
+                self._distrust(started_ms)
+            raise
         except TimeoutError:
+            if is_pooled and not connection.has_received:
+                self._distrust(started_ms)
             raise ExchangeError(
                 "backend exchange",
                 self.address,
@@ -80,6 +105,16 @@
             connection.close()
         self._idle.clear()
 
+    def _distrust(self, started_ms: float) -> None:
+        """Close the connections that proved nothing since ``started_ms``.
+
+        What silences one connection silences others of its age with it.
+        """
+        for connection in self._idle:
+            if connection.idle_since_ms <= started_ms:
+                connection.close()
+        self._idle = [idle for idle in self._idle if idle.is_open]
+
     def _take_idle(self) -> "BackendConnection | None":
         oldest_ms = self._clock.now_ms() - REUSE_IDLE_MS
         while self._idle:
@@ -125,8 +160,12 @@
         self._body_limit_bytes = body_limit_bytes
         self._transport: asyncio.Transport | None = None
         self._done: asyncio.Future[HttpResponse] | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._was_heard = False
         self.idle_since_ms = 0.0
         self.is_reusable = False
+        # Whether bytes came in during this exchange.
+        self.has_received = False
 
     @property
     def is_open(self) -> bool:
@@ -144,8 +183,28 @@
         self._is_head = request.method == "HEAD"
         self._start_message()
         self.is_reusable = False
+        self.has_received = False
         self._transport.write(encode_request(request, self._address))
-        return await self._done
+        try:
+            return await self._done
+        finally:
+            if self._timer is not None:
+                self._timer.cancel()
+                self._timer = None
+
+    def watch(self, silence_ms: float, is_alive: Callable[[], bool]) -> None:
+        """Fail the next exchange when no byte arrives for ``silence_ms``."""
+        loop = asyncio.get_running_loop()
+        self._was_heard = False
+        self._timer = loop.call_later(
+            silence_ms / 1e3, self._check, silence_ms, is_alive
+        )
+
+    def _check(self, silence_ms: float, is_alive: Callable[[], bool]) -> None:
+        if is_alive() or self._was_heard:
+            self.watch(silence_ms, is_alive)
+            return
+        self._fail(f"silent for {silence_ms:.0f} ms", is_silent=True)
 
     def close(self) -> None:
         """Close at once; unsent bytes are dropped."""
@@ -167,6 +226,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail an exchange whose answer is not complete."""
         self._transport = None
+        self.is_reusable = False
         self._fail("connection closed before the answer was complete")
 
     def data_received(self, data: bytes) -> None:
@@ -176,6 +236,7 @@
             self.is_reusable = False
             self.close()
             return
+        self.has_received = self._was_heard = True
         with contextlib.suppress(asyncio.InvalidStateError):
             try:
                 self._parser.feed_data(data)
@@ -223,7 +284,9 @@
         response = HttpResponse(status, tuple(self._headers), bytes(self._body))
         self._done.set_result(response)
 
-    def _fail(self, reason: str) -> None:
+    def _fail(self, reason: str, *, is_silent: bool = False) -> None:
         if self._done is not None and not self._done.done():
-            error = ExchangeError("backend exchange", self._address, reason)
+            error = ExchangeError(
+                "backend exchange", self._address, reason, is_silent=is_silent
+            )
             self._done.set_exception(error)
--- a/src/eelgrassweir/daemon/http_server.py
+++ b/src/eelgrassweir/daemon/http_server.py
@@ -22,6 +22,21 @@
 IDLE_LIMIT_S = 75.0
 # A request whose bytes stop arriving is given up after this long.
 RECEIVE_LIMIT_S = 30.0
+# A connection that takes no bytes of its answers is given up after this long;
+# without a limit a silent one would keep its answer for good.
+WRITE_LIMIT_S = 10.0
+# After the last answer the connection is still read for this long, since
+# unread bytes would reset it and take the answer with them.
+LINGER_S = 1.0
+# Sent to an idle connection before it is closed. A request that crosses the
+# close is then answered, and its caller knows that it may send it again.
+CLOSING = Refusal(
+    code="draining",
+    not_run=False,
+    reason="the daemon closed this connection before it read the request",
+    step="receive",
+    peer="",
+)
 
 
 class HttpServer:
@@ -43,14 +58,21 @@
             lambda: HttpConnection(self), host, port, ssl=tls, backlog=1024
         )
 
-    def begin_close(self) -> None:
-        """Close each connection after its next answer."""
+    def announce_close(self, is_closing: bool = True) -> None:
+        """Say with each answer whether the connection ends with it."""
+        self.is_closing = is_closing
+
+    def close_idle(self) -> None:
+        """Close the connections on which no request is in progress."""
         self.is_closing = True
-        if self._server is not None:
-            self._server.close()
         for connection in list(self._connections):
             connection.close_if_idle()
 
+    def stop_listening(self) -> None:
+        """Refuse new connections."""
+        if self._server is not None:
+            self._server.close()
+
     @property
     def port(self) -> int:
         """Return the port of the listener; the settings may leave it open."""
@@ -58,11 +80,11 @@
         return int(self._server.sockets[0].getsockname()[1])
 
     async def stop(self) -> None:
-        """Stop listening and close what is open."""
+        """Stop listening and close at once what is open."""
         if self._server is not None:
             self._server.close()
         for connection in list(self._connections):
-            connection.close()
+            connection.abort()
 
     def opened(self, connection: "HttpConnection") -> None:
         """Note an open connection."""
@@ -72,6 +94,11 @@
         """Forget a closed connection."""
         self._connections.discard(connection)
 
+    @property
+    def busy_count(self) -> int:
+        """Return the connections with a request or an answer under way."""
+        return sum(connection.is_busy for connection in self._connections)
+
     @property
     def connection_count(self) -> int:
         """Return the number of open connections."""
@@ -89,6 +116,9 @@
         self._task: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._peer = ""
+        self._is_ended = False
+        self._can_write = asyncio.Event()
+        self._can_write.set()
         self._reset()
 
     def _reset(self) -> None:
@@ -97,6 +127,7 @@
         self._head_bytes = 0
         self._body = bytearray()
         self._refused = False
+        self._is_receiving = False
 
     # asyncio.Protocol
 
@@ -117,9 +148,17 @@
         if self._task is not None:
             self._task.cancel()
 
+    def pause_writing(self) -> None:
+        """Wait with further answers until the caller takes what was sent."""
+        self._can_write.clear()
+
+    def resume_writing(self) -> None:
+        """Go on with further answers."""
+        self._can_write.set()
+
     def data_received(self, data: bytes) -> None:
         """Feed the parser."""
-        if self._refused:
+        if self._refused or self._is_ended:
             return
         try:
             self._parser.feed_data(data)
@@ -133,6 +172,7 @@
     def on_message_begin(self) -> None:
         """Start a request."""
         self._reset()
+        self._is_receiving = True
         self._set_timer(RECEIVE_LIMIT_S)
 
     def on_url(self, url: bytes) -> None:
@@ -162,6 +202,7 @@
         """Queue the complete request."""
         if self._refused:
             return
+        self._is_receiving = False
         self._clear_timer()
         request = HttpRequest(
             method=self._parser.get_method().decode("ascii"),
@@ -187,23 +228,36 @@
                 close = not keep_alive or self._server.is_closing
                 is_head = request.method == "HEAD"
                 self._write(encode_response(response, is_head=is_head, close=close))
-                if close:
+                if close or (self._refused and not self._pending):
                     self.close()
                     return
+                await self._wait_for_room()
                 if self._transport is not None:
                     self._transport.resume_reading()
             self._set_timer(IDLE_LIMIT_S)
         finally:
             self._task = None
 
+    async def _wait_for_room(self) -> None:
+        """Give up a connection whose caller takes no bytes."""
+        if self._can_write.is_set():
+            return
+        try:
+            async with asyncio.timeout(WRITE_LIMIT_S):
+                await self._can_write.wait()
+        except TimeoutError:
+            self.abort()
+
     def _refuse(self, code: str, reason: str) -> None:
         self._refused = True
         refusal = Refusal(
             code=code, not_run=True, reason=reason, step="receive", peer=self._peer
         )
+        if self._task is not None:
+            # The requests before this one still get their answers.
+            return
         response = refusal_response(refusal)
-        if self._task is None:
-            self._write(encode_response(response, is_head=False, close=True))
+        self._write(encode_response(response, is_head=False, close=True))
         self.close()
 
     def _count_head(self, size_bytes: int) -> None:
@@ -212,23 +266,57 @@
             self._refuse("bad_request", f"head above {HEAD_LIMIT_BYTES} bytes")
 
     def _write(self, data: bytes) -> None:
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.write(data)
+        if self._transport is None or self._is_ended or self._transport.is_closing():
+            return
+        self._transport.write(data)
+
+    @property
+    def is_busy(self) -> bool:
+        """Return whether a request or an answer is under way."""
+        return (
+            self._task is not None
+            or bool(self._pending)
+            or self._is_receiving
+            or not self._is_flushed
+        )
+
+    @property
+    def _is_flushed(self) -> bool:
+        return self._transport is None or self._transport.get_write_buffer_size() == 0
 
     def close(self) -> None:
         """Close the connection after what was written."""
+        if self._transport is None or self._is_ended:
+            return
+        self._is_ended = True
+        if self._transport.can_write_eof():
+            self._transport.write_eof()
+            limit_s = LINGER_S if self._is_flushed else WRITE_LIMIT_S
+            self._set_timer(limit_s)
+            return
+        self._transport.close()
+        self._set_timer(WRITE_LIMIT_S)
+
+    def abort(self) -> None:
+        """Close at once; unsent bytes are dropped.
+
+        A silent caller never takes them, and a close would wait for that.
+        """
         if self._transport is not None:
-            self._transport.close()
+            self._transport.abort()
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request is in progress."""
-        if self._task is None and not self._pending:
-            self.close()
+        if self._is_ended or self.is_busy:
+            return
+        response = refusal_response(CLOSING)
+        self._write(encode_response(response, is_head=False, close=True))
+        self.close()
 
     def _set_timer(self, limit_s: float) -> None:
         self._clear_timer()
         loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(limit_s, self.close)
+        self._timer = loop.call_later(limit_s, self.abort)
 
     def _clear_timer(self) -> None:
         if self._timer is not None:
--- a/src/eelgrassweir/daemon/link_client.py
+++ b/src/eelgrassweir/daemon/link_client.py
@@ -49,7 +49,6 @@
         self._clock = clock
         self._streams: dict[int, asyncio.Future[Reply]] = {}
         self._next_stream_id = 1
-        self._timer: asyncio.TimerHandle | None = None
         self._last_received_ms = clock.now_ms()
         self._last_used_ms = self._last_received_ms
         self.hello: asyncio.Future[link_pb2.Hello] = (
@@ -68,13 +67,10 @@
             vm=self._options.vm, incarnation=self._options.incarnation
         )
         self.send(link_pb2.Frame(hello=hello))
-        self._schedule_ping()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail all requests in progress."""
         super().connection_lost(exc)
-        if self._timer is not None:
-            self._timer.cancel()
         self._fail_all("connection closed")
 
     def data_received(self, data: bytes) -> None:
@@ -145,13 +141,8 @@
             )
             self.hello.exception()
 
-    def _schedule_ping(self) -> None:
-        loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(self._options.ping_ms / 1e3, self._ping)
-
-    def _ping(self) -> None:
+    def check(self, now_ms: float) -> None:
         """Ping while requests wait; close a silent or unused connection."""
-        now_ms = self._clock.now_ms()
         if self._streams:
             if now_ms - self._last_received_ms > self._options.silence_ms:
                 self._fail_all(f"silent for {self._options.silence_ms} ms")
@@ -160,8 +151,6 @@
             self.send(link_pb2.Frame(ping=link_pb2.Ping(id=int(now_ms))))
         elif now_ms - self._last_used_ms > IDLE_LIMIT_MS:
             self.close()
-            return
-        self._schedule_ping()
 
 
 class LinkPool:
@@ -172,6 +161,9 @@
         self._clock = clock
         self._links: dict[tuple[str, str], LinkConnection] = {}
         self._connecting: dict[tuple[str, str], asyncio.Task[LinkConnection]] = {}
+        # One timer serves all links: a timer for each of several hundred idle
+        # links costs more than their requests.
+        self._timer: asyncio.TimerHandle | None = None
 
     async def call(
         self,
@@ -193,6 +185,8 @@
 
     def close(self) -> None:
         """Close all links."""
+        if self._timer is not None:
+            self._timer.cancel()
         for task in self._connecting.values():
             task.cancel()
         for link in self._links.values():
@@ -230,9 +224,26 @@
                 False,
                 is_timeout=True,
             ) from None
+        if self._timer is None:
+            self._schedule_check()
         self._links[key] = link
         return link
 
+    def _schedule_check(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(self._options.ping_ms / 1e3, self._check)
+
+    def _check(self) -> None:
+        """Check every link and forget the closed ones."""
+        now_ms = self._clock.now_ms()
+        for key, link in list(self._links.items()):
+            link.check(now_ms)
+            if not link.is_open:
+                del self._links[key]
+        self._timer = None
+        if self._links:
+            self._schedule_check()
+
     async def _connect(self, address: str, incarnation: str) -> LinkConnection:
         """Open a link and check who answers."""
         host, _, port = address.rpartition(":")
--- a/src/eelgrassweir/daemon/link_server.py
+++ b/src/eelgrassweir/daemon/link_server.py
@@ -4,21 +4,39 @@
 import ssl
 from collections.abc import Awaitable, Callable
 
-from eelgrassweir.daemon.link_client import FRAME_OVERHEAD_BYTES, LinkOptions, Reply
+from eelgrassweir.clock import Clock
+from eelgrassweir.daemon.link_client import (
+    FRAME_OVERHEAD_BYTES,
+    IDLE_LIMIT_MS,
+    LinkOptions,
+    Reply,
+)
 from eelgrassweir.daemon.link_frames import FrameProtocol
 from eelgrassweir.proto import link_pb2
 
+# The calling side closes a link without requests sooner, and pings one with
+# requests. A link that carries nothing for this long is silent or its peer is
+# gone, and the end of a silent link never arrives.
+SILENT_LIMIT_MS = IDLE_LIMIT_MS + 15_000
+# A caller that hears nothing for the silence limit has given up its requests.
+# The margin covers a pause of this process.
+ABANDONED_FACTOR = 3
+
 RequestHandler = Callable[[link_pb2.Request, str], Awaitable[Reply]]
 
 
 class LinkServer:
     """Accept links of other daemons."""
 
-    def __init__(self, options: LinkOptions, handler: RequestHandler) -> None:
+    def __init__(
+        self, options: LinkOptions, handler: RequestHandler, clock: Clock
+    ) -> None:
         self.options = options
         self.handler = handler
+        self.clock = clock
         self._server: asyncio.Server | None = None
         self._sessions: set[LinkSession] = set()
+        self._timer: asyncio.TimerHandle | None = None
 
     async def start(
         self, host: str, port: int, tls: ssl.SSLContext | None = None
@@ -28,6 +46,7 @@
         self._server = await loop.create_server(
             lambda: LinkSession(self), host, port, ssl=tls, backlog=1024
         )
+        self._schedule_check()
 
     @property
     def port(self) -> int:
@@ -37,11 +56,29 @@
 
     async def stop(self) -> None:
         """Stop listening and close all links."""
+        if self._timer is not None:
+            self._timer.cancel()
         if self._server is not None:
             self._server.close()
         for session in list(self._sessions):
             session.close()
 
+    @property
+    def busy_count(self) -> int:
+        """Return the requests without a reply and links with unsent bytes."""
+        return sum(session.busy_count for session in self._sessions)
+
+    def _schedule_check(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(self.options.silence_ms / 1e3, self._check)
+
+    def _check(self) -> None:
+        """Close silent links."""
+        now_ms = self.clock.now_ms()
+        for session in list(self._sessions):
+            session.check(now_ms)
+        self._schedule_check()
+
     def opened(self, session: "LinkSession") -> None:
         """Note an open link."""
         self._sessions.add(session)
@@ -59,6 +96,30 @@
         self._server = server
         self._tasks: dict[int, asyncio.Task[None]] = {}
         self._peer_vm = ""
+        self._last_received_ms = server.clock.now_ms()
+        # Consecutive checks that found requests but no bytes.
+        self._silent_checks = 0
+
+    @property
+    def busy_count(self) -> int:
+        """Return the requests in progress, or one while bytes are unsent."""
+        if self.transport is None:
+            return 0
+        return len(self._tasks) or int(self.transport.get_write_buffer_size() > 0)
+
+    def check(self, now_ms: float) -> None:
+        """Close a link that its peer has given up."""
+        silent_ms = now_ms - self._last_received_ms
+        is_silent = silent_ms > self._server.options.silence_ms
+        self._silent_checks = self._silent_checks + 1 if is_silent else 0
+        is_abandoned = bool(self._tasks) and self._silent_checks > ABANDONED_FACTOR
+        if is_abandoned or silent_ms > SILENT_LIMIT_MS:
+            self.close()
+
+    def data_received(self, data: bytes) -> None:
+        """Note that the peer is alive and split the frames."""
+        self._last_received_ms = self._server.clock.now_ms()
+        super().data_received(data)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Introduce this daemon."""
--- a/src/eelgrassweir/daemon/request_path.py
+++ b/src/eelgrassweir/daemon/request_path.py
@@ -1,5 +1,6 @@
 """Assembly of the request path: listeners, links and services."""
 
+import asyncio
 import random
 from collections.abc import Callable
 
@@ -16,7 +17,8 @@
 from eelgrassweir.daemon.egress import EgressService
 from eelgrassweir.daemon.entry import EntryService
 from eelgrassweir.daemon.gate import Gate
-from eelgrassweir.daemon.http_server import HttpServer
+from eelgrassweir.daemon.http_message import HttpRequest, HttpResponse, find_header
+from eelgrassweir.daemon.http_server import HttpServer, refusal_response
 from eelgrassweir.daemon.identity import Identity
 from eelgrassweir.daemon.link_client import LinkOptions, LinkPool
 from eelgrassweir.daemon.link_server import LinkServer
@@ -27,10 +29,13 @@
 from eelgrassweir.membership.table import MemberTable
 from eelgrassweir.requests.context import ContextTable
 from eelgrassweir.requests.record import RecordTable
+from eelgrassweir.requests.refusal import Refusal
 from eelgrassweir.retries.budget import RetryRatio
 from eelgrassweir.routing.picker import TargetPicker
 from eelgrassweir.settings.generated import Settings
 
+CLOSE_POLL_MS = 20
+
 
 @attrs.frozen(kw_only=True)
 class Surroundings:
@@ -60,6 +65,9 @@
     ) -> None:
         self._settings = settings
         self._drain = drain
+        self._clock = clock
+        self._vm = identity.vm
+        self._refuses_callers = False
         # Identifiers must differ between daemons and runs, whatever the seed.
         unique = random.SystemRandom()
         options = LinkOptions(
@@ -98,6 +106,7 @@
             contexts=self.contexts,
             drain=drain,
             metrics=metrics,
+            ratio=make_ratio(settings),
         )
         self.links = LinkPool(options, clock)
         # A pressure report of no life refuses nothing.
@@ -145,12 +154,12 @@
         )
         body_limit_bytes = settings.max_body_bytes
         self.ingress_server = HttpServer(
-            self.entry.handle, body_limit_bytes=body_limit_bytes
+            self._handle_caller, body_limit_bytes=body_limit_bytes
         )
         self.egress_server = HttpServer(
             self.egress.handle, body_limit_bytes=body_limit_bytes
         )
-        self.link_server = LinkServer(options, self.target.handle_frame)
+        self.link_server = LinkServer(options, self.target.handle_frame, clock)
 
     async def start(self) -> None:
         """Open the listeners."""
@@ -159,9 +168,44 @@
         await self.link_server.start(*split_address(settings.link_address))
         await self.ingress_server.start(*split_address(settings.ingress_address))
 
-    def begin_close(self) -> None:
-        """Take no new callers; connections close after their next answer."""
-        self.ingress_server.begin_close()
+    def announce_close(self, is_closing: bool) -> None:
+        """Tell callers whether their connections end with the next answer."""
+        self.ingress_server.announce_close(is_closing)
+
+    def refuse_callers(self) -> None:
+        """Refuse what callers send from now on; answers still go out."""
+        self._refuses_callers = True
+        self.ingress_server.announce_close(True)
+
+    async def close_callers(self, limit_ms: float) -> None:
+        """Close callers' connections, then the listener.
+
+        The listener closes last, since a connection that waits to be accepted
+        when it closes is reset.
+        """
+        self.ingress_server.close_idle()
+        end_ms = self._clock.now_ms() + limit_ms
+        while self.ingress_server.connection_count:
+            if self._clock.now_ms() > end_ms:
+                break
+            await asyncio.sleep(CLOSE_POLL_MS / 1e3)
+            self.ingress_server.close_idle()
+        self.ingress_server.stop_listening()
+
+    async def _handle_caller(self, request: HttpRequest) -> HttpResponse:
+        if not self._refuses_callers:
+            return await self.entry.handle(request)
+        # The ticket of a request stays with its home, which another entry
+        # reaches; a copy of it may have run there.
+        has_ticket = find_header(request.headers, "idempotency-key") is not None
+        refusal = Refusal(
+            code="draining",
+            not_run=not has_ticket,
+            reason="this VM is leaving; send the request to another",
+            step="entry",
+            peer=self._vm,
+        )
+        return refusal_response(refusal)
 
     async def stop(self) -> None:
         """Close listeners, links and connections."""
@@ -174,7 +218,15 @@
     def in_flight_calls(self) -> int:
         """Return the number of requests that the daemon still works on."""
         running = max(len(self.contexts), self.target.run_count)
-        return self.entry.in_flight_calls + running
+        # Calls that wait in the queue of the gate have no context yet, and an
+        # answer is under way until the kernel has taken it.
+        return (
+            self.entry.in_flight_calls
+            + running
+            + self.link_server.busy_count
+            + self.egress_server.busy_count
+            + self.ingress_server.busy_count
+        )
 
     def state(self) -> dict[str, object]:
         """Return the state for the dump."""
--- a/src/eelgrassweir/daemon/target.py
+++ b/src/eelgrassweir/daemon/target.py
@@ -19,12 +19,17 @@
 from eelgrassweir.requests.record import Answer, Record, RecordState, RecordTable
 from eelgrassweir.requests.refusal import Refusal
 from eelgrassweir.requests.ticket import Ticket, parse_ticket
-from eelgrassweir.retries.budget import RetryBudget
+from eelgrassweir.retries.budget import RetryBudget, RetryRatio
 
 PRIORITY_NAMES = ("background", "normal", "critical")
 # An attempt of an idempotent request may be repeated, so a connection that
 # carries no answer is given up before the caller's deadline.
 MIN_ATTEMPT_MS = 20
+# A pooled connection to the backend server that carries nothing for this part
+# of the attempt counts as silent; the rest is enough for a second exchange.
+SILENT_PART = 0.5
+# Second exchanges of all routes share one count.
+LOCAL = "local backend server"
 
 
 Delegate = Callable[[link_pb2.CallContext, HttpRequest], Awaitable["Reply"]]
@@ -46,6 +51,34 @@
     accepts_from: int
 
 
+@attrs.define
+class ChildActivity:
+    """Tell whether child calls show that a backend server is at work."""
+
+    admission: Admission
+    gate: Gate
+    running_calls: int = 0
+    has_changed: bool = False
+
+    def started(self) -> None:
+        """Note the start of a child call."""
+        self.running_calls += 1
+        self.has_changed = True
+        self.gate.child_started(self.admission)
+
+    def ended(self) -> None:
+        """Note the end of a child call."""
+        self.running_calls -= 1
+        self.has_changed = True
+        self.gate.child_ended(self.admission)
+
+    def is_seen(self) -> bool:
+        """Return whether a child call ran since this was last asked."""
+        is_seen = self.has_changed or self.running_calls > 0
+        self.has_changed = False
+        return is_seen
+
+
 class TargetService:
     """Queue, limit and run calls on the local backend server."""
 
@@ -62,7 +95,9 @@
         contexts: ContextTable,
         drain: Drain,
         metrics: Metrics,
+        ratio: RetryRatio,
     ) -> None:
+        self._ratio = ratio
         self._vm = vm
         self._incarnation = incarnation
         self._clock = clock
@@ -231,36 +266,57 @@
     ) -> Reply:
         """Send an admitted call to the backend server."""
         outcome = Outcome.CANCELLED
-        context_id = f"{self._rng.getrandbits(96):024x}"
+        children = ChildActivity(admission, self._gate)
         parent = ParentContext(
             context,
             deadline_ms,
             RetryBudget(context.retry_budget),
-            child_started=lambda: self._gate.child_started(admission),
-            child_ended=lambda: self._gate.child_ended(admission),
+            child_started=children.started,
+            child_ended=children.ended,
         )
-        self._contexts.add(context_id, parent)
         try:
-            result = await self._exchange(context, request, context_id, deadline_ms)
+            result = await self._exchange_in_context(request, parent, children)
+            if isinstance(result, ExchangeError) and self._may_repeat(result, parent):
+                result = await self._exchange_in_context(request, parent, children)
             outcome = outcome_of(result)
             if isinstance(result, ExchangeError):
                 refusal = self._refuse_failed(result)
                 return Reply(refusal, parent.budget.left_calls, parent.accepts_from)
             return Reply(result, parent.budget.left_calls, parent.accepts_from)
         finally:
-            self._contexts.remove(context_id)
             self._gate.leave(admission, outcome)
 
+    def _may_repeat(self, error: ExchangeError, parent: ParentContext) -> bool:
+        """Take a retry for a second exchange over a new connection."""
+        if not error.is_silent or not parent.budget.take():
+            return False
+        return self._ratio.take(LOCAL, self._clock.now_ms())
+
+    async def _exchange_in_context(
+        self, request: HttpRequest, parent: ParentContext, children: ChildActivity
+    ) -> HttpResponse | ExchangeError:
+        """Exchange once; child calls of it end with it."""
+        context_id = f"{self._rng.getrandbits(96):024x}"
+        self._contexts.add(context_id, parent)
+        try:
+            return await self._exchange(request, parent, children, context_id)
+        finally:
+            self._contexts.remove(context_id)
+
     async def _exchange(
         self,
-        context: link_pb2.CallContext,
         request: HttpRequest,
+        parent: ParentContext,
+        children: ChildActivity,
         context_id: str,
-        deadline_ms: float,
     ) -> HttpResponse | ExchangeError:
         client = self._backend.client
         assert client is not None
-        remaining_ms = deadline_ms - self._clock.now_ms()
+        context = parent.context
+        now_ms = self._clock.now_ms()
+        remaining_ms = parent.deadline_ms - now_ms
+        is_repeatable = context.idempotent and parent.budget.left_calls > 0
+        self._ratio.record_first(LOCAL, now_ms)
         headers = request.headers + (
             ("Eelgrassweir-Context", context_id),
             ("Eelgrassweir-Deadline-Ms", str(max(int(remaining_ms), 0))),
@@ -272,11 +328,16 @@
             headers += (("Idempotency-Key", context.ticket),)
         outbound = attrs.evolve(request, headers=headers)
         try:
-            return await client.exchange(
-                outbound, limit_ms=max(remaining_ms, MIN_ATTEMPT_MS)
+            response = await client.exchange(
+                outbound,
+                limit_ms=max(remaining_ms, MIN_ATTEMPT_MS),
+                silence_ms=remaining_ms * SILENT_PART if is_repeatable else 0.0,
+                is_alive=children.is_seen,
             )
         except ExchangeError as error:
             return error
+        self._ratio.record_success(LOCAL, self._clock.now_ms())
+        return response
 
     # Refusals
 
--- a/testing/daemon/test_link.py
+++ b/testing/daemon/test_link.py
@@ -27,7 +27,7 @@
     handler: Callable[[link_pb2.Request, str], Awaitable[Reply]] = echo,
 ) -> AsyncIterator[tuple[LinkPool, str]]:
     """Start a serving side and a pool that calls it."""
-    server = LinkServer(OPTIONS, handler)
+    server = LinkServer(OPTIONS, handler, Clock())
     await server.start("127.0.0.1", 0)
     pool = LinkPool(OPTIONS, Clock())
     try:
--- a/testing/fleet.py
+++ b/testing/fleet.py
@@ -73,6 +73,9 @@
 
     With ``proxied``, a TCP proxy sits in front of the link and control
     listeners of each daemon, under the names ``VM/link`` and ``VM/control``.
+    With ``fully_proxied``, others sit before the ingress listeners, the
+    backend servers and the store, as ``VM/ingress``, ``VM/backend`` and
+    ``store``.
     """
 
     def __init__(
@@ -81,6 +84,7 @@
         directory: pathlib.Path,
         *,
         proxied: bool = False,
+        fully_proxied: bool = False,
         seed: int = 1,
         settings: dict[str, Any] | None = None,
         spec: dict[str, Any] | None = None,
@@ -90,7 +94,9 @@
         self.shape = shape
         self.directory = directory
         self.seed = seed
-        self.proxy = TcpProxy() if proxied else None
+        self.proxy = TcpProxy() if proxied or fully_proxied else None
+        self._fully_proxied = fully_proxied
+        self._proxies: dict[str, str] = {}
         self.vms: dict[str, Vm] = {}
         self.store: subprocess.Popen[bytes] | None = None
         self.store_url = ""
@@ -346,13 +352,14 @@
         settings: dict[str, Any] = {
             "vm": name,
             "failure_domain": domain,
-            "store_urls": [self.store_url],
+            "store_urls": [self._proxied("store", self.store_url)],
             "log_path": str(self.directory / f"{name}.log"),
             "seed": self.seed * 1000 + position + 1,
             **addresses,
             **self.shape.settings,
             **self._settings,
         }
+        backend_port = self._free_port()
         if self.proxy is not None:
             for part in ("link", "control"):
                 settings[f"advertised_{part}_address"] = self.proxy.listen(
@@ -361,7 +368,10 @@
         spec: dict[str, Any] = {
             "service": service.name,
             "egress_address": addresses["egress_address"],
-            "port": self._free_port(),
+            "port": backend_port,
+            "announced_address": self._proxied(
+                f"{name}/backend", f"127.0.0.1:{backend_port}"
+            ),
             "slots": service.slots,
             "service_ms": service.service_ms,
             "seed": self.seed * 1000 + position + 1,
@@ -372,6 +382,19 @@
             spec["runs_path"] = str(self.directory / f"{name}.runs")
         return Vm(name, domain, service, settings, spec)
 
+    def _proxied(self, name: str, target: str) -> str:
+        """Return ``target``, or the address of its proxy."""
+        if self.proxy is None or not self._fully_proxied:
+            return target
+        scheme, separator, address = target.rpartition("://")
+        if name not in self._proxies:
+            self._proxies[name] = self.proxy.listen(name, address)
+        return f"{scheme}{separator}{self._proxies[name]}"
+
+    def entry_address(self, name: str) -> str:
+        """Return the address for callers, of the proxy if there is one."""
+        return self._proxied(f"{name}/ingress", self.vms[name].ingress_address)
+
     def _free_port(self) -> int:
         """Return a free port below the range of outgoing connections.
 
--- a/testing/stand_ins/backend_server.py
+++ b/testing/stand_ins/backend_server.py
@@ -57,6 +57,11 @@
     fail_status: int = 500
     payload_bytes: int = 100
     announce_ms: float = 1_000.0
+    # Address to announce where a proxy stands before the server.
+    announced_address: str = ""
+    # How answers go wrong, and how many of them do.
+    misbehaviour: str = ""
+    misbehave_percent: float = 100.0
     drain_limit_ms: float = 10_000.0
     # File to which each start of a run is added, so that runs still count
     # after the server was killed.
@@ -184,7 +189,7 @@
             return
         body = {
             "service": self.spec.service,
-            "address": self.address,
+            "address": self.spec.announced_address or self.address,
             "slots": self.spec.announced_slots or self.spec.slots,
             "state": self.spec.state,
         }
@@ -305,7 +310,17 @@
         run[1] += 1
         self.counts["completed"] += 1
         is_complete = all(child["status"] == 200 for child in children)
-        return _json(200 if is_complete else 502, self._answer(request, children))
+        answer = _json(200 if is_complete else 502, self._answer(request, children))
+        return self._misbehave(answer)
+
+    def _misbehave(self, answer: Response) -> Response:
+        spec = self.spec
+        if not spec.misbehaviour:
+            return answer
+        if self._random.uniform(0, 100) >= spec.misbehave_percent:
+            return answer
+        self.counts["misbehaved"] += 1
+        return attrs.evolve(answer, misbehaviour=spec.misbehaviour)
 
     def _service_s(self) -> float:
         spec = self.spec
--- a/testing/stand_ins/caller.py
+++ b/testing/stand_ins/caller.py
@@ -73,6 +73,8 @@
     resends: int = 0
     entry: str = ""
     reason: str = ""
+    # Attempts whose connection broke after the request was sent.
+    broken: int = 0
 
 
 def now_ms() -> float:
@@ -188,6 +190,7 @@
             outcome.status, outcome.whole = 0, False
             outcome.code = "closed" if isinstance(error, ExchangeError) else "timeout"
             outcome.reason = str(error)
+            outcome.broken += isinstance(error, ExchangeError) and error.sent
             outcome.not_run = isinstance(error, ExchangeError) and not error.sent
             outcome.never_run = outcome.never_run and outcome.not_run
             return {}
--- a/testing/stand_ins/http1.py
+++ b/testing/stand_ins/http1.py
@@ -47,6 +47,9 @@
     status: int
     body: bytes
     headers: Headers = attrs.field(factory=list)
+    # "cut", "cut_silently", "short_length", "long_length", "twice" or
+    # "twice_late"; empty sends the response as it is.
+    misbehaviour: str = ""
 
     def header(self, name: bytes) -> bytes:
         """Return the first value of ``name`` in any letter case, or empty."""
@@ -126,12 +129,38 @@
         self._task = None
         if self._transport is None:
             return
-        self._transport.write(_encode_response(response, keep_alive))
+        if response.misbehaviour:
+            self._misbehave(response)
+        else:
+            self._transport.write(_encode_response(response, keep_alive))
         if not keep_alive:
             self._transport.close()
         elif self._waiting:
             self._start_next()
 
+    def _misbehave(self, response: Response) -> None:
+        assert self._transport is not None
+        whole = _encode_response(response, True)
+        kind = response.misbehaviour
+        length = b"content-length: %d" % len(response.body)
+        if kind.startswith("cut"):
+            self._transport.write(whole[: -len(response.body) // 2])
+            if kind == "cut":
+                self._transport.close()
+        elif kind.endswith("_length"):
+            # Bytes beyond a short length stand where the next answer begins.
+            change = -10 if kind == "short_length" else 10
+            wrong = b"content-length: %d" % (len(response.body) + change)
+            self._transport.write(whole.replace(length, wrong, 1))
+        elif kind == "twice":
+            self._transport.write(whole * 2)
+        elif kind == "twice_late":
+            self._transport.write(whole)
+            transport = self._transport
+            asyncio.get_running_loop().call_later(0.002, transport.write, whole)
+        else:
+            raise ValueError(kind)
+
 
 def _encode_response(response: Response, keep_alive: bool) -> bytes:
     head = [
