Add TLS between daemons and towards callers

Link and control connections use mutual TLS with certificates of the fleet's own authority, which is also the answer to who may call the control side. Callers get TLS on the ingress listener. Files are loaded again when they change. The admin listener has a token and no TLS yet; https towards the store is passed to urllib3 and has no test yet.

--- a/src/eelgrassweir/daemon/app.py
+++ b/src/eelgrassweir/daemon/app.py
@@ -15,19 +15,23 @@
 from eelgrassweir.daemon.admin_bridge import make_sources
 from eelgrassweir.daemon.backend import Announcement
 from eelgrassweir.daemon.control import ControlPlane
+from eelgrassweir.daemon.control_client import Connect, open_channel, secure_connect
 from eelgrassweir.daemon.drain import DrainState
 from eelgrassweir.daemon.identity import make_identity
 from eelgrassweir.daemon.logs import open_log
 from eelgrassweir.daemon.metrics import Metrics
 from eelgrassweir.daemon.request_path import RequestPath, Surroundings
 from eelgrassweir.daemon.share_service import ShareService, Successor
+from eelgrassweir.daemon.tls import FLEET_NAME, FleetTls
 from eelgrassweir.daemon.tokens import TokenService
 from eelgrassweir.daemon.usage import UsageMeter
+from eelgrassweir.errors import StepError
 from eelgrassweir.proto import control_pb2
 from eelgrassweir.settings.generated import Settings
 from eelgrassweir.store.client import StoreClient
 
 TICK_MS = 100
+TLS_RELOAD_TICKS = 20
 DRAIN_POLL_MS = 20
 
 
@@ -45,8 +49,11 @@
         self.drain = DrainState(self.clock, notice_ms=settings.drain_notice_ms)
         self.usage = UsageMeter(self.clock)
         self.store = StoreClient(
-            settings.store_urls, timeout_ms=settings.store_timeout_ms
+            settings.store_urls,
+            timeout_ms=settings.store_timeout_ms,
+            ca_path=settings.store_ca_path,
         )
+        self.tls = FleetTls(settings)
         self.control = ControlPlane(
             settings,
             clock=self.clock,
@@ -59,6 +66,8 @@
             borrow=lambda request: self.shares.borrow(request),
             promise=lambda request: self.shares.promise(request),
             registry=self.metrics.registry,
+            connect=self._connect(),
+            credentials=self.tls.server_credentials(),
         )
         self.shares = ShareService(
             clock=self.clock,
@@ -88,6 +97,7 @@
             rng=rng,
             metrics=self.metrics,
             drain=self.drain,
+            tls=self.tls,
             surroundings=Surroundings(
                 config=lambda: self.control.config,
                 is_fresh=self.control.is_fresh,
@@ -169,6 +179,12 @@
         await self.control.stop()
         log_message(message_type="daemon:stop", vm=self.settings.vm)
 
+    def _connect(self) -> Connect:
+        """Return what opens channels to other daemons."""
+        if self.settings.fleet_cert_path:
+            return secure_connect(self.tls.channel_credentials, FLEET_NAME)
+        return open_channel
+
     # State
 
     def state(self) -> dict[str, object]:
@@ -250,10 +266,24 @@
         elif stop is None:
             self._cancel_drain("planned stop")
 
+    def _reload_tls(self) -> None:
+        """Follow changed certificates; keep the old ones on an error."""
+        try:
+            renewed = self.tls.reload()
+        except StepError as error:
+            log_message(message_type="daemon:tls_reload_failed", reason=str(error))
+            return
+        if renewed:
+            log_message(message_type="daemon:tls_reloaded", contexts=renewed)
+
     async def _run_ticks(self) -> None:
         """Look at what changes with time alone."""
+        ticks = 0
         while True:
             await asyncio.sleep(TICK_MS / 1e3)
+            ticks += 1
+            if ticks % TLS_RELOAD_TICKS == 0:
+                self._reload_tls()
             self._announce()
             is_holder = self.shares.is_holder()
             domain = self.settings.failure_domain if is_holder else ""
--- a/src/eelgrassweir/daemon/control.py
+++ b/src/eelgrassweir/daemon/control.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Coroutine, Sequence
 from typing import Any
 
+import grpc
 from eliot import log_message, write_traceback
 from prometheus_client import CollectorRegistry
 from returns.result import Failure, Result, Success
@@ -85,6 +86,7 @@
         promise: Promise | None = None,
         registry: CollectorRegistry | None = None,
         connect: Connect = open_channel,
+        credentials: grpc.ServerCredentials | None = None,
     ) -> None:
         self.port = 0
         self.metrics = ControlMetrics(registry or CollectorRegistry())
@@ -99,6 +101,7 @@
             on_config=on_config,
         )
         self._settings = settings
+        self._credentials = credentials
         self._on_relay = on_relay
         self._borrow = borrow
         self._promise = promise
@@ -131,7 +134,9 @@
             borrow=self._borrow,
             promise=self._promise,
         )
-        started = await start_server(self._settings.control_address, handlers)
+        started = await start_server(
+            self._settings.control_address, handlers, self._credentials
+        )
         if isinstance(started, Failure):
             raise started.failure()
         self._server, self.port = started.unwrap()
--- a/src/eelgrassweir/daemon/control_client.py
+++ b/src/eelgrassweir/daemon/control_client.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import Any
 
+import grpc
 import grpc.aio
 from returns.result import Failure, Result, Success
 
@@ -35,6 +36,18 @@
     return grpc.aio.insecure_channel(address, options=CHANNEL_OPTIONS)
 
 
+def secure_connect(
+    credentials: Callable[[], grpc.ChannelCredentials], name: str
+) -> Connect:
+    """Return a function that opens TLS channels to daemons of ``name``."""
+
+    def connect(address: str) -> grpc.aio.Channel:
+        options = (*CHANNEL_OPTIONS, ("grpc.ssl_target_name_override", name))
+        return grpc.aio.secure_channel(address, credentials(), options=options)
+
+    return connect
+
+
 def make_stub(channel: grpc.aio.Channel) -> Any:
     """Return the stub of the control service; the generated one is untyped."""
     make: Any = control_pb2_grpc.ControlStub
--- a/src/eelgrassweir/daemon/control_server.py
+++ b/src/eelgrassweir/daemon/control_server.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import attrs
+import grpc
 import grpc.aio
 from returns.result import Failure, Result, Success
 
@@ -68,7 +69,9 @@
 
 
 async def start_server(
-    address: str, handlers: ControlHandlers
+    address: str,
+    handlers: ControlHandlers,
+    credentials: grpc.ServerCredentials | None = None,
 ) -> Result[tuple[grpc.aio.Server, int], StepError]:
     """Listen on ``address``; return the server and its port."""
     options = (*CHANNEL_OPTIONS, ("grpc.so_reuseport", 0))
@@ -76,7 +79,10 @@
     register: Any = control_pb2_grpc.add_ControlServicer_to_server
     register(ControlServicer(handlers), server)
     try:
-        port = server.add_insecure_port(address)
+        if credentials is None:
+            port = server.add_insecure_port(address)
+        else:
+            port = server.add_secure_port(address, credentials)
     except RuntimeError as error:
         return Failure(StepError("listen on the control port", address, str(error)))
     await server.start()
--- a/src/eelgrassweir/daemon/link_client.py
+++ b/src/eelgrassweir/daemon/link_client.py
@@ -7,6 +7,7 @@
 
 from eelgrassweir.clock import Clock
 from eelgrassweir.daemon.link_frames import FrameProtocol
+from eelgrassweir.daemon.tls import FLEET_NAME
 from eelgrassweir.errors import StepError
 from eelgrassweir.proto import link_pb2
 
@@ -245,7 +246,7 @@
                     host.strip("[]"),
                     int(port),
                     ssl=self._options.tls,
-                    server_hostname="" if self._options.tls else None,
+                    server_hostname=FLEET_NAME if self._options.tls else None,
                 )
                 hello = await link.hello
         except TimeoutError:
--- a/src/eelgrassweir/daemon/request_path.py
+++ b/src/eelgrassweir/daemon/request_path.py
@@ -22,6 +22,7 @@
 from eelgrassweir.daemon.link_server import LinkServer
 from eelgrassweir.daemon.metrics import Metrics
 from eelgrassweir.daemon.target import TargetService
+from eelgrassweir.daemon.tls import FleetTls
 from eelgrassweir.daemon.tokens import TokenService
 from eelgrassweir.daemon.usage import UsageMeter
 from eelgrassweir.membership.table import MemberTable
@@ -56,10 +57,12 @@
         rng: random.Random,
         metrics: Metrics,
         drain: DrainState,
+        tls: FleetTls,
         surroundings: Surroundings,
     ) -> None:
         self._settings = settings
         self._drain = drain
+        self._tls = tls
         # Identifiers must differ between daemons and runs, whatever the seed.
         unique = random.SystemRandom()
         options = LinkOptions(
@@ -68,6 +71,7 @@
             ping_ms=settings.link_ping_ms,
             silence_ms=settings.link_silence_ms,
             body_limit_bytes=settings.max_body_bytes,
+            tls=tls.link_client.context if tls.link_client else None,
         )
         self.backend = LocalBackend(
             clock=clock,
@@ -156,8 +160,16 @@
         """Open the listeners."""
         settings = self._settings
         await self.egress_server.start(*split_address(settings.egress_address))
-        await self.link_server.start(*split_address(settings.link_address))
-        await self.ingress_server.start(*split_address(settings.ingress_address))
+        link_tls = self._tls.link_server
+        await self.link_server.start(
+            *split_address(settings.link_address),
+            link_tls.context if link_tls else None,
+        )
+        ingress_tls = self._tls.ingress
+        await self.ingress_server.start(
+            *split_address(settings.ingress_address),
+            ingress_tls.context if ingress_tls else None,
+        )
 
     def begin_close(self) -> None:
         """Take no new callers; connections close after their next answer."""
--- a/src/eelgrassweir/settings/generated.py
+++ b/src/eelgrassweir/settings/generated.py
@@ -47,6 +47,12 @@
     drain_limit_ms: int = 60000
     ratio_retry_percent: int = 10
     admin_token_path: str = ""
+    fleet_cert_path: str = ""
+    fleet_key_path: str = ""
+    fleet_ca_path: str = ""
+    ingress_cert_path: str = ""
+    ingress_key_path: str = ""
+    store_ca_path: str = ""
     log_path: str = ""
     disabled_mechanisms: tuple[str, ...] = ()
     seed: int = 0
@@ -285,6 +291,42 @@
         required=False,
         pattern="^.*$",
     ),
+    Field(
+        name="fleet_cert_path",
+        kind="string",
+        required=False,
+        pattern="^.*$",
+    ),
+    Field(
+        name="fleet_key_path",
+        kind="string",
+        required=False,
+        pattern="^.*$",
+    ),
+    Field(
+        name="fleet_ca_path",
+        kind="string",
+        required=False,
+        pattern="^.*$",
+    ),
+    Field(
+        name="ingress_cert_path",
+        kind="string",
+        required=False,
+        pattern="^.*$",
+    ),
+    Field(
+        name="ingress_key_path",
+        kind="string",
+        required=False,
+        pattern="^.*$",
+    ),
+    Field(
+        name="store_ca_path",
+        kind="string",
+        required=False,
+        pattern="^.*$",
+    ),
     Field(
         name="log_path",
         kind="string",
--- a/src/eelgrassweir/store/client.py
+++ b/src/eelgrassweir/store/client.py
@@ -73,11 +73,14 @@
     applied is not repeated: the caller reads back what is stored.
     """
 
-    def __init__(self, urls: Sequence[str], *, timeout_ms: int) -> None:
+    def __init__(
+        self, urls: Sequence[str], *, timeout_ms: int, ca_path: str = ""
+    ) -> None:
         if not urls:
             raise ValueError("the store client needs at least one URL")
         self._urls = tuple(url.rstrip("/") for url in urls)
         self._timeout_ms = timeout_ms
+        self._ca_path = ca_path or None
         self._lock = threading.Lock()
         self._preferred = 0
         self._pools: dict[str, urllib3.HTTPConnectionPool] = {}
@@ -217,10 +220,18 @@
         with self._lock:
             if url not in self._pools:
                 self._pools[url] = urllib3.connection_from_url(
-                    url, maxsize=_IDLE_CONNECTIONS, block=False
+                    url,
+                    maxsize=_IDLE_CONNECTIONS,
+                    block=False,
+                    **self._tls_options(url),
                 )
             return self._pools[url]
 
+    def _tls_options(self, url: str) -> dict[str, Any]:
+        if self._ca_path is None or not url.startswith("https:"):
+            return {}
+        return {"ca_certs": self._ca_path, "cert_reqs": "CERT_REQUIRED"}
+
     def _attempt(self, url: str, call: _Call) -> _Answer:
         limit_s = (self._timeout_ms + call.wait_ms) / 1000
         end_s = time.monotonic() + limit_s
