--- a/src/eelgrassweir/shares/borrower.py
+++ b/src/eelgrassweir/shares/borrower.py
@@ -9,14 +9,15 @@
 from eelgrassweir.proto import control_pb2
 from eelgrassweir.shares.permit import shortened_ms
 
-# Demand is covered for this long ahead. While all holders are short the time
-# shrinks, so that no token lies idle at one daemon while a request waits at
-# another. Spent tokens count against the burst until they are reported, so
-# reports follow the same time.
+# Demand is covered for this long ahead. While all holders run out of tokens
+# the time shrinks, so that no token lies idle at one daemon while a request
+# waits at another. A rate of 1000/s with a burst of 50 needs 20 ms.
 _MAX_AHEAD_MS = 250.0
-_MIN_AHEAD_MS = 10.0
+_MIN_AHEAD_MS = 20.0
 _SHRINK_FACTOR = 0.7
-_GROWTH_MS = 10.0
+_GROWTH_MS = 5.0
+# Spent tokens count against the burst until they are reported.
+_REPORT_MS = 100.0
 _SHORT_MEMORY_MS = 1000.0
 _RATE_MEMORY_MS = 500.0
 # A team with less demand than this and no tokens is forgotten.
@@ -327,7 +328,7 @@
             if not held.has_news():
                 continue
             state = self._teams.get(held.team)
-            wait_ms = _MAX_AHEAD_MS if state is None else state.ahead_ms
+            wait_ms = _REPORT_MS if state is None else min(_REPORT_MS, state.ahead_ms)
             if now_ms - held.unreported_since_ms >= wait_ms:
                 return now_ms - peer.last_sent_ms >= _MIN_GAP_MS
         return False
@@ -350,14 +351,19 @@
         """Adapt to whether the holder had as many tokens as were wanted."""
         team = grant.team
         state = self._teams.get(team)
-        if grant.tokens >= call.wanted.get(team, 0):
-            peer.short_at_ms.pop(team, None)
+        is_short = grant.tokens < call.wanted.get(team, 0)
+        if is_short:
+            retry_ms = max(grant.retry_after_ms, _MIN_GAP_MS)
+            peer.short_until_ms[team] = now_ms + retry_ms
+        else:
             peer.short_until_ms.pop(team, None)
+        # A wait after a full grant means that it emptied the bucket.
+        if not is_short and grant.retry_after_ms == 0:
+            peer.short_at_ms.pop(team, None)
             if state is not None:
                 state.grow_ahead()
             return
         peer.short_at_ms[team] = now_ms
-        peer.short_until_ms[team] = now_ms + max(grant.retry_after_ms, _MIN_GAP_MS)
         if state is not None and self._are_all_short(team, now_ms):
             state.shrink_ahead(now_ms)
 
--- a/src/eelgrassweir/shares/holder.py
+++ b/src/eelgrassweir/shares/holder.py
@@ -17,6 +17,12 @@
 # near one per this many ms, however many borrowers there are.
 _PACE_MS_PER_ASKER = 2
 _MIN_RETRY_MS = 10
+# Whole tokens are lent, so every part has on average half a token lying idle.
+# Bursts of 10 split over four domains refused 1% of the calls of a team within
+# its rate in tests; two domains at least keep one of them serving when the
+# other has no holder.
+_MIN_PART_CALLS = 4
+_MIN_SERVING_DOMAINS = 2
 _MAX_RETRY_MS = 60_000
 
 
@@ -93,8 +99,9 @@
 ) -> dict[str, Part]:
     """Split a team's rate and burst over the failure domains.
 
-    The bursts are integers that sum to ``burst_calls``. A domain whose burst
-    is zero could never grant a token, so its rate goes to the others.
+    The bursts are integers that sum to ``burst_calls``. A small burst goes to
+    a few domains only, and the rate with it, since a domain whose burst is
+    zero could never grant a token.
     """
     names = sorted(set(domains))
     if not names:
@@ -102,16 +109,16 @@
     # The start depends on the team so that remainders spread over domains.
     digest = hashlib.sha256(team.encode()).digest()
     start = int.from_bytes(digest[:4], "big") % len(names)
-    whole, rest = divmod(burst_calls, len(names))
-    bursts = {
-        names[(start + place) % len(names)]: whole + (place < rest)
-        for place in range(len(names))
-    }
-    serving = sum(1 for burst in bursts.values() if burst > 0)
-    return {
-        name: Part(rate_per_s=rate_per_s / serving if burst else 0.0, burst_calls=burst)
-        for name, burst in bursts.items()
-    }
+    serving = max(_MIN_SERVING_DOMAINS, burst_calls // _MIN_PART_CALLS)
+    serving = max(1, min(serving, len(names), burst_calls))
+    whole, rest = divmod(burst_calls, serving)
+    parts = dict.fromkeys(names, Part(rate_per_s=0.0, burst_calls=0))
+    for place in range(serving):
+        burst = whole + (place < rest)
+        rate = rate_per_s / serving if burst else 0.0
+        name = names[(start + place) % len(names)]
+        parts[name] = Part(rate_per_s=rate, burst_calls=burst)
+    return parts
 
 
 class ShareHolder:
@@ -183,7 +190,7 @@
         # With several borrowers, each leaves half for the others.
         room = whole if len(bucket.askers) == 1 else (whole + 1) // 2
         tokens = max(0, min(wanted, room))
-        retry_ms = 0 if tokens == wanted else self._retry_after_ms(bucket, tokens)
+        retry_ms = self._retry_after_ms(bucket, tokens)
         if tokens == 0:
             return self._answer(team, 0, 0, retry_ms)
         grant_id = self._next_id
