--- /dev/null
+++ b/testing/daemon/test_share_service.py
@@ -0,0 +1,395 @@
+"""Guard against two holders of one share, and against a share without one."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import attrs
+import pytest
+from returns.result import Failure, Result, Success
+
+from eelgrassweir.daemon.share_service import ShareService, Successor
+from eelgrassweir.errors import StepError
+from eelgrassweir.proto import control_pb2
+from eelgrassweir.settings.generated import Settings
+from testing.shares.virtual_time import LoopClock, run_inline, run_virtual
+
+LEASE_MS = 5000
+OUTAGE_MS = 60_000
+KEY = "shares/holder/oviedo"
+RECORD = "shares/record/oviedo"
+
+
+@attrs.frozen
+class Value:
+    value: str
+    revision: int
+
+
+@attrs.define
+class Lease:
+    ttl_ms: int
+    until_ms: float
+
+
+class FakeStore:
+    """Keep keys and leases; fail or lose replies on request."""
+
+    def __init__(self) -> None:
+        self.clock = LoopClock()
+        self.items: dict[str, tuple[Value, str]] = {}
+        self.leases: dict[str, Lease] = {}
+        self.revision = 0
+        self.is_down = False
+        self.lost_replies: set[str] = set()
+
+    def expire(self) -> None:
+        now_ms = self.clock.now_ms()
+        ended = [k for k, v in self.leases.items() if v.until_ms <= now_ms]
+        for lease_id in ended:
+            self.end_lease(lease_id)
+
+    def end_lease(self, lease_id: str) -> None:
+        self.leases.pop(lease_id, None)
+        bound = [k for k, (_, owner) in self.items.items() if owner == lease_id]
+        for key in bound:
+            del self.items[key]
+
+
+class StoreLink:
+    """Connection of one daemon to the store."""
+
+    def __init__(self, store: FakeStore) -> None:
+        self.store = store
+        self.is_cut = False
+
+    def run(self, step: str, call: Callable[[], Any]) -> Result[Any, StepError]:
+        error = Failure(StepError(step, "store", "no answer"))
+        if self.is_cut or self.store.is_down:
+            return error
+        self.store.expire()
+        result = call()
+        if step in self.store.lost_replies:
+            self.store.lost_replies.discard(step)
+            return error
+        return Success(result)
+
+    def get(self, key: str) -> Result[Any, StepError]:
+        return self.run("get", lambda: self.store.items.get(key, (None, ""))[0])
+
+    def put(
+        self, key: str, value: str, *, expect_revision: int, lease_id: str = ""
+    ) -> Result[int | None, StepError]:
+        def write() -> int | None:
+            known = self.store.items.get(key)
+            if (known[0].revision if known else 0) != expect_revision:
+                return None
+            if lease_id and lease_id not in self.store.leases:
+                return None
+            self.store.revision += 1
+            self.store.items[key] = (Value(value, self.store.revision), lease_id)
+            return self.store.revision
+
+        return self.run(f"put {key}", write)
+
+    def delete(self, key: str, *, expect_revision: int) -> Result[bool, StepError]:
+        def remove() -> bool:
+            known = self.store.items.get(key)
+            if known is None or known[0].revision != expect_revision:
+                return False
+            del self.store.items[key]
+            return True
+
+        return self.run("delete", remove)
+
+    def grant_lease(self, ttl_ms: int) -> Result[str, StepError]:
+        def grant() -> str:
+            self.store.revision += 1
+            lease_id = f"lease{self.store.revision}"
+            until_ms = self.store.clock.now_ms() + ttl_ms
+            self.store.leases[lease_id] = Lease(ttl_ms, until_ms)
+            return lease_id
+
+        return self.run("grant_lease", grant)
+
+    def renew_lease(self, lease_id: str) -> Result[bool, StepError]:
+        def renew() -> bool:
+            lease = self.store.leases.get(lease_id)
+            if lease is None:
+                return False
+            lease.until_ms = self.store.clock.now_ms() + lease.ttl_ms
+            return True
+
+        return self.run("renew_lease", renew)
+
+    def revoke_lease(self, lease_id: str) -> Result[None, StepError]:
+        return self.run("revoke_lease", lambda: self.store.end_lease(lease_id))
+
+
+@attrs.frozen
+class Team:
+    rate_per_s: float
+    burst_calls: int
+
+
+@attrs.frozen
+class Config:
+    version: int
+    teams: dict[str, Team]
+    failure_domains: tuple[str, ...]
+
+
+CONFIG = Config(1, {"fichero": Team(100.0, 40)}, ("bilbao", "oviedo"))
+
+
+class Domain:
+    """Relays of one failure domain, one store and the network between them."""
+
+    def __init__(self, count: int) -> None:
+        self.store = FakeStore()
+        self.clock = LoopClock()
+        self.links: dict[str, StoreLink] = {}
+        self.services: dict[str, ShareService] = {}
+        # Daemons that neither send nor get promises.
+        self.isolated: set[str] = set()
+        for index in range(count):
+            self.add(f"vm{index}")
+
+    def add(self, vm: str, incarnation: str = "1") -> ShareService:
+        self.links[vm] = StoreLink(self.store)
+        settings = Settings(
+            vm=vm,
+            failure_domain="oviedo",
+            store_urls=(),
+            control_address=vm,
+            admin_address="",
+            lease_ms=LEASE_MS,
+            outage_limit_ms=OUTAGE_MS,
+            ingress_address="",
+            egress_address="",
+            link_address="",
+        )
+        service = ShareService(
+            self.clock,
+            settings,
+            self.links[vm],
+            vm,
+            incarnation,
+            vm,
+            self.successors,
+            lambda address, request: self.send(vm, address, request),
+            lambda: CONFIG,
+        )
+        service.set_candidate(True)
+        self.services[vm] = service
+        return service
+
+    def successors(self) -> list[Successor]:
+        return [
+            Successor(vm=vm, incarnation="1", control_address=vm)
+            for vm in self.services
+        ]
+
+    async def send(
+        self, sender: str, address: str, request: control_pb2.PromiseRequest
+    ) -> Result[control_pb2.PromiseReply, StepError]:
+        await asyncio.sleep(0.001)
+        service = self.services.get(address)
+        if service is None or {sender, address} & self.isolated:
+            await asyncio.sleep(3600)
+        assert service is not None
+        return Success(await service.promise(request))
+
+    async def start(self) -> str:
+        """Start all relays and return the first holder, with successors."""
+        for service in self.services.values():
+            await service.start()
+        await self.until(lambda: self.holder() is not None, 2000)
+        await asyncio.sleep(LEASE_MS / 1000)
+        holder = self.holder()
+        assert holder is not None
+        return holder
+
+    def holders(self) -> list[str]:
+        return [vm for vm, service in self.services.items() if service.is_holder()]
+
+    def holder(self) -> str | None:
+        """Return the holder, and check that there is at most one."""
+        holders = self.holders()
+        assert len(holders) <= 1, holders
+        return holders[0] if holders else None
+
+    async def until(self, holds: Callable[[], bool], limit_ms: float) -> float:
+        """Wait for a state, checking all the while, and return the time."""
+        start_ms = self.clock.now_ms()
+        while not holds():
+            assert self.clock.now_ms() - start_ms < limit_ms, "deadline"
+            self.holder()
+            await asyncio.sleep(0.01)
+        return self.clock.now_ms() - start_ms
+
+    async def watch(self, span_ms: float) -> set[str | None]:
+        """Return who held the share at any time of the span."""
+        seen = set()
+        end_ms = self.clock.now_ms() + span_ms
+        while self.clock.now_ms() < end_ms:
+            seen.add(self.holder())
+            await asyncio.sleep(0.01)
+        return seen
+
+    def kill(self, vm: str) -> None:
+        """End a relay without a trace."""
+        service = self.services.pop(vm)
+        for task in service._tasks:
+            task.cancel()
+
+
+@pytest.fixture(autouse=True)
+def inline_store(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(asyncio, "to_thread", run_inline)
+
+
+def run(test: Callable[[Domain], Coroutine[Any, Any, None]], count: int = 3) -> None:
+    async def main() -> None:
+        domain = Domain(count)
+        await test(domain)
+        await asyncio.gather(*(s.stop() for s in domain.services.values()))
+
+    run_virtual(main())
+
+
+def test_dead_holder_is_replaced_by_a_named_successor_after_two_leases() -> None:
+    async def main(domain: Domain) -> None:
+        domain.kill(await domain.start())
+        took_ms = await domain.until(lambda: domain.holder() is not None, 12_000)
+        assert took_ms > LEASE_MS
+
+    run(main)
+
+
+def test_clean_stop_hands_over_at_once() -> None:
+    async def main(domain: Domain) -> None:
+        first = await domain.start()
+        await domain.services.pop(first).stop()
+        await domain.until(lambda: domain.holder() is not None, 1000)
+
+    run(main)
+
+
+def test_store_outage_stops_no_holder_and_starts_no_second() -> None:
+    """Guard the permit by promises, and the end of it at the outage limit."""
+
+    async def main(domain: Domain) -> None:
+        first = await domain.start()
+        domain.store.is_down = True
+        assert await domain.watch(OUTAGE_MS - 2 * LEASE_MS) == {first}
+        domain.store.is_down = False
+        assert await domain.watch(10 * LEASE_MS) == {first}
+        domain.store.is_down = True
+        await domain.until(lambda: domain.holder() is None, OUTAGE_MS)
+
+    run(main)
+
+
+def test_holder_cut_off_from_the_store_keeps_the_share_by_promises() -> None:
+    """Guard against a takeover by a relay that has promised to wait."""
+
+    async def main(domain: Domain) -> None:
+        first = await domain.start()
+        domain.links[first].is_cut = True
+        assert await domain.watch(OUTAGE_MS - 2 * LEASE_MS) == {first}
+
+    run(main)
+
+
+def test_isolated_holder_stops_before_a_successor_starts() -> None:
+    async def main(domain: Domain) -> None:
+        first = await domain.start()
+        domain.links[first].is_cut = True
+        domain.isolated.add(first)
+        await domain.until(lambda: domain.holder() is None, LEASE_MS)
+        await domain.until(lambda: domain.holder() is not None, 2 * LEASE_MS)
+        assert domain.holder() != first
+
+    run(main)
+
+
+def test_successor_that_lost_its_promises_waits_for_the_outage_limit() -> None:
+    """Guard against a restarted successor that has forgotten its promises."""
+
+    async def main(domain: Domain) -> None:
+        first = await domain.start()
+        domain.links[first].is_cut = True
+        await asyncio.sleep(LEASE_MS / 1000)
+        for vm in [vm for vm in domain.services if vm != first]:
+            domain.kill(vm)
+            await domain.add(vm, "2").start()
+        domain.links[first].is_cut = True
+        seen = await domain.watch(OUTAGE_MS - 3 * LEASE_MS)
+        assert seen <= {first, None}
+
+    run(main)
+
+
+@pytest.mark.parametrize(
+    "step", [f"put {KEY}", f"put {RECORD}", "grant_lease", "renew_lease"]
+)
+def test_lost_reply_of_the_store_is_survived(step: str) -> None:
+    async def main(domain: Domain) -> None:
+        domain.store.lost_replies.add(step)
+        for service in domain.services.values():
+            await service.start()
+        await domain.until(lambda: domain.holder() is not None, 4 * LEASE_MS)
+        first = domain.holder()
+        await asyncio.sleep(LEASE_MS / 1000)
+        domain.store.lost_replies.add(step)
+        # A relay that joins makes the holder write its record again.
+        domain.kill(next(vm for vm in domain.services if vm != first))
+        await domain.add("vm9").start()
+        assert await domain.watch(4 * LEASE_MS) == {first}
+
+    run(main)
+
+
+def test_replaced_lease_of_a_holder_delays_other_relays() -> None:
+    """Guard against a wait that began before the holder had a new lease."""
+
+    async def main(domain: Domain) -> None:
+        first = await domain.start()
+        before = domain.store.items[RECORD][0].revision
+        domain.store.end_lease(domain.store.items[KEY][1])
+        await domain.until(lambda: KEY in domain.store.items, LEASE_MS)
+        await asyncio.sleep(LEASE_MS / 1000)
+        assert domain.holder() == first
+        assert domain.store.items[RECORD][0].revision > before
+
+    run(main)
+
+
+def test_borrow_is_refused_without_a_permit_and_bounded_with_one() -> None:
+    async def main(domain: Domain) -> None:
+        first = await domain.start()
+        request = control_pb2.BorrowRequest(vm="entry", incarnation="1")
+        request.requests.add(team="fichero", wanted=30)
+        other = next(vm for vm in domain.services if vm != first)
+        assert not (await domain.services[other].borrow(request)).is_holder
+        reply = await domain.services[first].borrow(request)
+        # Half of the burst is the part of this failure domain.
+        assert [grant.tokens for grant in reply.grants] == [20]
+        again = await domain.services[first].borrow(request)
+        assert [grant.tokens for grant in again.grants] == [0]
+        domain.links[first].is_cut = True
+        domain.isolated.add(first)
+        await asyncio.sleep(LEASE_MS / 1000)
+        assert not (await domain.services[first].borrow(request)).is_holder
+
+    run(main)
+
+
+def test_relay_that_lost_its_place_hands_the_share_over() -> None:
+    async def main(domain: Domain) -> None:
+        first = await domain.start()
+        domain.services[first].set_candidate(False)
+        await domain.until(lambda: domain.holder() not in (None, first), 3000)
+
+    run(main)
--- /dev/null
+++ b/testing/daemon/test_tokens.py
@@ -0,0 +1,233 @@
+"""Guard against wrongful refusals and against costly borrowing."""
+
+import asyncio
+from collections.abc import Callable, Sequence
+from random import Random
+
+import attrs
+import pytest
+from returns.result import Failure, Result, Success
+
+from eelgrassweir.daemon.tokens import TokenService
+from eelgrassweir.errors import StepError
+from eelgrassweir.proto import control_pb2
+from eelgrassweir.shares.holder import ShareHolder, split_parts
+from testing.shares.virtual_time import LoopClock, run_virtual
+from testing.shares.window import worst_excess
+
+DOMAINS = ("bilbao", "santander", "oviedo", "donostia")
+WAIT_MS = 50
+Place = Callable[[float, Random], int]
+
+
+class Holders:
+    """Share holders of all domains behind a network with delays."""
+
+    def __init__(
+        self, random: Random, rate_per_s: float, burst_calls: int, teams: Sequence[str]
+    ) -> None:
+        self.random = random
+        self.clock = LoopClock()
+        self.loss_fraction = 0.0
+        self.silent: set[str] = set()
+        self.request_bytes = 0
+        now_ms = self.clock.now_ms()
+        self.holders = {}
+        for domain in DOMAINS:
+            parts = {
+                team: split_parts(rate_per_s, burst_calls, DOMAINS, team)[domain]
+                for team in teams
+            }
+            self.holders[domain] = ShareHolder(
+                epoch=domain, grant_life_ms=1000, now_ms=now_ms, parts=parts
+            )
+
+    async def borrow(
+        self, address: str, request: control_pb2.BorrowRequest
+    ) -> Result[control_pb2.BorrowReply, StepError]:
+        await asyncio.sleep(self.random.uniform(0.0003, 0.002))
+        if address in self.silent or self.random.random() < self.loss_fraction:
+            await asyncio.sleep(3600)
+        reply = self.answer(address, request)
+        self.request_bytes += request.ByteSize() + reply.ByteSize()
+        await asyncio.sleep(self.random.uniform(0.0003, 0.002))
+        if self.random.random() < self.loss_fraction:
+            return Failure(StepError("borrow", address, "connection lost"))
+        return Success(reply)
+
+    def answer(
+        self, address: str, request: control_pb2.BorrowRequest
+    ) -> control_pb2.BorrowReply:
+        holder = self.holders[address]
+        now_ms = self.clock.now_ms()
+        reply = control_pb2.BorrowReply(is_holder=True, holder_incarnation=address)
+        for report in request.reports:
+            holder.report(
+                request.vm, report.grant_id, report.spent, report.returned, now_ms
+            )
+        for item in request.requests:
+            grant = holder.grant(request.vm, item.team, item.wanted, now_ms)
+            reply.grants.add(**attrs.asdict(grant))
+        return reply
+
+
+@attrs.define
+class Bucket:
+    """One token bucket, as a measure of demand."""
+
+    rate_per_s: float
+    burst_calls: float
+    level_calls: float = attrs.field(init=False)
+    updated_ms: float = 0.0
+
+    def __attrs_post_init__(self) -> None:
+        self.level_calls = self.burst_calls
+
+    def take(self, now_ms: float) -> bool:
+        refill = self.rate_per_s * (now_ms - self.updated_ms) / 1000
+        self.level_calls = min(self.burst_calls, self.level_calls + refill)
+        self.updated_ms = now_ms
+        if self.level_calls < 1:
+            return False
+        self.level_calls -= 1
+        return True
+
+
+@attrs.frozen(kw_only=True)
+class Outcome:
+    """Result of a run."""
+
+    calls: int
+    refused: int
+    # Calls that one bucket for the whole fleet would have refused.
+    central_refused: int
+    borrow_calls: int
+    admitted_ms: list[float]
+    waits_ms: list[float]
+
+
+def make_service(holders: Holders, vm: str, domains: Sequence[str]) -> TokenService:
+    """Return the token service of one daemon."""
+    pairs = [(domain, domain) for domain in domains]
+    clock = holders.clock
+    return TokenService(clock, vm, "1", holders.borrow, lambda: pairs, WAIT_MS)
+
+
+def make_services(holders: Holders, count: int) -> list[TokenService]:
+    """Return the token services of ``count`` daemons, spread over domains."""
+    services = []
+    for index in range(count):
+        own = DOMAINS[index % len(DOMAINS)]
+        others = [domain for domain in DOMAINS if domain != own]
+        services.append(make_service(holders, f"vm{index}", (own, *others)))
+    return services
+
+
+async def drive(
+    holders: Holders,
+    services: list[TokenService],
+    *,
+    team: str,
+    calls_per_s: float,
+    seconds: float,
+    place: Place,
+    fits: Bucket,
+    central: Bucket,
+) -> Outcome:
+    """Send calls at random times to the daemons that ``place`` chooses.
+
+    Calls that do not fit into the bucket ``fits`` are left out.
+    """
+    random, clock = holders.random, holders.clock
+    # Buckets start empty; wait for them to fill.
+    await asyncio.sleep(30)
+    for service in services:
+        await service.start()
+    admitted_ms: list[float] = []
+    waits_ms: list[float] = []
+    refused = central_refused = 0
+
+    async def call(service: TokenService) -> None:
+        nonlocal refused
+        sent_ms = clock.now_ms()
+        decision = await service.take(team)
+        waits_ms.append(clock.now_ms() - sent_ms)
+        if decision.granted:
+            admitted_ms.append(clock.now_ms())
+            return
+        assert decision.retry_after_ms > 0
+        refused += 1
+
+    start_ms = clock.now_ms()
+    tasks = []
+    while clock.now_ms() - start_ms < seconds * 1000:
+        index = place((clock.now_ms() - start_ms) / 1000, random)
+        if fits.take(clock.now_ms()):
+            tasks.append(asyncio.create_task(call(services[index])))
+            central_refused += not central.take(clock.now_ms())
+        await asyncio.sleep(random.expovariate(calls_per_s))
+    await asyncio.gather(*tasks)
+    for service in services:
+        await service.stop()
+    borrow_calls = sum(service.borrow_calls for service in services)
+    return Outcome(
+        calls=len(tasks),
+        refused=refused,
+        central_refused=central_refused,
+        borrow_calls=borrow_calls,
+        admitted_ms=admitted_ms,
+        waits_ms=sorted(waits_ms),
+    )
+
+
+PLACES: dict[str, Place] = {
+    "one daemon": lambda _, random: 0,
+    "moving": lambda second, random: int(second) % 8,
+    "spread": lambda _, random: random.randrange(8),
+}
+
+
+@pytest.mark.parametrize("place", PLACES)
+@pytest.mark.parametrize(
+    ("rate_per_s", "burst_calls"), [(5, 10), (100, 50), (100, 25), (1000, 200)]
+)
+@pytest.mark.parametrize("seed", [1, 2])
+def test_team_within_its_rate_is_not_refused(
+    place: str, rate_per_s: float, burst_calls: int, seed: int
+) -> None:
+    """Guard against tokens that lie idle where no request needs them."""
+
+    async def main() -> Outcome:
+        holders = Holders(Random(seed), rate_per_s, burst_calls, ["fichero"])
+        return await drive(
+            holders,
+            make_services(holders, 8),
+            team="fichero",
+            calls_per_s=rate_per_s * float(__import__("os").environ.get("X", "0.8")),
+            seconds=min(60, 4000 / rate_per_s),
+            place=PLACES[place],
+            fits=Bucket(
+                *(
+                    (1e9, 1e9)
+                    if __import__("os").environ.get("NOFIT")
+                    else (rate_per_s * 0.8, burst_calls * 0.8)
+                )
+            ),
+            central=Bucket(rate_per_s, burst_calls),
+        )
+
+    outcome = run_virtual(main())
+    report(f"{place}, {rate_per_s}/s, burst {burst_calls}, seed {seed}", outcome)
+    assert worst_excess(outcome.admitted_ms, rate_per_s, burst_calls) <= 0
+    assert outcome.refused == 0
+
+
+def report(name: str, outcome: Outcome) -> None:
+    waits_ms = outcome.waits_ms
+    print(
+        f"{name}: {outcome.refused} of {outcome.calls} refused "
+        f"({outcome.central_refused} by one bucket), "
+        f"{outcome.borrow_calls / outcome.calls:.2f} borrow calls a call, "
+        f"wait p50 {waits_ms[len(waits_ms) // 2]:.1f} ms, "
+        f"p99 {waits_ms[len(waits_ms) * 99 // 100]:.1f} ms"
+    )
