--- a/src/eelgrassweir/shares/holder.py
+++ b/src/eelgrassweir/shares/holder.py
@@ -23,7 +23,7 @@
 # other has no holder.
 _MIN_PART_CALLS = 4
 _MIN_SERVING_DOMAINS = 2
-_MAX_RETRY_MS = 60_000
+_MAX_RETRY_MS = 10_000
 
 
 @attrs.frozen(kw_only=True)
