--- a/src/eelgrassweir/routing/picker.py
+++ b/src/eelgrassweir/routing/picker.py
@@ -8,6 +8,7 @@
 
 from eelgrassweir.proto import control_pb2, link_pb2
 
+READY = control_pb2.READY
 # A report ages between calls; after a second little of it is true.
 LOAD_HALF_LIFE_MS = 500.0
 # Load of an unknown target relative to its limit.
@@ -51,11 +52,7 @@
     ) -> control_pb2.Member | None:
         """Return a ready target, None if all are excluded or not ready."""
         self._chosen_ms = now_ms
-        ready = [
-            member
-            for member in members
-            if member.state == control_pb2.READY and member.vm not in excluded
-        ]
+        ready = [m for m in members if m.state == READY and m.vm not in excluded]
         usable = [m for m in ready if not self._is_skipped(m.vm, now_ms)] or ready
         near = [m for m in usable if m.failure_domain == own_domain]
         far = [m for m in usable if m.failure_domain != own_domain]
@@ -115,7 +112,10 @@
     ) -> control_pb2.Member | None:
         if len(members) < 2:
             return members[0] if members else None
-        first, second = self._random.sample(members, 2)
+        first_index = int(self._random.random() * len(members))
+        step = 1 + int(self._random.random() * (len(members) - 1))
+        first = members[first_index]
+        second = members[(first_index + step) % len(members)]
         if self._load(second, now_ms) < self._load(first, now_ms):
             return second
         return first
