Decrease less on refusals, at most once per usual latency

Cause: a refusal returns in 1 ms, so that a burst of them could decrease the limit to its floor within milliseconds.

--- a/src/eelgrassweir/admission/limit.py
+++ b/src/eelgrassweir/admission/limit.py
@@ -12,6 +12,8 @@
 HEALTHY_RATIO = 1.25
 SLOW_RATIO = 1.6
 DECREASE_FACTOR = 0.75
+# A refusal costs the backend server little, so the step is smaller.
+REFUSED_FACTOR = 0.9
 # Latency from concurrency falls with it. When so much less concurrency (three
 # decreases) leaves so much of the latency, the service itself is slow.
 USELESS_USE_FACTOR = 0.5
@@ -132,8 +134,11 @@
         # A call that started before the last decrease says nothing about it.
         if now_ms - latency_ms < self._decreased_ms:
             return
-        if outcome in (Outcome.REFUSED, Outcome.TIMEOUT):
-            self._decrease(now_ms)
+        if outcome is Outcome.TIMEOUT:
+            self._decrease(now_ms, DECREASE_FACTOR)
+            return
+        if outcome is Outcome.REFUSED:
+            self._record_refused(now_ms)
             return
         if not self._is_sample(latency_ms, outcome):
             return
@@ -143,6 +148,12 @@
         window.add(latency_ms, in_flight_calls)
         self._close_window(window, now_ms)
 
+    def _record_refused(self, now_ms: float) -> None:
+        # A refusal comes back early, so its own latency is no measure of when
+        # the last decrease shows.
+        if now_ms - self._decreased_ms >= (self.baseline_ms or 0.0):
+            self._decrease(now_ms, REFUSED_FACTOR)
+
     def _is_sample(self, latency_ms: float, outcome: Outcome) -> bool:
         if outcome is Outcome.OK:
             return True
@@ -207,19 +218,19 @@
         if is_useless or self._limit_calls <= self._floor_calls:
             self._baselines = [(now_ms, latency_ms)]
             return
-        self._decrease(now_ms)
+        self._decrease(now_ms, DECREASE_FACTOR)
 
     @property
     def _floor_calls(self) -> float:
         return min(FLOOR_CALLS, self._ceiling_calls)
 
-    def _decrease(self, now_ms: float) -> None:
+    def _decrease(self, now_ms: float, factor: float) -> None:
         if not self._is_slow:
             self._is_slow = True
-            self._climb_to_calls = self._limit_calls * DECREASE_FACTOR
+            self._climb_to_calls = self._limit_calls * factor
         self._decreased_ms = now_ms
         self._window = None
-        self._set_limit(self._limit_calls * DECREASE_FACTOR)
+        self._set_limit(self._limit_calls * factor)
 
     def _increase(self, peak_calls: int) -> None:
         self._is_slow = False
