--- a/src/eelgrassweir/shares/borrower.py
+++ b/src/eelgrassweir/shares/borrower.py
@@ -14,8 +14,8 @@
 # waits at another. A rate of 1000/s with a burst of 50 needs 20 ms.
 _MAX_AHEAD_MS = 250.0
 _MIN_AHEAD_MS = 20.0
-_SHRINK_FACTOR = 0.7
-_GROWTH_MS = float(__import__("os").environ.get("GROW","5"))
+_SHRINK_FACTOR = 0.4
+_GROWTH_MS = 5.0
 # Spent tokens count against the burst until they are reported.
 _REPORT_MS = 100.0
 _SHORT_MEMORY_MS = 1000.0
