--- a/src/eelgrassweir/shares/borrower.py
+++ b/src/eelgrassweir/shares/borrower.py
@@ -15,7 +15,7 @@
 _MAX_AHEAD_MS = 250.0
 _MIN_AHEAD_MS = 20.0
 _SHRINK_FACTOR = 0.7
-_GROWTH_MS = float(__import__("os").environ.get("GROW","5"))
+_GROWTH_MS = float(__import__("os").environ.get("GROW", "5"))
 # Spent tokens count against the burst until they are reported.
 _REPORT_MS = 100.0
 _SHORT_MEMORY_MS = 1000.0
--- a/testing/fleet.py
+++ b/testing/fleet.py
@@ -183,6 +183,13 @@
         counts: dict[str, int] = self._http.request("GET", url, timeout=5.0).json()
         return counts
 
+    def set_store_faults(self, **faults: Any) -> None:
+        """Change the faults of the store stand-in."""
+        url = f"{self.store_url}/stand-in/faults"
+        response = self._http.request("POST", url, json=faults, timeout=5.0)
+        if response.status != 200:
+            raise FleetError(f"store faults: {response.data!r}")
+
     # VMs.
 
     def start_vm(self, name: str, *, daemon: bool = True, backend: bool = True) -> None:
@@ -307,6 +314,7 @@
 
         def check() -> bool:
             nonlocal last
+            self._check_running()
             for vm, service in sorted(waiting):
                 last = f"{vm} -> {service}: {self._probe(vm, service, team.key)}"
                 if not last.endswith(": 200"):
@@ -319,6 +327,15 @@
         except FleetError as error:
             raise FleetError(f"not ready in {deadline_ms:.0f} ms: {last}") from error
 
+    def _check_running(self) -> None:
+        """Raise ``FleetError`` with the output of a process that ended."""
+        for vm in self.vms.values():
+            parts = ((vm.daemon, vm.name), (vm.backend, f"{vm.name}.backend"))
+            for process, log_name in parts:
+                if process is not None and process.poll() is not None:
+                    output = (self.directory / f"{log_name}.out").read_text()
+                    raise FleetError(f"{log_name} has ended: {output[-500:]}")
+
     def _probe(self, vm: str, service: str, key: str) -> str:
         headers = {"Authorization": f"Bearer {key}", "X-Marker": "ready"}
         try:
