--- a/src/eelgrassweir/daemon/http_server.py
+++ b/src/eelgrassweir/daemon/http_server.py
@@ -42,8 +42,17 @@
 class HttpServer:
     """Serve one listener and keep its open connections."""
 
-    def __init__(self, handler: Handler, *, body_limit_bytes: int) -> None:
+    def __init__(
+        self,
+        handler: Handler,
+        *,
+        body_limit_bytes: int,
+        idle_limit_s: float = IDLE_LIMIT_S,
+    ) -> None:
         self.handler = handler
+        self.idle_limit_s = idle_limit_s
+        self.receive_limit_s = min(idle_limit_s, RECEIVE_LIMIT_S)
+        self.write_limit_s = min(idle_limit_s, WRITE_LIMIT_S)
         self.body_limit_bytes = body_limit_bytes
         self.is_closing = False
         self._connections: set[HttpConnection] = set()
@@ -138,7 +147,7 @@
         peer = transport.get_extra_info("peername")
         self._peer = f"{peer[0]}:{peer[1]}" if peer else ""
         self._server.opened(self)
-        self._set_timer(IDLE_LIMIT_S)
+        self._set_timer(self._server.idle_limit_s)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request in progress; its caller is gone."""
@@ -173,7 +182,7 @@
         """Start a request."""
         self._reset()
         self._is_receiving = True
-        self._set_timer(RECEIVE_LIMIT_S)
+        self._set_timer(self._server.receive_limit_s)
 
     def on_url(self, url: bytes) -> None:
         """Collect the request target."""
@@ -234,7 +243,7 @@
                 await self._wait_for_room()
                 if self._transport is not None:
                     self._transport.resume_reading()
-            self._set_timer(IDLE_LIMIT_S)
+            self._set_timer(self._server.idle_limit_s)
         finally:
             self._task = None
 
@@ -243,7 +252,7 @@
         if self._can_write.is_set():
             return
         try:
-            async with asyncio.timeout(WRITE_LIMIT_S):
+            async with asyncio.timeout(self._server.write_limit_s):
                 await self._can_write.wait()
         except TimeoutError:
             self.abort()
@@ -291,11 +300,11 @@
         self._is_ended = True
         if self._transport.can_write_eof():
             self._transport.write_eof()
-            limit_s = LINGER_S if self._is_flushed else WRITE_LIMIT_S
+            limit_s = LINGER_S if self._is_flushed else self._server.write_limit_s
             self._set_timer(limit_s)
             return
         self._transport.close()
-        self._set_timer(WRITE_LIMIT_S)
+        self._set_timer(self._server.write_limit_s)
 
     def abort(self) -> None:
         """Close at once; unsent bytes are dropped.
--- a/src/eelgrassweir/daemon/request_path.py
+++ b/src/eelgrassweir/daemon/request_path.py
@@ -24,6 +24,7 @@
 from eelgrassweir.daemon.link_server import LinkServer
 from eelgrassweir.daemon.metrics import Metrics
 from eelgrassweir.daemon.target import TargetService
+from eelgrassweir.daemon.tls import FleetTls
 from eelgrassweir.daemon.tokens import TokenService
 from eelgrassweir.daemon.usage import UsageMeter
 from eelgrassweir.membership.table import MemberTable
@@ -61,6 +62,7 @@
         rng: random.Random,
         metrics: Metrics,
         drain: DrainState,
+        tls: FleetTls,
         surroundings: Surroundings,
     ) -> None:
         self._settings = settings
@@ -68,6 +70,7 @@
         self._clock = clock
         self._vm = identity.vm
         self._refuses_callers = False
+        self._tls = tls
         # Identifiers must differ between daemons and runs, whatever the seed.
         unique = random.SystemRandom()
         options = LinkOptions(
@@ -76,6 +79,7 @@
             ping_ms=settings.link_ping_ms,
             silence_ms=settings.link_silence_ms,
             body_limit_bytes=settings.max_body_bytes,
+            tls=tls.link_client.context if tls.link_client else None,
         )
         self.backend = LocalBackend(
             clock=clock,
@@ -154,7 +158,9 @@
         )
         body_limit_bytes = settings.max_body_bytes
         self.ingress_server = HttpServer(
-            self._handle_caller, body_limit_bytes=body_limit_bytes
+            self._handle_caller,
+            body_limit_bytes=body_limit_bytes,
+            idle_limit_s=settings.caller_idle_ms / 1e3,
         )
         self.egress_server = HttpServer(
             self.egress.handle, body_limit_bytes=body_limit_bytes
@@ -165,8 +171,16 @@
         """Open the listeners."""
         settings = self._settings
         await self.egress_server.start(*split_address(settings.egress_address))
-        await self.link_server.start(*split_address(settings.link_address))
-        await self.ingress_server.start(*split_address(settings.ingress_address))
+        link_tls = self._tls.link_server
+        await self.link_server.start(
+            *split_address(settings.link_address),
+            link_tls.context if link_tls else None,
+        )
+        ingress_tls = self._tls.ingress
+        await self.ingress_server.start(
+            *split_address(settings.ingress_address),
+            ingress_tls.context if ingress_tls else None,
+        )
 
     def announce_close(self, is_closing: bool) -> None:
         """Tell callers whether their connections end with the next answer."""
--- a/src/eelgrassweir/settings/generated.py
+++ b/src/eelgrassweir/settings/generated.py
@@ -43,10 +43,17 @@
     queue_limit_calls: int = 200
     pressure_ttl_ms: int = 500
     announce_ttl_ms: int = 5000
+    caller_idle_ms: int = 75000
     drain_notice_ms: int = 2000
     drain_limit_ms: int = 60000
     ratio_retry_percent: int = 10
     admin_token_path: str = ""
+    fleet_cert_path: str = ""
+    fleet_key_path: str = ""
+    fleet_ca_path: str = ""
+    ingress_cert_path: str = ""
+    ingress_key_path: str = ""
+    store_ca_path: str = ""
     log_path: str = ""
     disabled_mechanisms: tuple[str, ...] = ()
     seed: int = 0
@@ -258,6 +265,13 @@
         minimum=100,
         maximum=60000,
     ),
+    Field(
+        name="caller_idle_ms",
+        kind="integer",
+        required=False,
+        minimum=100,
+        maximum=3600000,
+    ),
     Field(
         name="drain_notice_ms",
         kind="integer",
@@ -285,6 +299,42 @@
         required=False,
         pattern="^.*$",
     ),
+    Field(
+        name="fleet_cert_path",
+        kind="string",
+        required=False,
+        pattern="^.*$",
+    ),
+    Field(
+        name="fleet_key_path",
+        kind="string",
+        required=False,
+        pattern="^.*$",
+    ),
+    Field(
+        name="fleet_ca_path",
+        kind="string",
+        required=False,
+        pattern="^.*$",
+    ),
+    Field(
+        name="ingress_cert_path",
+        kind="string",
+        required=False,
+        pattern="^.*$",
+    ),
+    Field(
+        name="ingress_key_path",
+        kind="string",
+        required=False,
+        pattern="^.*$",
+    ),
+    Field(
+        name="store_ca_path",
+        kind="string",
+        required=False,
+        pattern="^.*$",
+    ),
     Field(
         name="log_path",
         kind="string",
