--- a/src/eelgrassweir/daemon/control_client.py
+++ b/src/eelgrassweir/daemon/control_client.py
@@ -116,6 +116,11 @@
                 self._replace(address, channel, timeout_ms)
             reason = f"{error.code().name}: {error.details()}"
             return Failure(StepError(f"call {method}", address, reason))
+        except asyncio.CancelledError:
+            # The limit of the one who waits can end before that of the call,
+            # and the channel may be silent all the same.
+            self._replace(address, channel, timeout_ms)
+            raise
         except (grpc.aio.UsageError, grpc.aio.InternalError) as error:
             self._replace(address, channel, timeout_ms)
             return Failure(StepError(f"call {method}", address, str(error)))
--- a/src/eelgrassweir/daemon/http_client.py
+++ b/src/eelgrassweir/daemon/http_client.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import enum
+import math
 from collections.abc import Callable
 
 import attrs
@@ -16,6 +17,12 @@
 # A backend server may close an idle connection at any moment. A request that
 # must not be lost to that race takes a connection used this recently.
 REUSE_IDLE_MS = 2_000
+# A second answer to one request would be taken for that to the next. One that
+# comes within this time finds the connection idle and closes it.
+REST_MS = 50
+# A backend server that sent bytes that nobody asked for gets one request a
+# connection for this long.
+DISTRUST_MS = 60_000
 
 
 class Sent(enum.Enum):
@@ -43,8 +50,10 @@
         self.address = address
         self._clock = clock
         self._body_limit_bytes = body_limit_bytes
+        # In the order in which the connections became idle.
         self._idle: list[BackendConnection] = []
         self._is_closed = False
+        self._reuse_from_ms = -math.inf
 
     async def exchange(
         self,
@@ -91,13 +100,31 @@
         finally:
             # After anything but a complete exchange a late answer could be
             # taken for that of the next request.
-            if is_complete and connection.is_reusable and not self._is_closed:
+            if is_complete and self._may_reuse(connection):
                 connection.idle_since_ms = self._clock.now_ms()
                 self._idle.append(connection)
             else:
                 connection.close()
         return response
 
+    def _may_reuse(self, connection: "BackendConnection") -> bool:
+        if self._is_closed or not connection.is_reusable:
+            return False
+        return self._clock.now_ms() >= self._reuse_from_ms
+
+    def _note_unasked(self, connection: "BackendConnection") -> None:
+        """Stop to reuse connections to a server that is out of step."""
+        now_ms = self._clock.now_ms()
+        if connection in self._idle:
+            self._idle.remove(connection)
+            # Some servers say 408 before they close an idle connection.
+            if now_ms - connection.idle_since_ms > REUSE_IDLE_MS:
+                return
+        self._reuse_from_ms = now_ms + DISTRUST_MS
+        for connection in self._idle:
+            connection.close()
+        self._idle.clear()
+
     def close(self) -> None:
         """Close idle connections; exchanges in progress end on their own."""
         self._is_closed = True
@@ -116,12 +143,26 @@
         self._idle = [idle for idle in self._idle if idle.is_open]
 
     def _take_idle(self) -> "BackendConnection | None":
-        oldest_ms = self._clock.now_ms() - REUSE_IDLE_MS
-        while self._idle:
-            connection = self._idle.pop()
-            if connection.is_open and connection.idle_since_ms >= oldest_ms:
+        """Return the connection that became idle last and has rested."""
+        now_ms = self._clock.now_ms()
+        if self._idle and now_ms - self._idle[0].idle_since_ms > REUSE_IDLE_MS:
+            self._idle.pop(0).close()
+        for index in range(len(self._idle) - 1, -1, -1):
+            connection = self._idle[index]
+            idle_ms = now_ms - connection.idle_since_ms
+            if not connection.is_open:
+                del self._idle[index]
+            elif idle_ms > REUSE_IDLE_MS:
+                break
+            elif idle_ms >= REST_MS:
+                del self._idle[index]
                 return connection
+        else:
+            return None
+        # What became idle before this one is too old as well.
+        for connection in self._idle[: index + 1]:
             connection.close()
+        del self._idle[: index + 1]
         return None
 
     async def _connect(self, limit_ms: float) -> "BackendConnection":
@@ -130,7 +171,9 @@
         try:
             async with asyncio.timeout(limit_ms / 1e3):
                 _, connection = await loop.create_connection(
-                    lambda: BackendConnection(self.address, self._body_limit_bytes),
+                    lambda: BackendConnection(
+                        self.address, self._body_limit_bytes, self._note_unasked
+                    ),
                     host.strip("[]"),
                     int(port),
                 )
@@ -155,7 +198,15 @@
 class BackendConnection(asyncio.Protocol):
     """Carry one exchange at a time."""
 
-    def __init__(self, address: str, body_limit_bytes: int) -> None:
+    def __init__(
+        self,
+        address: str,
+        body_limit_bytes: int,
+        on_unasked: Callable[["BackendConnection"], None],
+    ) -> None:
+        self._on_unasked = on_unasked
+        self._response: HttpResponse | None = None
+        self._is_out_of_step = False
         self._address = address
         self._body_limit_bytes = body_limit_bytes
         self._transport: asyncio.Transport | None = None
@@ -184,6 +235,8 @@
         self._start_message()
         self.is_reusable = False
         self.has_received = False
+        self._response = None
+        self._is_out_of_step = False
         self._transport.write(encode_request(request, self._address))
         try:
             return await self._done
@@ -235,16 +288,29 @@
             # Bytes that nobody asked for: the connection is out of step.
             self.is_reusable = False
             self.close()
+            self._on_unasked(self)
             return
         self.has_received = self._was_heard = True
         with contextlib.suppress(asyncio.InvalidStateError):
             try:
                 self._parser.feed_data(data)
             except httptools.HttpParserError as error:
+                # After a whole answer these are bytes beyond its length: the
+                # length was wrong, and so is the answer.
                 self._fail(f"not HTTP/1.1 ({type(error).__name__})")
+            if self._is_out_of_step:
+                self.is_reusable = False
+                self._on_unasked(self)
+            if self._response is not None and not self._done.done():
+                self._done.set_result(self._response)
 
     # httptools callbacks
 
+    def on_message_begin(self) -> None:
+        """Notice a second answer."""
+        if self._response is not None:
+            self._is_out_of_step = True
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a field."""
         field = name.decode("latin-1")
@@ -278,11 +344,10 @@
         self._finish(status)
 
     def _finish(self, status: int) -> None:
-        if self._done is None or self._done.done():
+        if self._response is not None:
             return
         self.is_reusable = self._parser.should_keep_alive() and not self._is_head
-        response = HttpResponse(status, tuple(self._headers), bytes(self._body))
-        self._done.set_result(response)
+        self._response = HttpResponse(status, tuple(self._headers), bytes(self._body))
 
     def _fail(self, reason: str, *, is_silent: bool = False) -> None:
         if self._done is not None and not self._done.done():
--- a/testing/promises/load.py
+++ b/testing/promises/load.py
@@ -1,6 +1,7 @@
 """Open-loop load for the proofs, and what its callers saw."""
 
 import collections
+import itertools
 from collections.abc import Iterable
 
 from experiments.harness import Event, Load, run_load
@@ -8,6 +9,8 @@
 from testing.stand_ins.caller import Outcome, Stream
 
 SEED = 11
+# Markers of requests come from the seed, and no two loads share them.
+_seeds = itertools.count(SEED)
 # A refused attempt goes to another entry; with five entries and one of them
 # gone, this many resends all meet the same one in 1 of 400,000 cases.
 RESENDS = 8
@@ -48,11 +51,12 @@
 ) -> Load:
     """Run the load through ``entries``, by default all; print a summary."""
     addresses = [fleet.vms[vm].ingress_address for vm in entries]
+    seed = next(_seeds)
     result = run_load(
         fleet,
         streams,
         duration_ms,
-        seed=SEED,
+        seed=seed,
         name=name,
         entries=addresses,
         events=events,
@@ -62,7 +66,7 @@
     slowest_ms = max(one.end_ms - one.start_ms for one in result.outcomes)
     broken = sum(one.broken for one in result.outcomes)
     print(
-        f"{name} (seed {SEED}): {dict(summary)}, broken attempts {broken}, "
+        f"{name} (seed {seed}): {dict(summary)}, broken attempts {broken}, "
         f"slowest {slowest_ms:.0f} ms"
     )
     return result
--- /dev/null
+++ b/testing/promises/test_whole_answers.py
@@ -0,0 +1,160 @@
+"""Guard against answers that are cut, crossed, late or of another request."""
+
+import collections
+from collections.abc import Iterator
+
+import attrs
+import pytest
+
+from testing.fleet import Fleet, wait_until
+from testing.promises.load import kind_of, load, make_streams
+from testing.promises.shapes import QUICK_SETTINGS
+from testing.shapes import ServiceShape, Shape, TeamShape
+from testing.stand_ins.caller import Outcome
+
+pytestmark = pytest.mark.processes
+
+# Larger than what one read of a socket returns, so that answers arrive in
+# parts and many are under way at a time.
+PAYLOAD_BYTES = 100_000
+HONEST = {
+    "whole",
+    "outcome_unknown",
+    "backend_failed",
+    "deadline_exceeded",
+    "no_target",
+    "overloaded",
+    "retry_budget_exhausted",
+    "draining",
+}
+
+SHAPE = Shape(
+    name="whole",
+    failure_domains=("bilbao", "santander"),
+    services=(
+        ServiceShape(name="fichero", targets=2, slots=20, service_ms=5),
+        ServiceShape(name="registro", targets=2, slots=20, service_ms=5),
+    ),
+    teams=(TeamShape(name="academia", rate_per_s=2_000.0, burst_calls=2_000),),
+    capacity_per_s=500.0,
+    settings=QUICK_SETTINGS,
+)
+
+
+@pytest.fixture(scope="module")
+def shared(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Fleet]:
+    directory = tmp_path_factory.mktemp("whole")
+    with Fleet(SHAPE, directory, keep_runs=True) as fleet:
+        fleet.wait_ready()
+        yield fleet
+
+
+@pytest.fixture
+def fleet(shared: Fleet) -> Iterator[Fleet]:
+    """Return the shared fleet with every VM running as it should."""
+    shared.repair()
+    shared.wait_ready()
+    for vm in shared.vms:
+        shared.set_backend(
+            vm, misbehaviour="", slowdown=1.0, payload_bytes=PAYLOAD_BYTES
+        )
+    yield shared
+    shared.repair()
+
+
+def assert_whole_or_honest(
+    fleet: Fleet, outcomes: list[Outcome], honest: set[str] = HONEST
+) -> None:
+    """Check answers against their markers, and filings against their runs."""
+    runs = collections.Counter(fleet.run_lines())
+    for one in outcomes:
+        # A status of 200 with the answer to another request, or with a part
+        # of an answer, is neither whole nor refused.
+        assert kind_of(one) in honest, one
+        if one.kind == "file":
+            started = runs[f"POST /fichero/file {one.marker}"]
+            assert started <= 1, one
+            assert started == 1 or not one.whole, one
+            assert started == 0 or not one.never_run, one
+
+
+def wait_for_runs(fleet: Fleet, vm: str, count: int) -> None:
+    """Wait until the backend server of ``vm`` has started more runs."""
+    path = fleet.directory / f"{vm}.runs"
+    before = len(path.read_text().splitlines())
+    wait_until(
+        lambda: len(path.read_text().splitlines()) >= before + count,
+        10_000,
+        f"work at {vm} after its restart",
+    )
+
+
+@pytest.mark.parametrize(
+    "misbehaviour",
+    ["cut", "cut_silently", "short_length", "long_length", "twice", "twice_late"],
+)
+def test_backend_server_that_breaks_some_answers(
+    fleet: Fleet, misbehaviour: str
+) -> None:
+    """Half of the answers of one target are wrong; the other target is well.
+
+    Bytes beyond a length that is too short, and second answers, must not
+    become a part of the answer to the next request.
+    """
+    fleet.set_backend("fichero-1", misbehaviour=misbehaviour, misbehave_percent=50.0)
+    streams = make_streams(fleet, views_per_s=40.0, filings_per_s=20.0)
+    streams = [attrs.evolve(stream, resends=0) for stream in streams]
+    result = load(fleet, streams, 2_000, name=misbehaviour)
+    assert fleet.backend_state("fichero-1")["counts"]["misbehaved"] > 0
+    assert_whole_or_honest(fleet, result.outcomes)
+    views = [one for one in result.outcomes if one.kind == "view"]
+    served = sum(one.whole for one in views) / len(views)
+    print(f"{misbehaviour}: {100 * served:.1f}% of reads whole")
+    if misbehaviour.startswith("twice"):
+        assert all(one.whole for one in result.outcomes)
+
+
+def test_answers_that_come_after_their_timeout(fleet: Fleet) -> None:
+    """Connections with a late answer must not serve the next request."""
+    fleet.set_backend("fichero-1", slowdown=100.0, stop_on_deadline=False)
+    fleet.set_backend("fichero-2", slowdown=100.0, stop_on_deadline=False)
+    streams = [
+        attrs.evolve(stream, patience_ms=500.0, resends=1)
+        for stream in make_streams(fleet, views_per_s=20.0, filings_per_s=10.0)
+    ]
+    quick = [
+        attrs.evolve(stream, path="/registro/view")
+        for stream in make_streams(fleet, views_per_s=40.0)[:1]
+    ]
+    result = load(fleet, streams + quick, 3_000, name="late")
+    honest = HONEST | {"gave_up"}
+    assert_whole_or_honest(fleet, result.outcomes, honest)
+    assert any(not one.whole for one in result.outcomes)
+
+
+@pytest.mark.parametrize("part", ["backend", "daemon", "vm"])
+def test_restart_at_the_same_address_while_answers_are_under_way(
+    fleet: Fleet, part: str
+) -> None:
+    """Callers resend; nobody gets an answer of the process before."""
+
+    def restart(fleet: Fleet) -> None:
+        is_daemon, is_backend = part != "backend", part != "daemon"
+        for _ in range(2):
+            fleet.kill("fichero-1", daemon=is_daemon, backend=is_backend)
+            fleet.start_vm("fichero-1", daemon=is_daemon, backend=is_backend)
+            wait_for_runs(fleet, "fichero-1", 10)
+
+    others = tuple(vm for vm in fleet.vms if vm != "fichero-1")
+    streams = make_streams(fleet, views_per_s=60.0, filings_per_s=20.0)
+    result = load(
+        fleet,
+        streams,
+        5_000,
+        name=f"restart-{part}",
+        events=[(700.0, restart)],
+        entries=others,
+    )
+    assert_whole_or_honest(fleet, result.outcomes)
+    views = [one for one in result.outcomes if one.kind == "view"]
+    assert all(one.whole for one in views)
