--- a/src/eelgrassweir/cli/commands.py
+++ b/src/eelgrassweir/cli/commands.py
@@ -210,14 +210,37 @@
         status = self._client().get("/status")
         self._show(status, lambda: status_text(status))
 
-    def dump(self) -> Action:
-        """Show the whole state of the daemon as JSON."""
-        return Action(self._dump)
+    @SetParseFn(str)  # type: ignore[untyped-decorator]
+    def dump(self, vm: str = "") -> Action:
+        """Show the whole state of the daemon of VM, or of --admin, as JSON."""
+        return Action(lambda: self._dump(vm))
 
-    def _dump(self) -> None:
-        state = self._client().get("/dump")
+    def _dump(self, vm: str) -> None:
+        client = self._client()
+        if vm:
+            client = self._client_of(client, vm)
+        state = client.get("/dump")
         print(json_module.dumps(state, indent=1, sort_keys=True))
 
+    def _client_of(self, client: AdminClient, vm: str) -> AdminClient:
+        """Return a client for the daemon of ``vm``."""
+        known = client.get("/vms").get(vm)
+        if known is None:
+            reason = f"no VM called {vm} is known to {self._admin}"
+            raise CommandError(ExitStatus.FAILED, reason, "List them with: vms")
+        return AdminClient(known["admin_address"], read_token(self._token_file))
+
+    def vms(self) -> Action:
+        """Show the VMs with their service, state and admin address."""
+        return Action(self._vms)
+
+    def _vms(self) -> None:
+        known = self._client().get("/vms")
+        fields = ("failure_domain", "service", "state", "admin_address")
+        rows = [(vm, *(known[vm][name] for name in fields)) for vm in sorted(known)]
+        titles = ("VM", "FAILURE DOMAIN", "SERVICE", "STATE", "ADMIN ADDRESS")
+        self._show(known, lambda: table(titles, rows))
+
     def teams(self) -> Action:
         """Show the teams with their rates, bursts and numbers of keys."""
         return Action(self._teams)
--- a/src/eelgrassweir/daemon/admin.py
+++ b/src/eelgrassweir/daemon/admin.py
@@ -87,7 +87,8 @@
     """Hold the callables through which the listener sees the daemon.
 
     All are called from the listener's threads. ``usage`` gives calls/s by
-    team over the last minute, ``targets`` the service of each ready VM, and
+    team over the last minute, ``targets`` the service of each ready VM,
+    ``vms`` what is known of each VM, and
     ``commit`` takes the base version, the change id and the document and
     gives the result of a ``CommitReply`` and its version.
     """
@@ -98,6 +99,7 @@
     commit: Commit
     usage: Callable[[], Mapping[str, float]] = dict
     targets: Callable[[], Mapping[str, str]] = dict
+    vms: Callable[[], Mapping[str, Mapping[str, str]]] = dict
 
 
 @attrs.frozen(kw_only=True)
@@ -156,6 +158,7 @@
             ("GET", "/healthz"): lambda _: _json(200, {"ok": True}),
             ("GET", "/metrics"): lambda _: self._metrics(),
             ("GET", "/dump"): lambda _: _json(200, dict(sources.dump())),
+            ("GET", "/vms"): lambda _: _json(200, dict(sources.vms())),
             ("GET", "/status"): lambda _: _json(200, dict(sources.status())),
             ("GET", "/config"): lambda _: self._config(),
             ("POST", "/plan"): self._plan,
--- a/src/eelgrassweir/daemon/admin_bridge.py
+++ b/src/eelgrassweir/daemon/admin_bridge.py
@@ -48,6 +48,7 @@
         commit=commit,
         usage=on_loop(app.usage.rates),
         targets=on_loop(lambda: ready_targets(app)),
+        vms=on_loop(lambda: known_vms(app)),
     )
 
 
@@ -79,3 +80,16 @@
         for member in app.control.members.all()
         if member.state == control_pb2.READY and member.service
     }
+
+
+def known_vms(app: "Application") -> dict[str, dict[str, str]]:
+    """Return what this daemon knows of each VM."""
+    return {
+        member.vm: {
+            "failure_domain": member.failure_domain,
+            "service": member.service,
+            "state": control_pb2.MemberState.Name(member.state).lower(),
+            "admin_address": member.admin_address,
+        }
+        for member in app.control.members.all()
+    }
