Commit changes only through relays that hear a majority

A relay that reached the store while it heard a minority of the failure domains accepted a change, while the others, none of which reached the store, took the cut for an outage and stayed fresh on the old version. Before it writes, a relay now asks the other relays and needs the answers of a majority of the configured domains, its own included. Beats heard earlier are no proof, since the cut may have come after them.

The accepted document is parsed in a thread. On open routes a key counts only while the configuration is fresh; a child call of a request without a team is refused on keyed routes; valid keys outside of the credential fields are dropped or refused.

--- a/src/eelgrassweir/cli/commands.py
+++ b/src/eelgrassweir/cli/commands.py
@@ -191,8 +191,9 @@
         elif reply["changed_since"]:
             print("Changed since the plan:")
             print("\n".join(change_lines(reply["changed_since"])))
-        if reply["result"] == "store_unreachable":
-            advice = "Repeat this command when the store is back; keep the plan file."
+        if reply["result"] in ("store_unreachable", "minority"):
+            missing = "store is" if reply["result"] != "minority" else "domains are"
+            advice = f"Repeat this command when the {missing} back; keep the plan file."
             raise CommandError(ExitStatus.NOT_REACHABLE, reply["reason"], advice)
         if reply["result"] == "behind":
             raise CommandError(ExitStatus.FAILED, reply["reason"])
--- a/src/eelgrassweir/config/confirm.py
+++ b/src/eelgrassweir/config/confirm.py
@@ -23,7 +23,8 @@
 
     ``result`` is ``applied``, ``already_applied``, ``conflict`` (the
     configuration has changed since the plan), ``refused``, ``behind`` (this
-    daemon has an older version than the plan) or ``store_unreachable``.
+    daemon has an older version than the plan), ``minority`` (the relays that
+    reach the store hear too few failure domains) or ``store_unreachable``.
     ``version`` is the one that the change made, else the current one.
     """
 
@@ -88,6 +89,14 @@
             f"version {version}; make a new plan"
         )
         return ConfirmReply(result=result, version=version, reason=reason)
+    if result == "minority":
+        reason = (
+            "the relays that could write the change hear relays of only a minority "
+            "of the failure domains, and the others might keep the old version. "
+            "Repeat the confirm of the same plan when the domains are in contact "
+            "again: it takes effect at most once"
+        )
+        return ConfirmReply(result=result, version=version, reason=reason)
     reason = (
         "no relay reaches the store; the change may have been written. Repeat the "
         "confirm of the same plan: it takes effect at most once"
--- a/src/eelgrassweir/daemon/admin.py
+++ b/src/eelgrassweir/daemon/admin.py
@@ -78,6 +78,7 @@
     "conflict": 409,
     "refused": 409,
     "behind": 503,
+    "minority": 503,
     "store_unreachable": 503,
 }
 
--- a/src/eelgrassweir/daemon/commit.py
+++ b/src/eelgrassweir/daemon/commit.py
@@ -1,15 +1,61 @@
 """Compare-and-swap of the configuration, by a relay."""
 
 import asyncio
+from collections.abc import Sequence
 
 from eliot import log_message
-from returns.result import Failure, Result
+from returns.result import Failure, Result, Success
 
 from eelgrassweir.config.commit import Stored, commit_change, read_config
-from eelgrassweir.config.document import ConfigDocument
+from eelgrassweir.config.document import ConfigDocument, version_of_change
+from eelgrassweir.daemon.control_client import ControlClient
+from eelgrassweir.daemon.node import Node
 from eelgrassweir.daemon.store_calls import StoreCalls
 from eelgrassweir.errors import StepError
-from eelgrassweir.proto.control_pb2 import CommitReply, CommitRequest
+from eelgrassweir.membership.freshness import is_majority
+from eelgrassweir.proto.control_pb2 import CommitReply, CommitRequest, RelayBeat
+
+# The first round may use a connection that has become silent; it is replaced.
+ROUNDS = 2
+
+
+async def hears_majority(node: Node, client: ControlClient) -> bool:
+    """Ask the other relays; tell whether a majority of domains answers.
+
+    A majority of domains whose relays do not reach the store takes this for
+    an outage and goes on with the version it has. A relay that such a majority
+    does not hear must therefore accept no change. Earlier beats are no proof:
+    the cut may have come since.
+    """
+    document = node.log.document
+    domains = () if document is None else document.failure_domains
+    heard = {node.own.failure_domain}
+    for _ in range(ROUNDS):
+        if is_majority(heard, domains):
+            return True
+        await _ask_relays(node, client, heard, domains)
+    return is_majority(heard, domains)
+
+
+async def _ask_relays(
+    node: Node, client: ControlClient, heard: set[str], domains: Sequence[str]
+) -> None:
+    """Add the domains that answer to ``heard`` until they are enough."""
+
+    async def ask(beat: RelayBeat) -> str:
+        limit_ms = float(node.settings.beat_ms)
+        reply = await client.subtree(beat.control_address, limit_ms)
+        return beat.failure_domain if isinstance(reply, Success) else ""
+
+    tasks = [asyncio.create_task(ask(beat)) for beat in node.other_relays()]
+    try:
+        for answer in asyncio.as_completed(tasks):
+            heard.add(await answer)
+            if is_majority(heard, domains):
+                return
+    finally:
+        for task in tasks:
+            task.cancel()
 
 
 async def read_stored(store: StoreCalls) -> Result[Stored, StepError]:
@@ -17,14 +63,22 @@
     return await asyncio.to_thread(read_config, store.counted)
 
 
-async def commit_at_store(
-    store: StoreCalls, request: CommitRequest, own: ConfigDocument | None
-) -> CommitReply:
-    """Write the change unless the version held here shows how it ended."""
-    if own is not None and request.change_id in own.change_ids:
-        return CommitReply(result="already_applied", version=own.version)
-    if own is not None and own.version > request.base_version:
+def reply_from_version(
+    request: CommitRequest, own: ConfigDocument | None
+) -> CommitReply | None:
+    """Return the reply if the version held here shows how the change ended."""
+    if own is None:
+        return None
+    made = version_of_change(own, request.change_id)
+    if made is not None:
+        return CommitReply(result="already_applied", version=made)
+    if own.version > request.base_version:
         return CommitReply(result="conflict", version=own.version)
+    return None
+
+
+async def commit_at_store(store: StoreCalls, request: CommitRequest) -> CommitReply:
+    """Write the change; read back how it ended if the answer is lost."""
     result = await asyncio.to_thread(
         commit_change,
         store.counted,
--- a/src/eelgrassweir/daemon/control.py
+++ b/src/eelgrassweir/daemon/control.py
@@ -12,7 +12,12 @@
 from eelgrassweir.clock import Clock
 from eelgrassweir.config.document import ConfigDocument, parse_document
 from eelgrassweir.daemon.children import ChildLinks
-from eelgrassweir.daemon.commit import commit_at_store
+from eelgrassweir.daemon.commit import (
+    ROUNDS,
+    commit_at_store,
+    hears_majority,
+    reply_from_version,
+)
 from eelgrassweir.daemon.control_client import (
     Connect,
     ControlClient,
@@ -61,6 +66,8 @@
 # Requests without a token ask for the holders, so the list is kept a moment.
 HOLDERS_CACHE_MS = 50.0
 STOP_POLLS = 50
+# Another relay may do better.
+RETRIED_RESULTS = ("store_unreachable", "minority")
 
 
 class ControlPlane:
@@ -258,7 +265,8 @@
 
         The result is ``applied``, ``already_applied``, ``conflict``,
         ``store_unreachable`` (the change may have been written; repeating
-        it is safe) or ``invalid``.
+        it is safe), ``minority`` (no relay that hears a majority of failure
+        domains answered) or ``invalid``.
         """
         request = CommitRequest(
             base_version=base_version,
@@ -270,22 +278,26 @@
         )
         if self.is_relay():
             reply = await self._serve_commit(request)
-            if reply.result != "store_unreachable":
+            if reply.result not in RETRIED_RESULTS:
                 return reply
+            unreachable = reply
         relays = list(self.other_relays())
         self.node.rng.shuffle(relays)
         relays.sort(key=lambda beat: not beat.store_reached)
         deadline_ms = self.node.clock.now_ms() + COMMIT_LIMIT_MS
         # A relay reads, writes and reads back.
         limit_ms = 4.0 * self._settings.store_timeout_ms
+        limit_ms += ROUNDS * self._settings.beat_ms
         for beat in relays:
             left_ms = min(limit_ms, deadline_ms - self.node.clock.now_ms())
             if left_ms <= 0:
                 break
             result = await self._client.commit(beat.control_address, request, left_ms)
             reply = result.value_or(unreachable)
-            if reply.result != "store_unreachable":
+            if reply.result not in RETRIED_RESULTS:
                 return reply
+            if reply.result == "minority":
+                unreachable = reply
         return unreachable
 
     async def fleet_status(self) -> FleetStatus:
@@ -413,13 +425,18 @@
         node = self.node
         if not self.is_relay():
             return CommitReply(result="store_unreachable", version=node.log.version)
-        reply = await commit_at_store(self._store, request, node.log.document)
+        known = reply_from_version(request, node.log.document)
+        if known is not None:
+            return known
+        if not await hears_majority(node, self._client):
+            return CommitReply(result="minority", version=node.log.version)
+        reply = await commit_at_store(self._store, request)
         if reply.result != "applied":
             return reply
-        # The store has accepted exactly these bytes.
-        parse_document(request.document_json).map(
-            lambda document: node.take_document(document, "store")
-        )
+        # The store has accepted exactly these bytes. A document of 0.8 MB
+        # takes 0.1 s to parse, in which the loop would answer nobody.
+        parsed = await asyncio.to_thread(parse_document, request.document_json)
+        parsed.map(lambda document: node.take_document(document, "store"))
         for edge in node.peers:
             node.send_config(edge)
         return reply
--- a/src/eelgrassweir/daemon/egress.py
+++ b/src/eelgrassweir/daemon/egress.py
@@ -91,6 +91,9 @@
         route = match_route(config, request.method, path)
         if route is None:
             return self._refuse("route_unknown", "no route matches")
+        if not route.is_open and not parent.context.team:
+            reason = "this route needs a team, and the root request had no valid key"
+            return self._refuse("route_forbidden", reason)
         own_key = find_header(request.headers, "idempotency-key") or ""
         digest = child_digest(request.method, request.path, request.body, own_key)
         if digest in parent.failed_children and not parent.budget.take():
--- a/src/eelgrassweir/daemon/entry.py
+++ b/src/eelgrassweir/daemon/entry.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Callable
+from urllib.parse import unquote, unquote_to_bytes
 
 import attrs
 
@@ -30,6 +31,7 @@
     all_presented_keys,
     forwarded_headers,
     presented_key,
+    stray_keys,
 )
 from eelgrassweir.requests.refusal import Refusal
 from eelgrassweir.requests.ticket import parse_ticket
@@ -95,7 +97,7 @@
         identity = self._identify(request.method, path, request.headers)
         if isinstance(identity, Refusal):
             return self._refused(identity)
-        keys = all_presented_keys(request.headers)
+        keys = all_presented_keys(request.headers) | self._stray_keys(request)
         if self._shows_key(request, keys):
             reason = "the key stands in the path or the body"
             return self._refused(self._refuse("bad_request", reason))
@@ -134,6 +136,10 @@
             return self._refuse("route_unknown", "no route matches")
         key = presented_key(headers)
         team = team_of_key(config, key) if key is not None else None
+        if route.is_open and not self._is_fresh():
+            # The key may have been withdrawn, and child calls would run for
+            # its team.
+            team = None
         if team is None and not route.is_open:
             if key is None:
                 return self._refuse("key_missing", "this route needs a key")
@@ -145,8 +151,27 @@
 
     def _shows_key(self, request: HttpRequest, keys: set[str]) -> bool:
         """Return whether a key would reach the backend server."""
+        path = unquote(request.path)
+        bodies = [request.body]
+        if b"%" in request.body and _is_form(request.headers):
+            bodies.append(unquote_to_bytes(request.body))
         return any(
-            key in request.path or key.encode("latin-1") in request.body for key in keys
+            key in request.path
+            or key in path
+            or any(key.encode("latin-1") in body for body in bodies)
+            for key in keys
+        )
+
+    def _stray_keys(self, request: HttpRequest) -> set[str]:
+        """Return valid keys that stand where none is expected."""
+        config = self._config()
+        if config is None:
+            return set()
+        return stray_keys(
+            request.path,
+            request.headers,
+            request.body,
+            lambda word: team_of_key(config, word) is not None,
         )
 
     def _make_call(
@@ -228,6 +253,11 @@
         return Refusal(code=code, not_run=True, reason=reason, step=STEP, peer=self._vm)
 
 
+def _is_form(headers: Headers) -> bool:
+    content_type = find_header(headers, "content-type") or ""
+    return content_type.lower().startswith("application/x-www-form-urlencoded")
+
+
 def deadline_of(headers: Headers, longest_ms: float) -> float:
     """Return the time that the sender still waits, in ms."""
     text = find_header(headers, "eelgrassweir-deadline-ms")
--- a/src/eelgrassweir/membership/freshness.py
+++ b/src/eelgrassweir/membership/freshness.py
@@ -43,6 +43,15 @@
         return age_ms is not None and age_ms <= limit_ms
 
 
+def is_majority(heard: Collection[str], domains: Collection[str]) -> bool:
+    """Tell whether ``heard`` holds more than half of the configured domains.
+
+    Without configured domains no outage can be inferred, so any set will do.
+    """
+    configured = set(domains)
+    return not configured or len(configured & set(heard)) > len(configured) // 2
+
+
 def peer_word_as_of(
     peers: Mapping[str, PeerWord],
     *,
--- a/src/eelgrassweir/requests/headers.py
+++ b/src/eelgrassweir/requests/headers.py
@@ -1,6 +1,8 @@
 """Header fields that callers send and that backend servers may see."""
 
-from collections.abc import Iterable
+import re
+from collections.abc import Callable, Iterable
+from urllib.parse import unquote
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -18,6 +20,10 @@
     )
 )
 OWN_PREFIX = "eelgrassweir-"
+# Keys have more characters than this form asks for, and no others.
+_WORD = re.compile(r"[A-Za-z0-9_-]{16,}")
+# As the command line grants them.
+_GRANTED_KEY = re.compile(rb"ew_[A-Za-z0-9_-]{43}")
 
 
 def normalize(name: str) -> str:
@@ -52,6 +58,22 @@
     return keys
 
 
+def stray_keys(
+    path: str, headers: Headers, body: bytes, is_key: Callable[[str], bool]
+) -> set[str]:
+    """Return the valid keys that stand outside of the credential fields.
+
+    In a body only keys of the granted form are looked for, since a body may
+    hold many words.
+    """
+    words = set(_WORD.findall(unquote(path)))
+    for name, value in headers:
+        if normalize(name) not in CREDENTIAL_FIELDS:
+            words.update(_WORD.findall(unquote(value)))
+    words.update(word.decode() for word in _GRANTED_KEY.findall(body))
+    return {word for word in words if is_key(word)}
+
+
 def forwarded_headers(headers: Headers, keys: Iterable[str]) -> Headers:
     """Return the fields that a backend server may see."""
     secrets = tuple(keys)
@@ -59,7 +81,10 @@
         (name, value)
         for name, value in headers
         if is_forwarded(normalize(name))
-        and not any(secret in value or secret in name for secret in secrets)
+        and not any(
+            secret in value or secret in unquote(value) or secret in name
+            for secret in secrets
+        )
     )
 
 
--- a/testing/daemon/test_control.py
+++ b/testing/daemon/test_control.py
@@ -256,6 +256,41 @@
     run_fleet(scenario)
 
 
+def test_relay_that_hears_a_minority_commits_no_change() -> None:
+    """The majority takes the cut for a store outage and keeps its version."""
+
+    async def scenario(fleet: Fleet) -> None:
+        await start_ready(fleet, 6)
+        inside = {
+            vm for vm, plane in fleet.planes.items() if _domain(plane) == "oviedo"
+        }
+        for vm, view in fleet.views.items():
+            view.is_cut_off = vm not in inside
+        await fleet.network.block(lambda a, b: (a == "oviedo") != (b == "oviedo"))
+
+        async def commit(vm: str) -> str:
+            reply = await fleet.planes[vm].commit(
+                base_version=1,
+                change_id="change-2",
+                document_json=dump_document(make_document(2)),
+            )
+            return reply.result
+
+        relay = next(vm for vm in inside if fleet.planes[vm].is_relay())
+        # The cut is so new that nobody can have noticed it.
+        assert await commit(relay) == "minority"
+        others = [plane for vm, plane in fleet.planes.items() if vm not in inside]
+        await fleet.until(lambda: not any(p.node.store_reached() for p in others))
+        assert await commit(relay) == "minority"
+        assert not any(plane.node.log.version > 1 for plane in fleet.planes.values())
+        await fleet.network.block(lambda a, b: False)
+        await fleet.until(lambda: len(fleet.planes[relay].other_relays()) == 2)
+        assert await commit(relay) in ("applied", "already_applied")
+        await fleet.until(lambda: all_have(fleet, 2))
+
+    run_fleet(scenario)
+
+
 def test_older_version_in_the_store_reverts_nothing() -> None:
     async def scenario(fleet: Fleet) -> None:
         await start_ready(fleet, 4)
