--- a/src/eelgrassweir/daemon/request_path.py
+++ b/src/eelgrassweir/daemon/request_path.py
@@ -67,10 +67,10 @@
     ) -> None:
         self._settings = settings
         self._drain = drain
-        self._tls = tls
         self._clock = clock
         self._vm = identity.vm
         self._refuses_callers = False
+        self._tls = tls
         # Identifiers must differ between daemons and runs, whatever the seed.
         unique = random.SystemRandom()
         options = LinkOptions(
@@ -158,7 +158,9 @@
         )
         body_limit_bytes = settings.max_body_bytes
         self.ingress_server = HttpServer(
-            self._handle_caller, body_limit_bytes=body_limit_bytes
+            self._handle_caller,
+            body_limit_bytes=body_limit_bytes,
+            idle_limit_s=settings.caller_idle_ms / 1e3,
         )
         self.egress_server = HttpServer(
             self.egress.handle, body_limit_bytes=body_limit_bytes
--- a/src/eelgrassweir/settings/generated.py
+++ b/src/eelgrassweir/settings/generated.py
@@ -43,6 +43,7 @@
     queue_limit_calls: int = 200
     pressure_ttl_ms: int = 500
     announce_ttl_ms: int = 5000
+    caller_idle_ms: int = 75000
     drain_notice_ms: int = 2000
     drain_limit_ms: int = 60000
     ratio_retry_percent: int = 10
@@ -264,6 +265,13 @@
         minimum=100,
         maximum=60000,
     ),
+    Field(
+        name="caller_idle_ms",
+        kind="integer",
+        required=False,
+        minimum=100,
+        maximum=3600000,
+    ),
     Field(
         name="drain_notice_ms",
         kind="integer",
