Say "not run" of a ticketed request only after asking its home

The entry refused the resend before it looked at the ticket. Ruled out: a fault of the record, which held one run for each ticket. Change: refusals before the home is asked are "not run" only without a ticket; a child call whose earlier copy may have run is no longer called not run, and a child call that its backend server gave up counts as failed.

--- a/src/eelgrassweir/daemon/egress.py
+++ b/src/eelgrassweir/daemon/egress.py
@@ -1,5 +1,6 @@
 """Egress side of the request path: child calls of the local backend server."""
 
+import asyncio
 import json
 import random
 from collections.abc import Callable
@@ -78,7 +79,11 @@
             return self._refuse("context_missing", reason)
         parent = self._contexts.find(context_id)
         if parent is None:
-            return self._refuse("context_ended", "the request of this call has ended")
+            refusal = self._refuse(
+                "context_ended", "the request of this call has ended"
+            )
+            # An earlier copy of the call may have run while the request ran.
+            return attrs.evolve(refusal, not_run=False)
         return parent
 
     async def _call_child(
@@ -96,13 +101,32 @@
             return self._refuse("route_forbidden", reason)
         own_key = find_header(request.headers, "idempotency-key") or ""
         digest = child_digest(request.method, request.path, request.body, own_key)
+        result = await self._attempt_child(request, parent, route, digest)
+        if isinstance(result, Refusal) and digest in parent.maybe_run_children:
+            # This attempt did not run, but an earlier one may have.
+            return attrs.evolve(result, not_run=False)
+        return result
+
+    async def _attempt_child(
+        self,
+        request: HttpRequest,
+        parent: ParentContext,
+        route: Route,
+        digest: bytes,
+    ) -> HttpResponse | Refusal:
         if digest in parent.failed_children and not parent.budget.take():
             reason = "the retry budget of the root request is used up"
             return self._refuse("retry_budget_exhausted", reason)
         call = self._make_call(request, parent, route, digest)
         if isinstance(call, Refusal):
             return call
-        result = await self._send(call, parent)
+        try:
+            result = await self._send(call, parent)
+        except asyncio.CancelledError:
+            # A backend server that gives up and repeats the call retries it.
+            parent.maybe_run_children.add(digest)
+            parent.failed_children.add(digest)
+            raise
         self._note_outcome(result, parent, digest)
         return result
 
@@ -160,12 +184,13 @@
         self, result: HttpResponse | Refusal, parent: ParentContext, digest: bytes
     ) -> None:
         """Remember a failed child call; its repetition is a retry."""
-        if isinstance(result, Refusal):
+        if isinstance(result, Refusal) and result.not_run:
             parent.failed_children.add(digest)
-            if result.not_run:
-                # The old ticket never runs; a retry gets a new one.
-                parent.child_tickets.pop(digest, None)
-        elif result.status >= 500:
+            # The old ticket never runs; a retry gets a new one.
+            parent.child_tickets.pop(digest, None)
+            return
+        parent.maybe_run_children.add(digest)
+        if isinstance(result, Refusal) or result.status >= 500:
             parent.failed_children.add(digest)
 
     def _refused(self, refusal: Refusal) -> HttpResponse:
--- a/src/eelgrassweir/daemon/entry.py
+++ b/src/eelgrassweir/daemon/entry.py
@@ -33,7 +33,7 @@
     presented_key,
     stray_keys,
 )
-from eelgrassweir.requests.refusal import Refusal
+from eelgrassweir.requests.refusal import Refusal, unless_ticketed
 from eelgrassweir.requests.ticket import parse_ticket
 from eelgrassweir.retries.budget import RetryBudget
 
@@ -96,11 +96,12 @@
             return self._answer_tickets(request)
         identity = self._identify(request.method, path, request.headers)
         if isinstance(identity, Refusal):
-            return self._refused(identity)
+            return self._refused(unless_ticketed(identity, request.headers))
         keys = all_presented_keys(request.headers) | self._stray_keys(request)
         if self._shows_key(request, keys):
             reason = "the key stands in the path or the body"
-            return self._refused(self._refuse("bad_request", reason))
+            refusal = self._refuse("bad_request", reason)
+            return self._refused(unless_ticketed(refusal, request.headers))
         return await self._dispatch(request, identity, keys)
 
     async def _dispatch(
--- a/src/eelgrassweir/daemon/http_server.py
+++ b/src/eelgrassweir/daemon/http_server.py
@@ -12,7 +12,12 @@
     HttpResponse,
     encode_response,
 )
-from eelgrassweir.requests.refusal import Refusal, http_status, to_json
+from eelgrassweir.requests.refusal import (
+    Refusal,
+    http_status,
+    to_json,
+    unless_ticketed,
+)
 
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
 
@@ -265,7 +270,7 @@
         if self._task is not None:
             # The requests before this one still get their answers.
             return
-        response = refusal_response(refusal)
+        response = refusal_response(unless_ticketed(refusal, self._headers))
         self._write(encode_response(response, is_head=False, close=True))
         self.close()
 
--- a/src/eelgrassweir/daemon/request_path.py
+++ b/src/eelgrassweir/daemon/request_path.py
@@ -17,7 +17,7 @@
 from eelgrassweir.daemon.egress import EgressService
 from eelgrassweir.daemon.entry import EntryService
 from eelgrassweir.daemon.gate import Gate
-from eelgrassweir.daemon.http_message import HttpRequest, HttpResponse, find_header
+from eelgrassweir.daemon.http_message import HttpRequest, HttpResponse
 from eelgrassweir.daemon.http_server import HttpServer, refusal_response
 from eelgrassweir.daemon.identity import Identity
 from eelgrassweir.daemon.link_client import LinkOptions, LinkPool
@@ -30,7 +30,7 @@
 from eelgrassweir.membership.table import MemberTable
 from eelgrassweir.requests.context import ContextTable
 from eelgrassweir.requests.record import RecordTable
-from eelgrassweir.requests.refusal import Refusal
+from eelgrassweir.requests.refusal import Refusal, unless_ticketed
 from eelgrassweir.retries.budget import RetryRatio
 from eelgrassweir.routing.picker import TargetPicker
 from eelgrassweir.settings.generated import Settings
@@ -209,17 +209,14 @@
     async def _handle_caller(self, request: HttpRequest) -> HttpResponse:
         if not self._refuses_callers:
             return await self.entry.handle(request)
-        # The ticket of a request stays with its home, which another entry
-        # reaches; a copy of it may have run there.
-        has_ticket = find_header(request.headers, "idempotency-key") is not None
         refusal = Refusal(
             code="draining",
-            not_run=not has_ticket,
+            not_run=True,
             reason="this VM is leaving; send the request to another",
             step="entry",
             peer=self._vm,
         )
-        return refusal_response(refusal)
+        return refusal_response(unless_ticketed(refusal, request.headers))
 
     async def stop(self) -> None:
         """Close listeners, links and connections."""
--- a/src/eelgrassweir/requests/context.py
+++ b/src/eelgrassweir/requests/context.py
@@ -26,6 +26,7 @@
     child_ended: Callable[[], None]
     accepts_from: int = 0
     failed_children: set[bytes] = attrs.field(factory=set)
+    maybe_run_children: set[bytes] = attrs.field(factory=set)
     child_tickets: dict[bytes, Ticket] = attrs.field(factory=dict)
 
 
--- a/src/eelgrassweir/requests/refusal.py
+++ b/src/eelgrassweir/requests/refusal.py
@@ -1,6 +1,7 @@
 """Refusals: what a caller gets instead of an answer."""
 
 import json
+from collections.abc import Iterable
 
 import attrs
 
@@ -50,3 +51,14 @@
 def to_json(refusal: Refusal) -> bytes:
     """Return the body of the HTTP answer."""
     return json.dumps(attrs.asdict(refusal)).encode()
+
+
+def unless_ticketed(refusal: Refusal, headers: Iterable[tuple[str, str]]) -> Refusal:
+    """Take "not run" back if the request carries a ticket.
+
+    Another copy of it may have run through another daemon, and its home has
+    not been asked.
+    """
+    if not any(name.lower() == "idempotency-key" for name, _ in headers):
+        return refusal
+    return attrs.evolve(refusal, not_run=False)
--- a/testing/promises/test_at_most_once.py
+++ b/testing/promises/test_at_most_once.py
@@ -3,6 +3,7 @@
 import concurrent.futures
 from collections.abc import Iterator
 
+import attrs
 import pytest
 
 from testing.fleet import Fleet, wait_until
@@ -204,3 +205,15 @@
     assert refused is not None
     if refused.not_run:
         assert {reply.not_run for reply in replies if reply} == {True}
+
+
+def test_resend_that_is_refused_at_the_entry_is_not_called_not_run(
+    whole: Fleet,
+) -> None:
+    """A key withdrawn between try and resend says nothing about the try."""
+    filing = make_filing(whole, "fichero-1")
+    first = filing.send("fichero-1")
+    filing.team = attrs.evolve(filing.team, name="nobody")
+    replies = [first, filing.send("fichero-1"), filing.send("registro-2")]
+    assert assert_honest(whole, filing, replies) == 1
+    assert [reply.code for reply in replies if reply] == ["", *["key_unknown"] * 2]
