--- a/src/eelgrassweir/shares/borrower.py
+++ b/src/eelgrassweir/shares/borrower.py
@@ -29,6 +29,11 @@
 # A call without an answer for this long is no longer counted on.
 _HEDGE_MS = 10.0
 _MIN_GAP_MS = 5.0
+# A holder that is short again and again is asked less often: at three times
+# the rate, 8 daemons made 9 calls for each token before.
+_SHORT_BACKOFF = 1.3
+_MAX_SHORT_REPLIES = 20
+_MAX_SHORT_MS = 100.0
 _NO_PERMIT_MS = 100.0
 _FIRST_BACKOFF_MS = 50.0
 _MAX_BACKOFF_MS = 1000.0
@@ -117,6 +122,7 @@
     last_sent_ms: float = -math.inf
     short_at_ms: dict[str, float] = attrs.field(factory=dict)
     short_until_ms: dict[str, float] = attrs.field(factory=dict)
+    short_replies: dict[str, int] = attrs.field(factory=dict)
     held: dict[tuple[str, int], _Held] = attrs.field(factory=dict)
 
 
@@ -353,9 +359,13 @@
         state = self._teams.get(team)
         is_short = grant.tokens < call.wanted.get(team, 0)
         if is_short:
-            retry_ms = max(grant.retry_after_ms, _MIN_GAP_MS)
+            count = peer.short_replies.get(team, 0)
+            peer.short_replies[team] = min(count + 1, _MAX_SHORT_REPLIES)
+            backoff_ms = min(_MAX_SHORT_MS, _MIN_GAP_MS * _SHORT_BACKOFF**count)
+            retry_ms = max(grant.retry_after_ms, backoff_ms)
             peer.short_until_ms[team] = now_ms + retry_ms
         else:
+            peer.short_replies.pop(team, None)
             peer.short_until_ms.pop(team, None)
         # A wait after a full grant means that it emptied the bucket.
         if not is_short and grant.retry_after_ms == 0:
@@ -419,3 +429,4 @@
             for peer in self._peers.values():
                 peer.short_at_ms.pop(team, None)
                 peer.short_until_ms.pop(team, None)
+                peer.short_replies.pop(team, None)
--- a/testing/daemon/test_tokens.py
+++ b/testing/daemon/test_tokens.py
@@ -224,7 +224,7 @@
 @pytest.mark.parametrize("place", PLACES)
 @pytest.mark.parametrize(
     ("rate_per_s", "burst_calls"),
-    [(5, 10), (20, 20), (100, 25), (100, 100), (1000, 100), (1000, 500)],
+    [(5, 10), (20, 10), (20, 20), (100, 25), (100, 100), (1000, 100), (1000, 500)],
 )
 @pytest.mark.parametrize("seed", [1, 2])
 def test_team_within_its_rate_is_not_refused(
