--- a/src/eelgrassweir/admission/pressure.py
+++ b/src/eelgrassweir/admission/pressure.py
@@ -23,17 +23,18 @@
 
     def __init__(self, *, ttl_ms: float = 500.0) -> None:
         self._ttl_ms = ttl_ms
-        self._entries: dict[tuple[str, str], _Entry] = {}
+        self._routes: dict[str, dict[str, _Entry]] = {}
 
     def record(
         self, route: str, service: str, accepts_from: int, now_ms: float
     ) -> None:
         """Take in the report that came with one response."""
-        entry = self._entries.get((route, service))
+        entry = self._routes.get(route, {}).get(service)
         if entry is None:
             if accepts_from <= 0:
                 return
-            entry = self._entries[route, service] = _Entry(reported_ms=now_ms)
+            entry = _Entry(reported_ms=now_ms)
+            self._routes.setdefault(route, {})[service] = entry
         freshness = self._freshness(entry, now_ms)
         for priority, share in enumerate(entry.refused_share):
             faded = share * freshness
@@ -52,21 +53,16 @@
         """Tell whether to let a call in; critical calls always get in."""
         if priority >= CRITICAL:
             return True
-        entry = self._entries.get((route, service))
+        entry = self._routes.get(route, {}).get(service)
         if entry is None:
             return True
         freshness = self._freshness(entry, now_ms)
-        if freshness <= 0.0:
-            del self._entries[route, service]
-            return True
         return random.random() >= entry.refused_share[priority] * freshness
 
     def accepts_from(self, route: str, now_ms: float) -> int:
         """Return the lowest priority that all services of a route accept."""
         lowest = 0
-        for (entry_route, _), entry in self._entries.items():
-            if entry_route != route:
-                continue
+        for entry in self._routes.get(route, {}).values():
             freshness = self._freshness(entry, now_ms)
             for priority, share in enumerate(entry.refused_share):
                 if share * freshness > 0.5:
--- a/src/eelgrassweir/routing/picker.py
+++ b/src/eelgrassweir/routing/picker.py
@@ -21,6 +21,8 @@
 DRAINING_SKIP_MS = 2_000.0
 # A trial call that never ends must not block its target for good.
 TRIAL_LIMIT_MS = 5_000.0
+FORGET_MS = 60_000.0
+FORGET_FROM_TARGETS = 1_000
 
 
 @attrs.define
@@ -41,6 +43,7 @@
         self._random = random
         self._targets: dict[str, _Target] = {}
         self._chosen_ms = 0.0
+        self._forget_at = FORGET_FROM_TARGETS
 
     def choose(
         self,
@@ -99,7 +102,23 @@
         target.skip_until_ms = now_ms + skip_ms * self._random.uniform(0.8, 1.2)
 
     def _target(self, vm: str) -> _Target:
-        return self._targets.setdefault(vm, _Target())
+        target = self._targets.get(vm)
+        if target is None:
+            self._forget_unused()
+            target = self._targets[vm] = _Target(reported_ms=self._chosen_ms)
+        return target
+
+    def _forget_unused(self) -> None:
+        """Drop the state of replaced VMs, which never come back."""
+        if len(self._targets) < self._forget_at:
+            return
+        oldest_ms = self._chosen_ms - FORGET_MS
+        self._targets = {
+            vm: target
+            for vm, target in self._targets.items()
+            if target.in_flight_calls or target.reported_ms > oldest_ms
+        }
+        self._forget_at = 2 * len(self._targets) + FORGET_FROM_TARGETS
 
     def _is_skipped(self, vm: str, now_ms: float) -> bool:
         target = self._targets.get(vm)
--- a/testing/daemon/test_gate.py
+++ b/testing/daemon/test_gate.py
@@ -134,5 +134,5 @@
         slow_from_ms=1_000.0,
         slow_until_ms=1_000.0 + slow_ms,
     ).run()
-    print(f"recovery after {slow_ms:.0f} ms: {run.recovery_ms():.0f} ms")
+    print(f"after {slow_ms:.0f} ms: {run.recovery_ms():.0f} ms, seed {run.seed}")
     assert run.recovery_ms() <= 500.0
--- a/testing/routing/test_picker.py
+++ b/testing/routing/test_picker.py
@@ -72,3 +72,12 @@
     assert picker.choose([member], own_domain="", excluded=set(), now_ms=0.0) is None
     picker.record_load("bilbao-1", link_pb2.Load(draining=True), 0.0)
     assert "bilbao-1" not in pick(picker)
+
+
+def test_state_of_replaced_vms_is_forgotten() -> None:
+    picker = TargetPicker(random.Random(1))
+    for number in range(5_000):
+        pick(picker, now_ms=number * 1_000.0, count=1)
+        picker.record_start(f"vm-{number}")
+        picker.record_end(f"vm-{number}")
+    assert len(picker._targets) < 2_500
