--- a/src/eelgrassweir/routing/picker.py
+++ b/src/eelgrassweir/routing/picker.py
@@ -35,6 +35,9 @@
     skip_until_ms: float = 0.0
     trial_until_ms: float = 0.0
 
+    def closed_until_ms(self) -> float:
+        return max(self.skip_until_ms, self.trial_until_ms)
+
 
 class TargetPicker:
     """Pick the less loaded of two random targets, own domain first."""
@@ -55,10 +58,10 @@
     ) -> control_pb2.Member | None:
         """Return a ready target, None if all are excluded or not ready."""
         self._chosen_ms = now_ms
-        ready = [m for m in members if m.state == READY and m.vm not in excluded]
-        usable = [m for m in ready if not self._is_skipped(m.vm, now_ms)] or ready
-        near = [m for m in usable if m.failure_domain == own_domain]
-        far = [m for m in usable if m.failure_domain != own_domain]
+        near, far = self._usable(members, own_domain, excluded, now_ms)
+        if not near and not far:
+            # All are skipped: better a target that failed lately than none.
+            near, far = self._usable(members, own_domain, excluded, math.inf)
         best_near = self._better_of_two(near, now_ms)
         best_far = self._better_of_two(far, now_ms)
         if best_near is None or best_far is None:
@@ -120,11 +123,27 @@
         }
         self._forget_at = 2 * len(self._targets) + FORGET_FROM_TARGETS
 
-    def _is_skipped(self, vm: str, now_ms: float) -> bool:
-        target = self._targets.get(vm)
-        if target is None:
-            return False
-        return now_ms < max(target.skip_until_ms, target.trial_until_ms)
+    def _usable(
+        self,
+        members: Sequence[control_pb2.Member],
+        own_domain: str,
+        excluded: set[str],
+        now_ms: float,
+    ) -> tuple[list[control_pb2.Member], list[control_pb2.Member]]:
+        near: list[control_pb2.Member] = []
+        far: list[control_pb2.Member] = []
+        for member in members:
+            vm = member.vm
+            if member.state != READY or vm in excluded:
+                continue
+            target = self._targets.get(vm)
+            if target is not None and now_ms < target.closed_until_ms():
+                continue
+            if member.failure_domain == own_domain:
+                near.append(member)
+            else:
+                far.append(member)
+        return near, far
 
     def _better_of_two(
         self, members: Sequence[control_pb2.Member], now_ms: float
