--- a/experiments/harness.py
+++ b/experiments/harness.py
@@ -295,9 +295,11 @@
     outcomes = [one for load in loads for one in load.outcomes]
     wrong = [one for one in outcomes if one.status == 200 and not one.whole]
     false_refusals = [one for one in outcomes if _is_not_run(one) and one.marker in ran]
-    for evidence in (wrong, twice, false_refusals):
+    twice_markers = {marker for _, marker in twice}
+    ran_twice = [one for one in outcomes if one.marker in twice_markers]
+    for evidence in (wrong, ran_twice, false_refusals):
         for item in evidence[:EVIDENCE_LINES]:
-            print(f"broken promise: {item}")
+            print(f"broken promise: {item}", *item.attempts, sep="\n  ")
     return {
         "wrong_answers": len(wrong),
         "filings_run_twice": len(twice),
--- a/testing/stand_ins/caller.py
+++ b/testing/stand_ins/caller.py
@@ -73,6 +73,8 @@
     resends: int = 0
     entry: str = ""
     reason: str = ""
+    # One line for each attempt of a filing.
+    attempts: list[str] = attrs.field(factory=list)
     # Attempts whose connection broke after the request was sent.
     broken: int = 0
 
@@ -148,7 +150,10 @@
     ) -> None:
         sends = 0
         while True:
+            began_ms = now_ms()
             answer = await self._attempt(stream, outcome, ticket)
+            if stream.is_ticketed:
+                _trace(outcome, began_ms, ticket)
             if outcome.status == 200:
                 return
             if outcome.status == 428 and answer.get("ticket"):
@@ -220,6 +225,19 @@
         return tickets.popleft() if tickets else ""
 
 
+def _trace(outcome: Outcome, began_ms: float, ticket: str) -> None:
+    """Note one attempt, as evidence if a promise turns out to be broken."""
+    start_ms = began_ms - outcome.start_ms
+    took_ms = now_ms() - began_ms
+    result = outcome.code or str(outcome.status)
+    if outcome.not_run:
+        result += " (not run)"
+    outcome.attempts.append(
+        f"{start_ms:.0f}+{took_ms:.0f} ms {outcome.entry} ticket={ticket or 'none'}"
+        f" {result}: {outcome.reason}"
+    )
+
+
 def _note(outcome: Outcome, response: Response) -> dict[str, Any]:
     """Note a complete response; return its body if it is a refusal."""
     outcome.status = response.status
