--- a/src/eelgrassweir/cli/commands.py
+++ b/src/eelgrassweir/cli/commands.py
@@ -171,6 +171,7 @@
             "daemons_have": progress.have,
             "daemons_known": progress.known,
             "lagging": progress.lagging,
+            "lost": progress.lost,
             "is_everywhere": progress.is_complete,
             "old_version_until_wall_ms": int(
                 accepted_wall_ms + reply["isolation_limit_ms"]
--- a/src/eelgrassweir/cli/progress.py
+++ b/src/eelgrassweir/cli/progress.py
@@ -20,11 +20,15 @@
     have: int
     known: int
     lagging: tuple[str, ...]
+    # Daemons that nobody hears any more and that may still serve.
+    lost: tuple[str, ...] = ()
 
     @property
     def is_complete(self) -> bool:
         """Tell whether every known daemon has the version."""
-        return self.known > 0 and self.have >= self.known and not self.lagging
+        if self.lagging or self.lost:
+            return False
+        return self.known > 0 and self.have >= self.known
 
     def __str__(self) -> str:
         if not self.known:
@@ -32,6 +36,8 @@
         text = f"{self.have} of {self.known} daemons have version {self.version}"
         if self.lagging:
             text += "; not yet: " + ", ".join(self.lagging)
+        if self.lost:
+            text += "; lost lately: " + ", ".join(self.lost)
         return text
 
 
@@ -44,7 +50,13 @@
     known = max(total, int(fleet.get("daemons_known") or 0))
     # The list may be older than the counts; without a gap nobody lags.
     lagging = tuple(fleet.get("lagging") or ()) if have < known else ()
-    return Progress(version=version, have=have, known=known, lagging=lagging)
+    return Progress(
+        version=version,
+        have=have,
+        known=known,
+        lagging=lagging,
+        lost=tuple(fleet.get("lost") or ()),
+    )
 
 
 def follow(
--- a/src/eelgrassweir/cli/show.py
+++ b/src/eelgrassweir/cli/show.py
@@ -61,6 +61,8 @@
         yield table(("VERSION", "DAEMONS"), rows)
     if fleet.get("lagging"):
         yield "Not yet at the newest version: " + ", ".join(fleet["lagging"])
+    if fleet.get("lost"):
+        yield "Lost lately, may still serve: " + ", ".join(fleet["lost"])
     if status.get("store_reached") is False:
         yield ""
         yield (
--- a/src/eelgrassweir/daemon/entry.py
+++ b/src/eelgrassweir/daemon/entry.py
@@ -151,14 +151,9 @@
 
     def _shows_key(self, request: HttpRequest, keys: set[str]) -> bool:
         """Return whether a key would reach the backend server."""
-        path = unquote(request.path)
-        bodies = [request.body]
-        if b"%" in request.body and _is_form(request.headers):
-            bodies.append(unquote_to_bytes(request.body))
+        path, body = unquote(request.path), _readable_body(request)
         return any(
-            key in request.path
-            or key in path
-            or any(key.encode("latin-1") in body for body in bodies)
+            key in request.path or key in path or key.encode("latin-1") in body
             for key in keys
         )
 
@@ -170,7 +165,7 @@
         return stray_keys(
             request.path,
             request.headers,
-            request.body,
+            _readable_body(request),
             lambda word: team_of_key(config, word) is not None,
         )
 
@@ -253,9 +248,13 @@
         return Refusal(code=code, not_run=True, reason=reason, step=STEP, peer=self._vm)
 
 
-def _is_form(headers: Headers) -> bool:
-    content_type = find_header(headers, "content-type") or ""
-    return content_type.lower().startswith("application/x-www-form-urlencoded")
+def _readable_body(request: HttpRequest) -> bytes:
+    """Return the body, followed by its decoded form if it is encoded."""
+    content_type = find_header(request.headers, "content-type") or ""
+    is_form = content_type.lower().startswith("application/x-www-form-urlencoded")
+    if not is_form or b"%" not in request.body:
+        return request.body
+    return request.body + unquote_to_bytes(request.body)
 
 
 def deadline_of(headers: Headers, longest_ms: float) -> float:
--- a/src/eelgrassweir/daemon/fleet.py
+++ b/src/eelgrassweir/daemon/fleet.py
@@ -21,6 +21,8 @@
     members_known: int
     # Daemons that no relay counts, since they or their relay are cut off.
     members_unheard: int
+    # Daemons that were lost within the isolation limit.
+    lost: tuple[str, ...]
     # A daemon that has heard nothing for this long refuses keyed requests.
     isolation_limit_ms: int
 
@@ -64,5 +66,6 @@
         ),
         members_known=known,
         members_unheard=max(0, known - sum(counts.values())),
+        lost=tuple(node.lost_lately()[:LAGGING_NAMES]),
         isolation_limit_ms=node.settings.isolation_limit_ms,
     )
--- a/src/eelgrassweir/daemon/node.py
+++ b/src/eelgrassweir/daemon/node.py
@@ -19,6 +19,7 @@
 from eelgrassweir.membership.table import MemberTable, is_newer
 from eelgrassweir.membership.tree import AckTally, RelayView
 from eelgrassweir.proto.control_pb2 import (
+    DOWN,
     READY,
     Ack,
     ConfigUpdate,
@@ -88,6 +89,7 @@
         self._on_config = on_config
         self._renames = 0
         self._suspected_ms: dict[str, float] = {}
+        self._lost_ms: dict[str, float] = {}
         self._flushing: set[Edge] = set()
         self.members.subscribe_gone(self._watch_children)
 
@@ -142,7 +144,13 @@
         if member.vm == self.own.vm and not self.is_stopping:
             self._defend_own(member)
             return False
-        return self.members.merge(member)
+        known = self.members.get(member.vm)
+        if not self.members.merge(member):
+            return False
+        self._lost_ms.pop(member.vm, None)
+        if member.state == DOWN and known is not None and known.state == READY:
+            self._lost_ms[member.vm] = self.clock.now_ms()
+        return True
 
     def _defend_own(self, member: Member) -> None:
         """Announce this daemon again if ``member`` would replace its entry."""
@@ -265,6 +273,18 @@
         limit_ms = SUSPECT_BEATS * self.settings.beat_ms
         return since_ms is not None and self.clock.now_ms() - since_ms < limit_ms
 
+    def lost_lately(self) -> Sequence[str]:
+        """Return the VMs that went down so lately that they may still serve.
+
+        One that was cut off uses the configuration that it has until its
+        isolation limit. One that was draining takes no keyed requests.
+        """
+        now_ms, limit_ms = self.clock.now_ms(), self.settings.isolation_limit_ms
+        for vm, since_ms in list(self._lost_ms.items()):
+            if now_ms - since_ms > limit_ms:
+                del self._lost_ms[vm]
+        return sorted(self._lost_ms)
+
     def forget_suspicions(self) -> None:
         """Drop suspicions that are over."""
         limit_ms = SUSPECT_BEATS * self.settings.beat_ms
--- a/testing/fleet.py
+++ b/testing/fleet.py
@@ -73,6 +73,8 @@
 
     With ``proxied``, a TCP proxy sits in front of the link and control
     listeners of each daemon, under the names ``VM/link`` and ``VM/control``.
+    With ``store_proxied``, each daemon reaches the store through the listener
+    ``VM/store``.
     """
 
     def __init__(
@@ -81,6 +83,7 @@
         directory: pathlib.Path,
         *,
         proxied: bool = False,
+        store_proxied: bool = False,
         seed: int = 1,
         settings: dict[str, Any] | None = None,
         spec: dict[str, Any] | None = None,
@@ -91,6 +94,7 @@
         self.directory = directory
         self.seed = seed
         self.proxy = TcpProxy() if proxied else None
+        self._store_proxied = store_proxied
         self.vms: dict[str, Vm] = {}
         self.store: subprocess.Popen[bytes] | None = None
         self.store_url = ""
@@ -183,6 +187,21 @@
         counts: dict[str, int] = self._http.request("GET", url, timeout=5.0).json()
         return counts
 
+    def set_store(self, **faults: Any) -> None:
+        """Switch on these faults of the store; without any, end all."""
+        none = {
+            "down": "",
+            "delay_ms": 0,
+            "lose_answers": 0,
+            "stale_reads": 0,
+            "watches_stopped": False,
+        }
+        url = f"{self.store_url}/stand-in/faults"
+        body = faults or none
+        response = self._http.request("POST", url, json=body, timeout=5.0)
+        if response.status != 200:
+            raise FleetError(f"faults of the store: {response.data!r}")
+
     # VMs.
 
     def start_vm(self, name: str, *, daemon: bool = True, backend: bool = True) -> None:
@@ -358,6 +377,10 @@
                 settings[f"advertised_{part}_address"] = self.proxy.listen(
                     f"{name}/{part}", addresses[f"{part}_address"]
                 )
+            if self._store_proxied:
+                store = self.store_url.removeprefix("http://")
+                address = self.proxy.listen(f"{name}/store", store)
+                settings["store_urls"] = [f"http://{address}"]
         spec: dict[str, Any] = {
             "service": service.name,
             "egress_address": addresses["egress_address"],
--- /dev/null
+++ b/testing/promises/partition.py
@@ -0,0 +1,66 @@
+"""Cut some VMs of a fleet off from the others and from the store."""
+
+import os
+import pathlib
+from functools import partial
+
+from testing.fleet import Fleet
+
+PARTS = ("control", "link")
+
+
+def cut_off(fleet: Fleet, vms: set[str], *, store: bool = True) -> None:
+    """Silence all connections between ``vms`` and the others, new ones too.
+
+    With ``store``, those of ``vms`` to the store as well.
+    """
+    assert fleet.proxy is not None
+    for name in fleet.vms:
+        for part in PARTS:
+            check = partial(_is_across, fleet, vms, name)
+            fleet.proxy.separate(f"{name}/{part}", check)
+        check = partial(_is_store_cut, store and name in vms)
+        fleet.proxy.separate(f"{name}/store", check)
+
+
+def heal(fleet: Fleet) -> None:
+    """Let all connections work again."""
+    cut_off(fleet, set())
+
+
+def _is_across(fleet: Fleet, vms: set[str], name: str, port: int) -> bool:
+    """Tell whether a connection to ``name`` crosses the cut."""
+    return (_owner(fleet, port) in vms) != (name in vms)
+
+
+def _is_store_cut(is_cut: bool, _port: int) -> bool:
+    return is_cut
+
+
+def _owner(fleet: Fleet, port: int) -> str:
+    """Return the VM whose daemon has the client side of a connection.
+
+    The proxy sees only the port of the client.
+    """
+    socket = f"socket:[{_inode(port)}]"
+    for vm in fleet.vms.values():
+        if vm.daemon is None or vm.daemon.poll() is not None:
+            continue
+        for entry in pathlib.Path(f"/proc/{vm.daemon.pid}/fd").iterdir():
+            try:
+                if os.readlink(entry) == socket:
+                    return vm.name
+            except OSError:
+                continue
+    return ""
+
+
+def _inode(port: int) -> str:
+    """Return the inode of the socket that is bound to ``port``."""
+    local = f"0100007F:{port:04X}"
+    for path in ("/proc/net/tcp", "/proc/net/tcp6"):
+        for line in pathlib.Path(path).read_text().splitlines()[1:]:
+            fields = line.split()
+            if fields[1].endswith(local) and fields[9] != "0":
+                return fields[9]
+    return ""
--- a/testing/promises/shapes.py
+++ b/testing/promises/shapes.py
@@ -2,6 +2,8 @@
 
 from typing import Any
 
+import attrs
+
 from testing.shapes import ServiceShape, Shape, TeamShape
 
 # Shorter times than the defaults, so that a test sees several leases pass.
@@ -41,3 +43,45 @@
     capacity_per_s=500.0,
     settings=QUICK_SETTINGS,
 )
+
+
+@attrs.frozen(kw_only=True)
+class OpenShape(Shape):
+    """A shape with two open routes of the first service.
+
+    ``/fichero/open`` calls nobody, ``/fichero/ask`` calls a keyed route.
+    """
+
+    def document(self) -> dict[str, Any]:
+        """Return the first configuration with the open routes."""
+        document = super().document()
+        for name in ("open", "ask"):
+            document["routes"][f"{self.front}-{name}"] = {
+                **document["routes"][f"{self.front}-view"],
+                "path_prefix": f"/{self.front}/{name}",
+                "methods": [],
+                "open": True,
+            }
+        return document
+
+    def children(self, service: str) -> dict[str, list[dict[str, str]]]:
+        """Return the child calls; one open route calls a keyed one."""
+        calls = super().children(service)
+        if service == self.front:
+            calls[f"/{service}/ask"] = calls[f"/{service}/view"]
+        return calls
+
+
+OPEN = OpenShape(
+    name="open",
+    failure_domains=("bilbao", "santander", "oviedo"),
+    services=(
+        ServiceShape(
+            name="fichero", targets=3, slots=20, service_ms=5, calls=("registro",)
+        ),
+        ServiceShape(name="registro", targets=2, slots=20, service_ms=5),
+    ),
+    teams=PAIR.teams,
+    capacity_per_s=500.0,
+    settings=QUICK_SETTINGS,
+)
--- /dev/null
+++ b/testing/promises/test_keys.py
@@ -0,0 +1,323 @@
+"""Guard against requests that run without a valid key, and shown keys."""
+
+import base64
+import concurrent.futures
+import http.client
+import json
+import pathlib
+import signal
+import time
+import urllib.parse
+from collections.abc import Iterator
+from functools import partial
+
+import attrs
+import pytest
+import urllib3
+
+from testing.fleet import Fleet, Vm, wait_until
+from testing.promises.partition import cut_off
+from testing.promises.supervisor import Supervisor
+
+pytestmark = pytest.mark.processes
+
+VIEW = "/fichero/view"
+# "Within seconds"; the limit for changes in two years' time is 11 s.
+LIMIT_S = 5.0
+# Time for one beat and for one request on a busy machine.
+SLACK_S = 1.0
+WITHDRAWN = {"key_unknown", "config_stale"}
+
+
+@attrs.define
+class Caller:
+    """Hold one connection to a daemon and send requests with one key."""
+
+    vm: Vm
+    key: str
+    connection: http.client.HTTPConnection | None = None
+
+    def ask(self, path: str = VIEW, method: str = "GET") -> str:
+        """Send one request; return its refusal code or else its status."""
+        self.send(path, method)
+        return self.receive()
+
+    def send(self, path: str = VIEW, method: str = "GET") -> None:
+        """Send one request without waiting for the answer."""
+        if self.connection is None:
+            host, _, port = self.vm.ingress_address.rpartition(":")
+            self.connection = http.client.HTTPConnection(host, int(port), timeout=10)
+        headers = {"Authorization": f"Bearer {self.key}"} if self.key else {}
+        self.connection.request(method, path, headers=headers)
+
+    def receive(self) -> str:
+        """Return the refusal code of the answer or else its status."""
+        assert self.connection is not None
+        response = self.connection.getresponse()
+        response.read()
+        return response.getheader("Eelgrassweir-Refusal") or str(response.status)
+
+
+@pytest.fixture
+def supervisor(
+    healed: Fleet, tmp_path_factory: pytest.TempPathFactory
+) -> Iterator[Supervisor]:
+    """Return a supervisor whose files lie outside of the fleet's directory."""
+    yield Supervisor(healed, tmp_path_factory.mktemp("plans"), "fichero-1")
+
+
+def answers(caller: Caller, code: str) -> bool:
+    """Send one request and tell whether the answer is ``code``."""
+    return caller.ask() == code
+
+
+def last_use_s(callers: list[Caller], done: set[str], limit_s: float) -> float:
+    """Use the key on all connections until each is refused.
+
+    Return when the last request that ran was sent.
+    """
+    last_s = 0.0
+    waiting = list(callers)
+    end_s = time.monotonic() + limit_s
+    while waiting:
+        assert time.monotonic() < end_s, [caller.vm.name for caller in waiting]
+        for caller in list(waiting):
+            sent_s = time.monotonic()
+            code = caller.ask()
+            if code == "200":
+                last_s = sent_s
+            elif code in done:
+                waiting.remove(caller)
+        time.sleep(0.02)
+    return last_s
+
+
+def connect_all(fleet: Fleet, key: str, connections: int = 2) -> list[Caller]:
+    """Return callers at every daemon, whose key has just worked."""
+    callers = [Caller(vm, key) for vm in fleet.vms.values() for _ in range(connections)]
+    for caller in callers:
+        wait_until(partial(answers, caller, "200"), 10_000, "the key works")
+    return callers
+
+
+def test_open_routes_need_no_key_and_all_others_do(healed: Fleet) -> None:
+    for vm in healed.vms.values():
+        assert Caller(vm, "").ask("/fichero/open") == "200"
+        assert Caller(vm, "no-such-key-31c7-31c7").ask("/fichero/open") == "200"
+        assert Caller(vm, "").ask() == "key_missing"
+        assert Caller(vm, "no-such-key-31c7-31c7").ask() == "key_unknown"
+        assert Caller(vm, "").ask("/fichero/file", "POST") == "key_missing"
+
+
+def test_no_key_is_seen_behind_the_entry(supervisor: Supervisor) -> None:
+    """Look for keys in all that backend servers and daemons say and write."""
+    healed = supervisor.fleet
+    _, key = supervisor.grant("academia")
+    unknown = "unknown-key-77aa-99bb-31c7"
+    escaped = "".join(f"%{byte:02x}" for byte in key.encode())
+    basic = base64.b64encode(f"user:{key}".encode()).decode()
+    presented = [
+        {"Authorization": f"Bearer {key}"},
+        {"AUTHORIZATION": f"bearer   {key} "},
+        {"X-Api-Key": key},
+        {"x_api_key": key},
+        {"X-Api-Key": key, "Authorization": f"Basic {basic}"},
+        {"X-Api-Key": key, "Cookie": f"session={key}", "Proxy-Authorization": key},
+        {"X-Api-Key": key, "X-Note": f"my key is {key}", f"X-{key}": "name"},
+        {"X-Api-Key": key, "X-Note": escaped},
+        {"X-Note": f"only here: {key}", "Referer": f"http://somewhere/?k={key}"},
+        {"Authorization": f"Bearer {unknown}", "X-Note": unknown},
+    ]
+    targets = [
+        (method, path + query, body)
+        for path in (VIEW, "/fichero/open", "/fichero/file", "/nowhere")
+        for method, query, body in (
+            ("GET", "", b""),
+            ("GET", f"?key={key}", b""),
+            ("GET", f"/{escaped}?k={escaped}", b""),
+            ("POST", "", f'{{"key": "{key}"}}'.encode()),
+            ("POST", "", f"key={escaped}".encode()),
+        )
+    ]
+    statuses = set()
+    for headers in presented:
+        for method, path, body in targets:
+            sent = {**headers, "Content-Type": "application/x-www-form-urlencoded"}
+            answer = healed.call("fichero-1", method, path, headers=sent, body=body)
+            shown = str(answer.headers).encode() + answer.data
+            assert not found(shown, key, unknown), (headers, method, path)
+            statuses.add(answer.status)
+            if found(path.encode() + body, key):
+                # Path and body cannot be changed, so the request is refused.
+                assert answer.headers.get("Eelgrassweir-Refusal"), (headers, path)
+    assert statuses >= {200, 400, 401, 404}
+    for name, vm in healed.vms.items():
+        seen = json.dumps(healed.backend_state(name, full=True)).encode()
+        assert not found(seen, key, unknown), name
+        for path in ("/dump", "/metrics", "/config", "/status"):
+            url = f"http://{vm.admin_address}{path}"
+            said = urllib3.request("GET", url, timeout=5.0).data
+            assert not found(said, key, unknown), (name, path)
+    for file in pathlib.Path(healed.directory).rglob("*"):
+        if file.is_file():
+            assert not found(file.read_bytes(), key, unknown), file
+
+
+def found(text: bytes, *keys: str) -> list[str]:
+    """Return the keys that stand in ``text``, escaped or not."""
+    decoded = urllib.parse.unquote_to_bytes(text)
+    return [key for key in keys if key.encode() in text or key.encode() in decoded]
+
+
+def test_child_calls_run_for_the_team_of_their_parent_only(healed: Fleet) -> None:
+    teams = [team.name for team in healed.shape.teams]
+    for team in healed.shape.teams:
+        assert Caller(healed.vms["fichero-1"], team.key).ask() == "200"
+    seen: dict[str, set[str]] = {}
+    for name in healed.vms:
+        for header, values in healed.backend_state(name, full=True)["headers"].items():
+            seen.setdefault(header.lower(), set()).update(values)
+    assert seen["eelgrassweir-team"] >= set(teams)
+    vm = healed.vms["fichero-1"]
+    ended = max(seen["eelgrassweir-context"])
+    key = healed.shape.teams[1].key
+    for context, code in (
+        ("", "context_missing"),
+        ("0123456789abcdef", "context_ended"),
+        (ended, "context_ended"),
+    ):
+        headers = {"Authorization": f"Bearer {key}", "Eelgrassweir-Team": teams[1]}
+        if context:
+            headers["Eelgrassweir-Context"] = context
+        url = f"http://{vm.settings['egress_address']}/registro/view"
+        answer = urllib3.request("GET", url, headers=headers, retries=False)
+        assert answer.headers["Eelgrassweir-Refusal"] == code
+    # A request without a key runs for no team, and so do its child calls.
+    answer = healed.call("fichero-1", "GET", "/fichero/ask")
+    assert answer.status == 502
+    assert "route_forbidden" in answer.data.decode()
+    asked = healed.call("fichero-1", "GET", "/fichero/ask", headers={"X-Api-Key": key})
+    assert asked.status == 200
+
+
+def test_withdrawn_key_stops_on_connected_callers(supervisor: Supervisor) -> None:
+    """Requests in flight at that moment still end normally."""
+    fleet = supervisor.fleet
+    key_id, key = supervisor.grant("academia")
+    plan = supervisor.plan_withdrawal(key_id)
+    callers = connect_all(fleet, key)
+    slow = [Caller(vm, key) for vm in fleet.vms.values()]
+    for vm in fleet.vms_of(service="registro"):
+        fleet.set_backend(vm.name, slowdown=200.0)
+    for caller in slow:
+        caller.send()
+    wait_until(
+        lambda: (
+            sum(
+                fleet.backend_state(vm.name)["in_flight"]
+                for vm in fleet.vms_of(service="registro")
+            )
+            >= len(slow)
+        ),
+        5_000,
+        "requests are in flight",
+    )
+    assert supervisor.confirm_at_once(plan)["result"] == "applied"
+    accepted_s = time.monotonic()
+    for vm in fleet.vms_of(service="registro"):
+        fleet.set_backend(vm.name, slowdown=1.0)
+    last_s = last_use_s(callers, {"key_unknown"}, LIMIT_S)
+    assert [caller.receive() for caller in slow] == ["200"] * len(slow)
+    assert {caller.ask() for caller in slow} == {"key_unknown"}
+    print(f"last use {max(0.0, last_s - accepted_s) * 1000:.0f} ms after the confirm")
+
+
+@pytest.mark.parametrize("fault", ["closed", "silent"])
+def test_withdrawn_key_stops_in_a_store_outage(
+    supervisor: Supervisor, fault: str
+) -> None:
+    """The store ends right after the confirm and stays away."""
+    fleet = supervisor.fleet
+    key_id, key = supervisor.grant("taller")
+    plan = supervisor.plan_withdrawal(key_id)
+    callers = connect_all(fleet, key)
+    assert supervisor.confirm_at_once(plan)["result"] == "applied"
+    fleet.set_store(down=fault)
+    accepted_s = time.monotonic()
+    last_s = last_use_s(callers, {"key_unknown"}, LIMIT_S)
+    print(f"last use {max(0.0, last_s - accepted_s) * 1000:.0f} ms after the confirm")
+    # The outage alone stops no other key, also past the isolation limit.
+    others = [Caller(vm, fleet.shape.teams[0].key) for vm in fleet.vms.values()]
+    codes = set()
+    while time.monotonic() < accepted_s + 2 * isolation_s(fleet):
+        codes |= {caller.ask() for caller in others}
+    assert codes == {"200"}
+
+
+def isolation_s(fleet: Fleet) -> float:
+    """Return how long a daemon may act on its version without news."""
+    return float(fleet.shape.settings["isolation_limit_ms"]) / 1000
+
+
+@pytest.mark.parametrize("outside", [{"fichero-2"}, {"fichero-3", "registro-2"}])
+def test_withdrawn_key_stops_where_the_change_does_not_arrive(
+    supervisor: Supervisor, outside: set[str]
+) -> None:
+    """One daemon, or one failure domain, is cut off before the confirm."""
+    fleet = supervisor.fleet
+    key_id, key = supervisor.grant("taller")
+    plan = supervisor.plan_withdrawal(key_id)
+    callers = connect_all(fleet, key)
+    cut_off(fleet, outside)
+    cut_s = time.monotonic()
+    with concurrent.futures.ThreadPoolExecutor(1) as pool:
+        confirmed = pool.submit(supervisor.confirm_at_once, plan)
+        last_s = last_use_s(callers, WITHDRAWN, 15.0)
+        assert confirmed.result()["result"] == "applied"
+    limit_s = isolation_s(fleet)
+    print(f"last use {(last_s - cut_s) * 1000:.0f} ms after the cut")
+    assert last_s <= cut_s + limit_s + SLACK_S
+    inside = [caller for caller in callers if caller.vm.name not in outside]
+    wait_until(
+        lambda: {caller.ask() for caller in inside} == {"key_unknown"}, 5_000, "inside"
+    )
+    other = fleet.shape.teams[0].key
+    for vm in fleet.vms.values():
+        expected = "config_stale" if vm.name in outside else "200"
+        check = partial(answers, Caller(vm, other), expected)
+        wait_until(check, 10_000, f"{vm.name} answers {expected}")
+    for name in outside & {"fichero-2", "fichero-3"}:
+        vm = fleet.vms[name]
+        assert Caller(vm, "").ask("/fichero/open") == "200"
+        # Nothing runs for the team of a key that may have been withdrawn.
+        headers = {"X-Api-Key": key}
+        answer = fleet.call(name, "GET", "/fichero/ask", headers=headers)
+        assert answer.status != 200
+
+
+def test_paused_daemon_does_not_take_the_key_after_it_wakes(
+    supervisor: Supervisor,
+) -> None:
+    """Requests that wait in its sockets are judged by the time of waking."""
+    fleet = supervisor.fleet
+    key_id, key = supervisor.grant("academia")
+    plan = supervisor.plan_withdrawal(key_id)
+    callers = connect_all(fleet, key, connections=3)
+    paused = [caller for caller in callers if caller.vm.name == "fichero-3"]
+    fleet.signal_vm("fichero-3", signal.SIGSTOP, backend=False)
+    for caller in paused:
+        caller.send()
+    assert supervisor.confirm_at_once(plan)["result"] == "applied"
+    accepted_s = time.monotonic()
+    wait_until(
+        lambda: time.monotonic() > accepted_s + isolation_s(fleet) + 0.5,
+        10_000,
+        "the isolation limit has passed",
+    )
+    fleet.signal_vm("fichero-3", signal.SIGCONT, backend=False)
+    codes = [caller.receive() for caller in paused]
+    codes += [caller.ask() for _ in range(20) for caller in paused]
+    assert set(codes) <= WITHDRAWN, codes
+    wait_until(
+        lambda: {caller.ask() for caller in callers} == {"key_unknown"}, 10_000, "woken"
+    )
--- a/testing/stand_ins/tcp_proxy.py
+++ b/testing/stand_ins/tcp_proxy.py
@@ -28,6 +28,11 @@
     # Directions whose bytes are read and dropped.
     silent: set[str] = attrs.field(factory=set)
 
+    @property
+    def client_port(self) -> int:
+        """Return the port from which the client connected."""
+        return int(self.client.get_extra_info("peername")[1])
+
     def cut(self) -> None:
         for writer in (self.client, self.target):
             writer.transport.abort()
@@ -45,6 +50,8 @@
         self.delay_ms = 0.0
         self.refusing = False
         self.accepted = 0
+        # Tells by the client's port whether a connection is to be silent.
+        self.is_cut_off: Callable[[int], bool] = lambda port: False
         self.forwarded_bytes = dict.fromkeys(DIRECTIONS, 0)
 
     @property
@@ -83,6 +90,18 @@
             pair.silent.update(directions)
         return len(self._pairs)
 
+    def separate(self, is_cut_off: Callable[[int], bool]) -> None:
+        """Silence the connections of some clients, later ones included.
+
+        Those that were silent and are not any more are reset.
+        """
+        self.is_cut_off = is_cut_off
+        for pair in list(self._pairs):
+            if is_cut_off(pair.client_port):
+                pair.silent.update(DIRECTIONS)
+            elif pair.silent:
+                pair.cut()
+
     async def refuse(self, refusing: bool) -> None:
         """Refuse new connections, or accept them again."""
         self.refusing = refusing
@@ -102,6 +121,8 @@
             return
         self.accepted += 1
         pair = _Pair(writer, target_writer)
+        if self.is_cut_off(pair.client_port):
+            pair.silent.update(DIRECTIONS)
         self._pairs.add(pair)
         try:
             await asyncio.gather(
@@ -213,6 +234,10 @@
         """Silence the established connections; return their number."""
         return self._call(lambda: self._listeners[name].silence(directions))
 
+    def separate(self, name: str, is_cut_off: Callable[[int], bool]) -> None:
+        """Silence the connections from some client ports of one listener."""
+        self._call(lambda: self._listeners[name].separate(is_cut_off))
+
     def refuse(self, name: str, refusing: bool = True) -> None:
         """Refuse new connections, or accept them again."""
         self._run(self._listeners[name].refuse(refusing))
