--- a/experiments/scenarios.py
+++ b/experiments/scenarios.py
@@ -242,11 +242,11 @@
 
 
 def _close_store(fleet: Fleet, vm: str) -> None:
-    fleet.set_store_faults(down="closed")
+    fleet.set_store(down="closed")
 
 
 def _open_store(fleet: Fleet, vm: str) -> None:
-    fleet.set_store_faults(down="")
+    fleet.set_store(down="")
 
 
 def _start_again(fleet: Fleet, vm: str) -> None:
--- a/testing/fleet.py
+++ b/testing/fleet.py
@@ -76,6 +76,8 @@
     With ``fully_proxied``, others sit before the ingress listeners, the
     backend servers and the store, as ``VM/ingress``, ``VM/backend`` and
     ``store``.
+    With ``store_proxied``, each daemon reaches the store through the listener
+    ``VM/store``.
     """
 
     def __init__(
@@ -85,6 +87,7 @@
         *,
         proxied: bool = False,
         fully_proxied: bool = False,
+        store_proxied: bool = False,
         seed: int = 1,
         settings: dict[str, Any] | None = None,
         spec: dict[str, Any] | None = None,
@@ -97,6 +100,7 @@
         self.proxy = TcpProxy() if proxied or fully_proxied else None
         self._fully_proxied = fully_proxied
         self._proxies: dict[str, str] = {}
+        self._store_proxied = store_proxied
         self.vms: dict[str, Vm] = {}
         self.store: subprocess.Popen[bytes] | None = None
         self.store_url = ""
@@ -189,12 +193,20 @@
         counts: dict[str, int] = self._http.request("GET", url, timeout=5.0).json()
         return counts
 
-    def set_store_faults(self, **faults: Any) -> None:
-        """Change the faults of the store stand-in."""
+    def set_store(self, **faults: Any) -> None:
+        """Switch on these faults of the store; without any, end all."""
+        none = {
+            "down": "",
+            "delay_ms": 0,
+            "lose_answers": 0,
+            "stale_reads": 0,
+            "watches_stopped": False,
+        }
         url = f"{self.store_url}/stand-in/faults"
-        response = self._http.request("POST", url, json=faults, timeout=5.0)
+        body = faults or none
+        response = self._http.request("POST", url, json=body, timeout=5.0)
         if response.status != 200:
-            raise FleetError(f"store faults: {response.data!r}")
+            raise FleetError(f"faults of the store: {response.data!r}")
 
     # VMs.
 
@@ -382,6 +394,10 @@
                 settings[f"advertised_{part}_address"] = self.proxy.listen(
                     f"{name}/{part}", addresses[f"{part}_address"]
                 )
+            if self._store_proxied:
+                store = self.store_url.removeprefix("http://")
+                address = self.proxy.listen(f"{name}/store", store)
+                settings["store_urls"] = [f"http://{address}"]
         spec: dict[str, Any] = {
             "service": service.name,
             "egress_address": addresses["egress_address"],
