--- a/src/eelgrassweir/daemon/entry.py
+++ b/src/eelgrassweir/daemon/entry.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Callable
+from urllib.parse import unquote, unquote_to_bytes
 
 import attrs
 
@@ -30,8 +31,9 @@
     all_presented_keys,
     forwarded_headers,
     presented_key,
+    stray_keys,
 )
-from eelgrassweir.requests.refusal import Refusal
+from eelgrassweir.requests.refusal import Refusal, unless_ticketed
 from eelgrassweir.requests.ticket import parse_ticket
 from eelgrassweir.retries.budget import RetryBudget
 
@@ -94,11 +96,12 @@
             return self._answer_tickets(request)
         identity = self._identify(request.method, path, request.headers)
         if isinstance(identity, Refusal):
-            return self._refused(identity)
-        keys = all_presented_keys(request.headers)
+            return self._refused(unless_ticketed(identity, request.headers))
+        keys = all_presented_keys(request.headers) | self._stray_keys(request)
         if self._shows_key(request, keys):
             reason = "the key stands in the path or the body"
-            return self._refused(self._refuse("bad_request", reason))
+            refusal = self._refuse("bad_request", reason)
+            return self._refused(unless_ticketed(refusal, request.headers))
         return await self._dispatch(request, identity, keys)
 
     async def _dispatch(
@@ -134,6 +137,10 @@
             return self._refuse("route_unknown", "no route matches")
         key = presented_key(headers)
         team = team_of_key(config, key) if key is not None else None
+        if route.is_open and not self._is_fresh():
+            # The key may have been withdrawn, and child calls would run for
+            # its team.
+            team = None
         if team is None and not route.is_open:
             if key is None:
                 return self._refuse("key_missing", "this route needs a key")
@@ -145,8 +152,22 @@
 
     def _shows_key(self, request: HttpRequest, keys: set[str]) -> bool:
         """Return whether a key would reach the backend server."""
+        path, body = unquote(request.path), _readable_body(request)
         return any(
-            key in request.path or key.encode("latin-1") in request.body for key in keys
+            key in request.path or key in path or key.encode("latin-1") in body
+            for key in keys
+        )
+
+    def _stray_keys(self, request: HttpRequest) -> set[str]:
+        """Return valid keys that stand where none is expected."""
+        config = self._config()
+        if config is None:
+            return set()
+        return stray_keys(
+            request.path,
+            request.headers,
+            _readable_body(request),
+            lambda word: team_of_key(config, word) is not None,
         )
 
     def _make_call(
@@ -228,6 +249,15 @@
         return Refusal(code=code, not_run=True, reason=reason, step=STEP, peer=self._vm)
 
 
+def _readable_body(request: HttpRequest) -> bytes:
+    """Return the body, followed by its decoded form if it is encoded."""
+    content_type = find_header(request.headers, "content-type") or ""
+    is_form = content_type.lower().startswith("application/x-www-form-urlencoded")
+    if not is_form or b"%" not in request.body:
+        return request.body
+    return request.body + unquote_to_bytes(request.body)
+
+
 def deadline_of(headers: Headers, longest_ms: float) -> float:
     """Return the time that the sender still waits, in ms."""
     text = find_header(headers, "eelgrassweir-deadline-ms")
