Send child calls to a leaving target that is the last of its service

Root requests are still refused at once, and the target takes child calls only until its notice is over.

--- a/src/eelgrassweir/daemon/dispatch.py
+++ b/src/eelgrassweir/daemon/dispatch.py
@@ -82,12 +82,17 @@
         self._metrics = metrics
         self._ticket_life_ms = ticket_life_ms
         self._is_draining = is_draining
+        # Leaving targets by service; the last ones still take child calls.
+        self._leaving: dict[str, dict[str, control_pb2.Member]] = {}
+        members.subscribe(self._note_member)
 
     # Tickets
 
-    def mint(self, service: str) -> Ticket | None:
+    def mint(self, service: str, *, is_child: bool = False) -> Ticket | None:
         """Return a fresh ticket; its home is a ready target of the service."""
         member = self._choose(service, set())
+        if member is None and is_child:
+            member = self._choose_leaving(service, set())
         if member is None:
             return None
         expiry_ms = self._clock.wall_ms() + self._ticket_life_ms
@@ -160,8 +165,29 @@
         if member is None and call.link_failed:
             member = self._choose(call.service, call.tried - call.link_failed)
             call.link_failed.clear()
+        if member is None and call.context.depth > 0:
+            return self._choose_leaving(call.service, call.tried)
         return member
 
+    def _note_member(self, member: control_pb2.Member) -> None:
+        for leaving in self._leaving.values():
+            leaving.pop(member.vm, None)
+        if member.state == control_pb2.DRAINING and member.service:
+            self._leaving.setdefault(member.service, {})[member.vm] = member
+
+    def _choose_leaving(
+        self, service: str, tried: set[str]
+    ) -> control_pb2.Member | None:
+        """Return a leaving target, for child calls that have no other.
+
+        Their root request is in flight, and a planned stop must not cut it.
+        The target refuses them once its notice is over.
+        """
+        for vm, member in self._leaving.get(service, {}).items():
+            if vm not in tried:
+                return member
+        return None
+
     def _may_retry(self, call: Call, result: HttpResponse | Refusal) -> bool:
         """Take what one more attempt costs."""
         if isinstance(result, Refusal) and result.code == "draining":
--- a/src/eelgrassweir/daemon/egress.py
+++ b/src/eelgrassweir/daemon/egress.py
@@ -147,7 +147,7 @@
         if not route.idempotent:
             minted = parent.child_tickets.get(digest)
             is_first = minted is None
-            minted = minted or self._dispatcher.mint(route.service)
+            minted = minted or self._dispatcher.mint(route.service, is_child=True)
             if minted is None:
                 reason = f"no target of {route.service} is ready"
                 return self._refuse("no_target", reason)
--- a/testing/promises/test_drain.py
+++ b/testing/promises/test_drain.py
@@ -8,6 +8,7 @@
 import threading
 import time
 from collections.abc import Iterator
+from typing import Any
 
 import attrs
 import pytest
@@ -234,6 +235,53 @@
     assert any(one.whole for one in result.between(6_200, 6_500))
 
 
+def test_child_calls_of_requests_in_flight_reach_the_last_target(
+    fleet: Fleet,
+) -> None:
+    """The request runs before its only child target announces its drain."""
+    fleet.kill("registro-2")
+    headers = {"Authorization": f"Bearer {fleet.shape.teams[0].key}"}
+    headers["X-Marker"] = "in-flight"
+    wait_until(
+        lambda: (
+            fleet.call(LEAVING, "GET", "/fichero/view", headers=headers).status == 200
+        ),
+        10_000,
+        "the other target counts as down",
+    )
+    answers: list[int] = []
+    threads = []
+    for method, path in (("GET", "/fichero/view"), ("POST", "/fichero/file")) * 4:
+        sent = dict(headers)
+        if method == "POST":
+            refusal = fleet.call(LEAVING, method, path, headers=headers).json()
+            sent["Idempotency-Key"] = refusal["ticket"]
+
+        def send(method: str = method, path: str = path, sent: Any = sent) -> None:
+            answer = fleet.call(LEAVING, method, path, headers=sent)
+            answers.append(answer.status)
+
+        threads.append(threading.Thread(target=send))
+    fronts = [vm.name for vm in fleet.vms_of(service="fichero")]
+    for vm in fronts:
+        # The child call starts after the announcement and within the notice.
+        fleet.set_backend(vm, slowdown=60.0)
+    for thread in threads:
+        thread.start()
+    wait_until(
+        lambda: sum(fleet.backend_state(vm)["in_flight"] for vm in fronts) == 8,
+        5_000,
+        "all in flight",
+    )
+    fleet.set_backend("registro-1", state="draining")
+    for thread in threads:
+        thread.join()
+    for vm in fronts:
+        fleet.set_backend(vm, slowdown=1.0)
+    fleet.set_backend("registro-1", state="ready")
+    assert answers == [200] * 8
+
+
 def _send_once(address: str, key: str, send_at_s: float, delays: list[str]) -> None:
     """Keep a connection idle until ``send_at_s``, then send one request."""
     host, _, port = address.rpartition(":")
