Fix the loss of the parent search and of relays first known from the store

A read that is cancelled because its channel is closed elsewhere ended the task that searches for a parent, so the daemon stayed without one. A relay that another relay first knew from its record in the store was never announced to the daemons below.

--- a/src/eelgrassweir/daemon/children.py
+++ b/src/eelgrassweir/daemon/children.py
@@ -9,7 +9,7 @@
 from eelgrassweir.daemon.node import SILENT_BEATS, Node
 from eelgrassweir.daemon.peers import RelayPeers
 from eelgrassweir.daemon.session import run_server, send_and_end
-from eelgrassweir.membership.tree import forms_cycle
+from eelgrassweir.membership.tree import RECORD_SEQUENCE, forms_cycle
 from eelgrassweir.proto.control_pb2 import Attach, Down, Redirect, Up
 
 REDIRECT_ADDRESSES = 8
@@ -95,7 +95,9 @@
         node = self._node
         edge.add_digests(node.members.digests())
         edge.add_members(node.members.differing(first.digests))
-        edge.add_relay_beats(node.live_relays())
+        edge.add_relay_beats(
+            beat for beat in node.live_relays() if beat.sequence > RECORD_SEQUENCE
+        )
         if edge.role == CHILD:
             edge.add_path(node.path)
         edge.add_config(node.log.updates_for(edge.peer_version))
--- a/src/eelgrassweir/daemon/losses.py
+++ b/src/eelgrassweir/daemon/losses.py
@@ -10,9 +10,9 @@
 )
 from eelgrassweir.proto.control_pb2 import DOWN, Member
 
-# A daemon whose parent is gone attaches elsewhere and announces itself; the
-# search and the way of the entry to all relays take a few beats.
-ORPHAN_BEATS = 10
+# A daemon whose parent is gone has noticed it when the parent is marked as
+# down. Its search and the way of its entry to all relays take a few beats.
+ORPHAN_BEATS = 5
 
 
 class LossWatch:
--- a/src/eelgrassweir/daemon/session.py
+++ b/src/eelgrassweir/daemon/session.py
@@ -59,7 +59,9 @@
     try:
         await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
         for task in tasks:
-            error = task.exception() if task.done() else None
+            # A read is cancelled when its channel is closed elsewhere.
+            is_over = task.done() and not task.cancelled()
+            error = task.exception() if is_over else None
             if error is not None:
                 write_traceback(exc_info=(type(error), error, error.__traceback__))
                 edge.close("error")
--- a/src/eelgrassweir/membership/tree.py
+++ b/src/eelgrassweir/membership/tree.py
@@ -80,14 +80,17 @@
         if known is not None and beat.sequence <= known.sequence:
             return False
         self._beats[beat.vm] = beat
-        return known is None or _significant(known) != _significant(beat)
+        # Records of the store are not passed on, the first beat after one is.
+        if known is None or known.sequence <= RECORD_SEQUENCE:
+            return True
+        return _significant(known) != _significant(beat)
 
     def get(self, vm: str) -> RelayBeat | None:
         """Return the last beat of ``vm``."""
         return self._beats.get(vm)
 
     def all(self) -> Sequence[RelayBeat]:
-        """Return the last beat of each relay, former ones included."""
+        """Return what is known of each relay, former ones included."""
         return tuple(self._beats.values())
 
     def live(self, is_live: Callable[[str, str], bool]) -> Sequence[RelayBeat]:
--- a/testing/daemon/test_control.py
+++ b/testing/daemon/test_control.py
@@ -127,9 +127,9 @@
         first = relays(fleet)[0]
         children = fleet.planes[first].state()["children"]
         await fleet.kill(first)
-        if children:
-            # Nobody but their dead parent had a stream with them.
-            await fleet.kill(children[0])
+        assert children
+        # Nobody but their dead parent had a stream with them.
+        await fleet.kill(children[0])
         await fleet.until(lambda: all_have(fleet, 1) and len(relays(fleet)) == 3)
         fleet.store.set_config(make_document(2))
         await fleet.until(lambda: all_have(fleet, 2))
@@ -283,11 +283,9 @@
         await start_ready(fleet, 6)
         plane = fleet.planes["vm00"]
 
-        async def counts() -> dict[int, int]:
-            return (await plane.fleet_status()).daemons_by_version
-
-        while await counts() != {1: 6}:
-            await asyncio.sleep(0.05)
+        async with asyncio.timeout(15):
+            while (await plane.fleet_status()).daemons_by_version != {1: 6}:
+                await asyncio.sleep(0.05)
         gone = next(vm for vm in relays(fleet) if vm != "vm00")
         await fleet.kill(gone)
         status = await plane.fleet_status()
--- /dev/null
+++ b/testing/daemon/test_edge.py
@@ -0,0 +1,55 @@
+"""Guard against words that look younger than they are, and lost entries."""
+
+from eelgrassweir.daemon.edge import CHILD, PARENT, RELAY, Edge
+from eelgrassweir.proto.control_pb2 import Member, RelayBeat
+
+
+def test_age_of_an_answer_counts_from_the_beat_that_it_echoes() -> None:
+    child, parent = Edge(PARENT, is_caller=True), Edge(CHILD, is_caller=False)
+    child.make_beat_due()
+    ups, is_beat = child.take_ups(1_000.0)
+    assert is_beat
+    parent.hear(ups[0])
+    parent.make_beat_due()
+    late, _ = parent.take_downs(0.0)
+    child.make_beat_due()
+    child.take_ups(2_000.0)
+    # The answer to the first beat arrives late and is as old as that beat.
+    assert child.hear(late[0]) == 1_000.0
+
+
+def test_answer_without_an_echo_has_no_age() -> None:
+    child, parent = Edge(PARENT, is_caller=True), Edge(CHILD, is_caller=False)
+    parent.make_beat_due()
+    downs, _ = parent.take_downs(0.0)
+    assert child.hear(downs[0]) is None
+
+
+def test_entries_of_one_vm_replace_each_other_and_the_rest_is_in_chunks() -> None:
+    edge = Edge(CHILD, is_caller=False)
+    edge.add_members(Member(vm=f"vm{n}", sequence=1) for n in range(4_500))
+    edge.add_members([Member(vm="vm7", sequence=2)])
+    downs, is_beat = edge.take_downs(0.0)
+    assert not is_beat
+    sent = [member for down in downs for member in down.members]
+    assert len(downs) == 3
+    assert len(sent) == 4_500
+    assert [member.sequence for member in sent if member.vm == "vm7"] == [2]
+    assert edge.take_downs(0.0) == ([], False)
+
+
+def test_relay_beat_without_names_is_completed_by_the_receiver() -> None:
+    sender, receiver = Edge(RELAY, is_caller=True), Edge(RELAY, is_caller=False)
+    for sequence, holds in [(1, ""), (2, ""), (3, "bilbao"), (4, "bilbao"), (5, "")]:
+        beat = RelayBeat(
+            vm="r1",
+            failure_domain="bilbao",
+            control_address="127.0.0.1:1",
+            sequence=sequence,
+            store_reached=sequence % 2 == 0,
+            store_age_ms=sequence,
+            holds_shares_of=holds,
+        )
+        said = sender.say_relay_beat(beat)
+        assert (said.vm == "") == (sequence in (2, 4))
+        assert receiver.hear_relay_beat(said) == beat
--- a/testing/membership/test_tree.py
+++ b/testing/membership/test_tree.py
@@ -6,6 +6,7 @@
 
 from eelgrassweir.membership.tree import (
     LAGGING_NAMES,
+    RECORD_SEQUENCE,
     AckTally,
     ParentSearch,
     RelayView,
@@ -60,6 +61,15 @@
     assert not view.live(lambda vm, incarnation: True)
 
 
+def test_first_beat_after_a_record_of_the_store_goes_down() -> None:
+    view = RelayView()
+    view.merge(beat("r1", RECORD_SEQUENCE))
+    view.merge(beat("r2", RECORD_SEQUENCE))
+    assert view.merge(beat("r1", 50))
+    view.keep_recorded({"r3"})
+    assert [entry.vm for entry in view.all()] == ["r1"]
+
+
 def test_own_domain_is_asked_first() -> None:
     beats = [beat("far", 1, failure_domain="oviedo"), beat("near", 1)]
     assert order_relays(beats, "bilbao", random.Random(SEED)) == ["near", "far"]
