--- a/testing/daemon/test_control.py
+++ b/testing/daemon/test_control.py
@@ -1,6 +1,7 @@
 """Guard against daemons that do not find each other or lose changes."""
 
 import asyncio
+import json
 from collections.abc import Awaitable, Callable
 
 import pytest
@@ -11,6 +12,7 @@
 from eelgrassweir.membership.table import mark_down
 from eelgrassweir.proto.control_pb2 import READY, PromiseRequest
 from testing.daemon.control_fakes import (
+    BEAT_MS,
     DOMAINS,
     Fleet,
     SilentProxy,
@@ -340,6 +342,61 @@
     run_fleet(scenario)
 
 
+def test_relay_that_lost_its_slot_steps_down_and_keeps_its_children() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        await start_ready(fleet, 7, tree_fan_out_count=8)
+        vm = relays(fleet)[0]
+        plane = fleet.planes[vm]
+        children = plane.state()["children"]
+        assert children
+        slot = plane.state()["relay_slot"]
+        with fleet.store.lock:
+            record = json.loads(fleet.store.items[slot].value)
+            fleet.store.end_lease(record["lease_id"])
+            fleet.store.write(slot, json.dumps({**record, "vm": "other"}))
+        await fleet.until(lambda: not plane.is_relay())
+        await fleet.until(lambda: bool(plane.state()["parent"]))
+        fleet.store.set_config(make_document(2))
+        await fleet.until(lambda: all_have(fleet, 2))
+        assert set(plane.state()["children"]) >= set(children)
+
+    run_fleet(scenario)
+
+
+def test_relay_whose_lease_lapsed_takes_its_free_slot_again() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        await start_ready(fleet, 3)
+        plane = fleet.planes["vm00"]
+        slot = plane.state()["relay_slot"]
+        lease = fleet.store.lease_of[slot]
+        with fleet.store.lock:
+            fleet.store.end_lease(lease)
+        await fleet.until(lambda: fleet.store.lease_of.get(slot, lease) != lease)
+        assert plane.is_relay()
+
+    run_fleet(scenario)
+
+
+def test_load_on_the_store_comes_from_relays_only_and_is_bounded() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        await start_ready(fleet, 9)
+        before = {vm: plane.state() for vm, plane in fleet.planes.items()}
+        start_ms = fleet.planes["vm00"].node.clock.now_ms()
+        await fleet.until(
+            lambda: fleet.planes["vm00"].node.clock.now_ms() - start_ms > 20 * BEAT_MS
+        )
+        elapsed_ms = fleet.planes["vm00"].node.clock.now_ms() - start_ms
+        for vm, plane in fleet.planes.items():
+            calls = plane.state()["store_calls"] - before[vm]["store_calls"]
+            # Two watches a beat, a list each five, a renewal each 200 ms, and
+            # one call of each kind that was under way.
+            limit = elapsed_ms / BEAT_MS * (2 + 0.25 + BEAT_MS / 200) + 3
+            assert calls <= (limit if plane.is_relay() else 0)
+        assert len(relays(fleet)) == 3
+
+    run_fleet(scenario)
+
+
 def test_cycle_is_left() -> None:
     async def scenario(fleet: Fleet) -> None:
         await start_ready(fleet, 7, tree_fan_out_count=2)
