--- a/src/eelgrassweir/daemon/children.py
+++ b/src/eelgrassweir/daemon/children.py
@@ -70,14 +70,21 @@
 
     def _hand_out(self, first: Up) -> list[Down]:
         node = self._node
-        edge = Edge(CHILD, is_caller=False)
+        edge = Edge(CHILD, is_caller=False, entry=node.members.entry)
         edge.add_config(node.log.updates_for(first.attach.config_version))
-        edge.add_members(node.members.differing(first.digests))
-        return edge.take_downs(node.clock.now_ms())[0]
+        edge.add_vms(node.members.differing(first.digests))
+        downs, _ = edge.take_downs(node.clock.now_ms())
+        while edge.has_vms():
+            downs += edge.take_downs(node.clock.now_ms())[0]
+        return downs
 
     def _accept(self, attach: Attach) -> Edge:
         node = self._node
-        edge = Edge(RELAY if attach.is_relay else CHILD, is_caller=False)
+        edge = Edge(
+            RELAY if attach.is_relay else CHILD,
+            is_caller=False,
+            entry=node.members.entry,
+        )
         edge.vm, edge.incarnation = attach.member.vm, attach.member.incarnation
         edge.address = attach.member.control_address
         edge.peer_version = attach.config_version
@@ -94,7 +101,7 @@
     def _greet(self, edge: Edge, first: Up) -> None:
         node = self._node
         edge.add_digests(node.members.digests())
-        edge.add_members(node.members.differing(first.digests))
+        edge.add_vms(node.members.differing(first.digests))
         edge.add_relay_beats(
             beat for beat in node.live_relays() if beat.sequence > RECORD_SEQUENCE
         )
@@ -122,7 +129,7 @@
             node.take_update(up.config, edge)
         node.take_members(up.members, edge)
         if up.digests and not up.HasField("attach"):
-            edge.add_members(node.members.differing(up.digests))
+            edge.add_vms(node.members.differing(up.digests))
             node.flush_soon(edge)
         if up.HasField("ack") and edge.role == CHILD:
             node.tally.record(edge.vm, up.ack)
--- a/src/eelgrassweir/daemon/edge.py
+++ b/src/eelgrassweir/daemon/edge.py
@@ -1,7 +1,8 @@
 """One side of a stream between two daemons of the control plane."""
 
 import asyncio
-from collections.abc import Iterable, Sequence
+import itertools
+from collections.abc import Callable, Iterable, Sequence
 
 from eelgrassweir.proto.control_pb2 import (
     Attach,
@@ -13,8 +14,8 @@
     Up,
 )
 
-# A member entry has about 150 bytes; the default limit of gRPC is 4 MB.
-MEMBERS_PER_MESSAGE = 2_000
+# Merging an entry takes about 20 us, and requests wait meanwhile.
+MEMBERS_PER_MESSAGE = 100
 KEPT_BEATS = 8
 
 CHILD = "child"
@@ -22,13 +23,17 @@
 RELAY = "relay"
 
 
+Lookup = Callable[[str], Member | None]
+
+
 class Edge:
     """Hold what is to be sent on one stream and what came from its peer.
 
-    Entries wait here by VM, so a slow peer costs one entry a VM at most.
+    VMs wait here by name and their entry is looked up when it is sent, so a
+    slow peer costs one name a VM at most and gets the newest entry.
     """
 
-    def __init__(self, role: str, *, is_caller: bool) -> None:
+    def __init__(self, role: str, *, is_caller: bool, entry: Lookup) -> None:
         self.role = role
         self.is_caller = is_caller
         self.vm = ""
@@ -46,7 +51,9 @@
         self.close_cause = ""
         self.closed = asyncio.Event()
         self._wake = asyncio.Event()
-        self._members: dict[str, Member] = {}
+        self._entry = entry
+        # Used as an ordered set.
+        self._vms: dict[str, None] = {}
         self._relay_beats: dict[str, RelayBeat] = {}
         self._path: Sequence[str] | None = None
         self._digests: Sequence[int] = ()
@@ -72,10 +79,13 @@
         """Send what waits."""
         self._wake.set()
 
-    def add_members(self, members: Iterable[Member]) -> None:
-        """Queue entries; the newer replaces one of the same VM."""
-        for member in members:
-            self._members[member.vm] = member
+    def add_vms(self, vms: Iterable[str]) -> None:
+        """Queue the entries of VMs."""
+        self._vms.update(dict.fromkeys(vms))
+
+    def has_vms(self) -> bool:
+        """Tell whether entries wait."""
+        return bool(self._vms)
 
     def add_relay_beats(self, beats: Iterable[RelayBeat]) -> None:
         """Queue beats for a daemon below."""
@@ -141,8 +151,8 @@
     def take_ups(self, now_ms: float) -> tuple[list[Up], bool]:
         """Return the queued messages and whether the last is a beat."""
         ups = [Up(config=update) for update in self._drain_config()]
-        ups += [Up(members=chunk) for chunk in self._drain_members()]
         last = ups[-1] if ups else Up()
+        last.members.extend(self._drain_members())
         if self._digests:
             last.digests.extend(self._digests)
             self._digests = ()
@@ -157,8 +167,8 @@
     def take_downs(self, now_ms: float) -> tuple[list[Down], bool]:
         """Return the queued messages and whether the last is a beat."""
         downs = [Down(config=update) for update in self._drain_config()]
-        downs += [Down(members=chunk) for chunk in self._drain_members()]
         last = downs[-1] if downs else Down()
+        last.members.extend(self._drain_members())
         if self._digests:
             last.digests.extend(self._digests)
             self._digests = ()
@@ -188,11 +198,15 @@
         updates, self._config = self._config, []
         return updates
 
-    def _drain_members(self) -> Iterable[Sequence[Member]]:
-        members = list(self._members.values())
-        self._members.clear()
-        for start in range(0, len(members), MEMBERS_PER_MESSAGE):
-            yield members[start : start + MEMBERS_PER_MESSAGE]
+    def _drain_members(self) -> Sequence[Member]:
+        """Return the next entries; the rest leaves with the next message."""
+        vms = list(itertools.islice(self._vms, MEMBERS_PER_MESSAGE))
+        for vm in vms:
+            del self._vms[vm]
+        if self._vms:
+            self.wake()
+        entries = (self._entry(vm) for vm in vms)
+        return [entry for entry in entries if entry is not None]
 
 
 def _names(beat: RelayBeat) -> tuple[str, str, str, str, str, bool]:
--- a/src/eelgrassweir/daemon/node.py
+++ b/src/eelgrassweir/daemon/node.py
@@ -172,7 +172,7 @@
             is_repeated = source and source.role == RELAY and edge.role == RELAY
             if edge is source or is_repeated:
                 continue
-            edge.add_members(members)
+            edge.add_vms(member.vm for member in members)
             self.flush_soon(edge)
 
     def _watch_children(self, incarnation: str) -> None:
--- a/src/eelgrassweir/daemon/parent.py
+++ b/src/eelgrassweir/daemon/parent.py
@@ -72,7 +72,7 @@
             candidate = search.next()
             if candidate is None:
                 return False
-            edge = Edge(PARENT, is_caller=True)
+            edge = Edge(PARENT, is_caller=True, entry=node.members.entry)
             edge.address = candidate.address
             await self._run(edge)
             if edge.redirect is not None:
@@ -155,7 +155,7 @@
         if down.HasField("sender") and not edge.closed.is_set():
             self._attach(edge, down.sender)
         if down.digests:
-            edge.add_members(node.members.differing(down.digests))
+            edge.add_vms(node.members.differing(down.digests))
             node.flush_soon(edge)
         self._peers.take_relay_beats(edge, down, moment_ms)
         if down.has_freshness and moment_ms is not None:
--- a/src/eelgrassweir/daemon/peers.py
+++ b/src/eelgrassweir/daemon/peers.py
@@ -220,7 +220,8 @@
         ]
 
     def _open(self, beat: RelayBeat) -> None:
-        edge = Edge(RELAY, is_caller=True)
+        node = self._node
+        edge = Edge(RELAY, is_caller=True, entry=node.members.entry)
         edge.vm, edge.incarnation = beat.vm, beat.incarnation
         edge.address = beat.control_address
         self._tasks[beat.vm] = asyncio.create_task(self._run(edge))
@@ -256,6 +257,6 @@
             edge.is_attached = True
             node.peers.add(edge)
         if down.digests:
-            edge.add_members(node.members.differing(down.digests))
+            edge.add_vms(node.members.differing(down.digests))
             node.flush_soon(edge)
         self.take_relay_beats(edge, down, moment_ms)
--- a/src/eelgrassweir/membership/table.py
+++ b/src/eelgrassweir/membership/table.py
@@ -3,7 +3,7 @@
 import functools
 import hashlib
 import zlib
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Sequence
 
 from eelgrassweir.proto.control_pb2 import DOWN, READY, Member
 
@@ -133,19 +133,30 @@
         """Return one digest a bucket over the entries that are not down."""
         return tuple(self._digests)
 
-    def differing(self, digests: Sequence[int]) -> Iterable[Member]:
-        """Return the entries, down ones included, of buckets that differ."""
+    def differing(self, digests: Sequence[int]) -> Sequence[str]:
+        """Return the VMs, down ones included, of buckets that differ."""
         if len(digests) != BUCKETS:
-            return self.all()
+            return (*self._members, *self._buried)
         differs = [
             own != other for own, other in zip(self._digests, digests, strict=True)
         ]
-        found = [
-            Member.FromString(packed)
-            for vm, packed in self._members.items()
-            if differs[_bucket(vm)]
-        ]
-        return [*found, *self._tombstones(differs)]
+        if not any(differs):
+            return ()
+        return [vm for vm in (*self._members, *self._buried) if differs[_bucket(vm)]]
+
+    def entry(self, vm: str) -> Member | None:
+        """Return the entry of ``vm``, or what is left of one forgotten."""
+        buried = self._buried.get(vm)
+        if buried is None:
+            return self.get(vm)
+        started_ms, incarnation, sequence = buried[0]
+        return Member(
+            vm=vm,
+            started_ms=started_ms,
+            incarnation=incarnation,
+            sequence=sequence,
+            state=DOWN,
+        )
 
     def expire(self, now_ms: float) -> None:
         """Forget entries that have been down for long."""
@@ -163,17 +174,6 @@
         self._unindex(member)
         self._buried[vm] = (version_of(member), now_ms)
 
-    def _tombstones(self, differs: Sequence[bool]) -> Iterable[Member]:
-        for vm, ((started_ms, incarnation, sequence), _) in self._buried.items():
-            if differs[_bucket(vm)]:
-                yield Member(
-                    vm=vm,
-                    started_ms=started_ms,
-                    incarnation=incarnation,
-                    sequence=sequence,
-                    state=DOWN,
-                )
-
     def _index(self, member: Member) -> None:
         if member.state == DOWN:
             self._down_since_ms[member.vm] = None
--- a/testing/daemon/test_edge.py
+++ b/testing/daemon/test_edge.py
@@ -1,11 +1,17 @@
 """Guard against words that look younger than they are, and lost entries."""
 
 from eelgrassweir.daemon.edge import CHILD, PARENT, RELAY, Edge
-from eelgrassweir.proto.control_pb2 import Member, RelayBeat
+from eelgrassweir.membership.table import MemberTable
+from eelgrassweir.proto.control_pb2 import Down, Member, RelayBeat
+
+
+def make_edge(role: str, *, is_caller: bool) -> Edge:
+    """Return one side of a stream that sends no entries."""
+    return Edge(role, is_caller=is_caller, entry=MemberTable().entry)
 
 
 def test_age_of_an_answer_counts_from_the_beat_that_it_echoes() -> None:
-    child, parent = Edge(PARENT, is_caller=True), Edge(CHILD, is_caller=False)
+    child, parent = make_edge(PARENT, is_caller=True), make_edge(CHILD, is_caller=False)
     child.make_beat_due()
     ups, is_beat = child.take_ups(1_000.0)
     assert is_beat
@@ -19,27 +25,37 @@
 
 
 def test_answer_without_an_echo_has_no_age() -> None:
-    child, parent = Edge(PARENT, is_caller=True), Edge(CHILD, is_caller=False)
+    child, parent = make_edge(PARENT, is_caller=True), make_edge(CHILD, is_caller=False)
     parent.make_beat_due()
     downs, _ = parent.take_downs(0.0)
     assert child.hear(downs[0]) is None
 
 
-def test_entries_of_one_vm_replace_each_other_and_the_rest_is_in_chunks() -> None:
-    edge = Edge(CHILD, is_caller=False)
-    edge.add_members(Member(vm=f"vm{n}", sequence=1) for n in range(4_500))
-    edge.add_members([Member(vm="vm7", sequence=2)])
-    downs, is_beat = edge.take_downs(0.0)
-    assert not is_beat
-    sent = [member for down in downs for member in down.members]
-    assert len(downs) == 3
-    assert len(sent) == 4_500
+def test_newest_entry_of_each_vm_is_sent_once_and_in_chunks() -> None:
+    table = MemberTable()
+    edge = Edge(CHILD, is_caller=False, entry=table.entry)
+    for number in range(450):
+        table.merge(Member(vm=f"vm{number}", sequence=1))
+        edge.add_vms([f"vm{number}"])
+    table.merge(Member(vm="vm7", sequence=2))
+    edge.add_vms(["vm7", "unknown"])
+    messages: list[Down] = []
+    while edge.has_vms():
+        downs, is_beat = edge.take_downs(0.0)
+        assert not is_beat
+        messages += downs
+    sent = [member for down in messages for member in down.members]
+    assert len(messages) == 5
+    assert len(sent) == 450
     assert [member.sequence for member in sent if member.vm == "vm7"] == [2]
     assert edge.take_downs(0.0) == ([], False)
 
 
 def test_relay_beat_without_names_is_completed_by_the_receiver() -> None:
-    sender, receiver = Edge(RELAY, is_caller=True), Edge(RELAY, is_caller=False)
+    sender, receiver = (
+        make_edge(RELAY, is_caller=True),
+        make_edge(RELAY, is_caller=False),
+    )
     for sequence, holds in [(1, ""), (2, ""), (3, "bilbao"), (4, "bilbao"), (5, "")]:
         beat = RelayBeat(
             vm="r1",
--- a/testing/membership/test_table.py
+++ b/testing/membership/test_table.py
@@ -1,6 +1,7 @@
 """Guard against replicas that differ and entries that come back."""
 
 import random
+from collections.abc import Sequence
 
 from hypothesis import given, settings, strategies as st
 
@@ -19,6 +20,14 @@
     return Member(vm=vm, sequence=sequence, **values)  # type: ignore[arg-type]
 
 
+def send(source: MemberTable, vms: Sequence[str], target: MemberTable) -> None:
+    """Merge the entries of some VMs into another table."""
+    for vm in vms:
+        entry = source.entry(vm)
+        assert entry is not None
+        target.merge(entry)
+
+
 entries = st.builds(
     Member,
     vm=st.sampled_from(["vm1", "vm2", "vm3"]),
@@ -68,14 +77,10 @@
         first.merge(entry)
     for entry in right:
         second.merge(entry)
-    to_second, to_first = (
-        list(first.differing(second.digests())),
-        list(second.differing(first.digests())),
-    )
-    for entry in to_second:
-        second.merge(entry)
-    for entry in to_first:
-        first.merge(entry)
+    to_second = first.differing(second.digests())
+    to_first = second.differing(first.digests())
+    send(first, to_second, second)
+    send(second, to_first, first)
     assert first.digests() == second.digests()
 
 
@@ -99,8 +104,7 @@
     assert not table.merge(member())
     assert not table.is_live("vm1", "a")
     # A peer that was cut off learns that the daemon is down.
-    for entry in table.differing(peer.digests()):
-        peer.merge(entry)
+    send(table, table.differing(peer.digests()), peer)
     assert peer.live_count() == 0
     assert table.merge(member(incarnation="b", started_ms=6))
     table.expire(TOMBSTONE_MS + BURIED_MS)
