--- a/src/eelgrassweir/shares/borrower.py
+++ b/src/eelgrassweir/shares/borrower.py
@@ -16,6 +16,11 @@
 _MIN_AHEAD_MS = 20.0
 _SHRINK_FACTOR = 0.4
 _GROWTH_MS = 5.0
+# Below this number of calls expected in the time covered, requests wait for
+# their token.
+_LEAST_EXPECTED = 0.25
+# Tokens of teams that run low are asked for together, at least this far apart.
+_BATCH_MS = 100.0
 # Spent tokens count against the burst until they are reported.
 _REPORT_MS = 100.0
 _SHORT_MEMORY_MS = 1000.0
@@ -78,7 +83,9 @@
 
     def ahead_calls(self, now_ms: float) -> int:
         expected = self.rate_now(now_ms) * self.ahead_ms / 1000.0
-        # A single request does not make a token lie idle afterwards.
+        if self.ahead_ms == _MAX_AHEAD_MS and expected >= _LEAST_EXPECTED:
+            return math.ceil(expected + math.sqrt(expected))
+        # Holders run out, so a token that may not be needed is not kept.
         return max(0, math.ceil(expected - 0.5))
 
     def shrink_ahead(self, now_ms: float) -> None:
@@ -139,6 +146,7 @@
         self._peers: dict[str, _Peer] = {}
         self._seen: dict[tuple[str, str, int], float] = {}
         self._domains: tuple[str, ...] = ()
+        self._asked_at_ms = -math.inf
 
     def record_demand(self, team: str, now_ms: float) -> None:
         """Count one request of the team, whether it gets a token or not."""
@@ -168,8 +176,9 @@
         return True
 
     def needs_call(self, team: str, now_ms: float) -> bool:
-        """Say whether tokens of the team are running low."""
-        return self._deficit(team, now_ms) > 0
+        """Say whether tokens of the team must be asked for now."""
+        missing, is_due = self._missing(team, now_ms)
+        return missing > 0 and is_due
 
     def is_idle(self) -> bool:
         """Say whether nothing is held, wanted or left to report."""
@@ -180,11 +189,17 @@
         self._domains = tuple(domains)
         self._forget_expired(now_ms)
         wanted: dict[str, dict[str, int]] = {}
+        others: dict[str, int] = {}
         for team in self._teams:
             self._give_back(team, now_ms)
-            deficit = self._deficit(team, now_ms)
-            if deficit > 0:
-                self._spread(team, deficit, domains, wanted, now_ms)
+            missing, is_due = self._missing(team, now_ms)
+            if missing > 0 and is_due:
+                self._spread(team, missing, domains, wanted, now_ms)
+            elif missing > 0:
+                others[team] = missing
+        self._add_others(others, domains, wanted, now_ms)
+        if wanted:
+            self._asked_at_ms = now_ms
         calls = []
         for domain in domains:
             call = self._call(domain, wanted.get(domain, {}), now_ms)
@@ -255,15 +270,34 @@
             if peer.call is not None and now_ms - peer.call.sent_ms < _HEDGE_MS
         )
 
-    def _deficit(self, team: str, now_ms: float) -> int:
+    def _missing(self, team: str, now_ms: float) -> tuple[int, bool]:
+        """Return how many tokens are missing, and whether to ask now."""
         state = self._teams.get(team)
         if state is None:
-            return 0
+            return 0, False
         ahead = state.ahead_calls(now_ms)
         have = state.left(now_ms + _RENEW_MS) + self._pending(team, now_ms)
-        if have - state.waiting >= ahead / 2 and have >= state.waiting:
-            return 0
-        return state.waiting + ahead - have
+        missing = state.waiting + ahead - have
+        if have < state.waiting:
+            return missing, True
+        if have - state.waiting >= ahead / 2:
+            return missing, False
+        gap_ms = min(_BATCH_MS, state.ahead_ms / 2)
+        return missing, now_ms - self._asked_at_ms >= gap_ms
+
+    def _add_others(
+        self,
+        others: dict[str, int],
+        domains: Sequence[str],
+        wanted: dict[str, dict[str, int]],
+        now_ms: float,
+    ) -> None:
+        """Fill up the tokens of other teams with the calls that are made."""
+        for team, missing in others.items():
+            for domain in domains:
+                if domain in wanted and self._is_free(domain, team, now_ms):
+                    wanted[domain][team] = missing
+                    break
 
     def _spread(
         self,
