--- a/src/eelgrassweir/shares/borrower.py
+++ b/src/eelgrassweir/shares/borrower.py
@@ -15,7 +15,7 @@
 _MAX_AHEAD_MS = 250.0
 _MIN_AHEAD_MS = 20.0
 _SHRINK_FACTOR = 0.4
-_GROWTH_MS = 5.0
+_GROWTH_MS = 2.0
 # Below this number of calls expected in the time covered, requests wait for
 # their token.
 _LEAST_EXPECTED = 0.25
@@ -38,7 +38,9 @@
 # the rate, 8 daemons made 9 calls for each token before.
 _SHORT_BACKOFF = 1.3
 _MAX_SHORT_REPLIES = 20
-_MAX_SHORT_MS = 100.0
+_MAX_EMPTY_MS = 100.0
+# A bucket that still lends something must be asked before it is full again.
+_MAX_PARTIAL_MS = 40.0
 _NO_PERMIT_MS = 100.0
 _FIRST_BACKOFF_MS = 50.0
 _MAX_BACKOFF_MS = 1000.0
@@ -395,7 +397,8 @@
         if is_short:
             count = peer.short_replies.get(team, 0)
             peer.short_replies[team] = min(count + 1, _MAX_SHORT_REPLIES)
-            backoff_ms = min(_MAX_SHORT_MS, _MIN_GAP_MS * _SHORT_BACKOFF**count)
+            most_ms = _MAX_PARTIAL_MS if grant.tokens else _MAX_EMPTY_MS
+            backoff_ms = min(most_ms, _MIN_GAP_MS * _SHORT_BACKOFF**count)
             retry_ms = max(grant.retry_after_ms, backoff_ms)
             peer.short_until_ms[team] = now_ms + retry_ms
         else:
