--- a/src/eelgrassweir/shares/borrower.py
+++ b/src/eelgrassweir/shares/borrower.py
@@ -319,6 +319,12 @@
         elif own.call is not None and now_ms - own.call.sent_ms < _HEDGE_MS:
             return
         part = -(-deficit // len(free))
+        if own.call is not None and free[0] != domains[0]:
+            # The own call may be lost, and so may the next one; what is too
+            # much is given back.
+            for domain in free:
+                wanted.setdefault(domain, {})[team] = deficit
+            return
         for domain in free:
             wanted.setdefault(domain, {})[team] = min(part, deficit)
             deficit -= min(part, deficit)
