--- a/src/eelgrassweir/shares/borrower.py
+++ b/src/eelgrassweir/shares/borrower.py
@@ -86,7 +86,10 @@
     def ahead_calls(self, now_ms: float) -> int:
         expected = self.rate_now(now_ms) * self.ahead_ms / 1000.0
         if self.ahead_ms == _MAX_AHEAD_MS and expected >= _LEAST_EXPECTED:
-            return math.ceil(expected + math.sqrt(expected))
+            # Arrivals vary by about the square root; a single token is enough
+            # where less than one call is expected.
+            spare = math.sqrt(expected) if expected >= 1.0 else 0.0
+            return math.ceil(expected + spare)
         # Holders run out, so a token that may not be needed is not kept.
         return max(0, math.ceil(expected - 0.5))
 
