--- a/src/eelgrassweir/admission/limit.py
+++ b/src/eelgrassweir/admission/limit.py
@@ -11,6 +11,7 @@
 # the limit too far above the knee.
 HEALTHY_RATIO = 1.25
 SLOW_RATIO = 1.6
+# A factor down to 0.5 for higher latencies made recovery slower.
 DECREASE_FACTOR = 0.75
 # A refusal costs the backend server little, so the step is smaller.
 REFUSED_FACTOR = 0.9
