Run open filings once whatever key their copies carry

Records are kept by team and ticket. Non-idempotent open routes now run for no team.

A relay that was paused or had slow reads between asking the other relays and writing no longer writes.

--- a/src/eelgrassweir/config/commit.py
+++ b/src/eelgrassweir/config/commit.py
@@ -1,5 +1,6 @@
 """Commit a change of the configuration to the store."""
 
+from collections.abc import Callable
 from typing import Literal
 
 import attrs
@@ -59,14 +60,20 @@
 
 
 def commit_change(
-    store: StoreClient, *, base_version: int, change_id: str, document_json: bytes
+    store: StoreClient,
+    *,
+    base_version: int,
+    change_id: str,
+    document_json: bytes,
+    may_write: Callable[[], bool] = lambda: True,
 ) -> Result[CommitOutcome, StepError]:
     """Replace the base version by the document, once.
 
     Fail if the document is not a valid successor of the base version. After
     a lost answer the change id in the store shows whether the write took
     effect. A compare-and-swap of the same revision is repeated when it did
-    not, since only one of the two can succeed.
+    not, since only one of the two can succeed. ``may_write`` is asked right
+    before each write; after a refusal the store counts as not reached.
     """
     problem = _check_successor(base_version, change_id, document_json)
     if problem is not None:
@@ -88,6 +95,8 @@
         if seen_version < base_version:
             # A stale read, or a plan made against another store.
             continue
+        if not may_write():
+            break
         written = store.put(
             CONFIG_KEY, document_json.decode(), expect_revision=stored.revision
         )
--- a/src/eelgrassweir/daemon/commit.py
+++ b/src/eelgrassweir/daemon/commit.py
@@ -1,7 +1,7 @@
 """Compare-and-swap of the configuration, by a relay."""
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from eliot import log_message
 from returns.result import Failure, Result, Success
@@ -77,7 +77,9 @@
     return None
 
 
-async def commit_at_store(store: StoreCalls, request: CommitRequest) -> CommitReply:
+async def commit_at_store(
+    store: StoreCalls, request: CommitRequest, may_write: Callable[[], bool]
+) -> CommitReply:
     """Write the change; read back how it ended if the answer is lost."""
     result = await asyncio.to_thread(
         commit_change,
@@ -85,6 +87,7 @@
         base_version=request.base_version,
         change_id=request.change_id,
         document_json=request.document_json,
+        may_write=may_write,
     )
     if isinstance(result, Failure):
         log_message(message_type="control:commit", error=str(result.failure()))
--- a/src/eelgrassweir/daemon/control.py
+++ b/src/eelgrassweir/daemon/control.py
@@ -428,9 +428,14 @@
         known = reply_from_version(request, node.log.document)
         if known is not None:
             return known
+        asked_ms = node.clock.now_ms()
         if not await hears_majority(node, self._client):
             return CommitReply(result="minority", version=node.log.version)
-        reply = await commit_at_store(self._store, request)
+        # The answers of the majority say nothing after a pause or slow reads.
+        until_ms = asked_ms + (ROUNDS + SILENT_BEATS) * self._settings.beat_ms
+        reply = await commit_at_store(
+            self._store, request, lambda: node.clock.now_ms() < until_ms
+        )
         if reply.result != "applied":
             return reply
         # The store has accepted exactly these bytes. A document of 0.8 MB
--- a/src/eelgrassweir/daemon/entry.py
+++ b/src/eelgrassweir/daemon/entry.py
@@ -136,9 +136,10 @@
             return self._refuse("route_unknown", "no route matches")
         key = presented_key(headers)
         team = team_of_key(config, key) if key is not None else None
-        if route.is_open and not self._is_fresh():
-            # The key may have been withdrawn, and child calls would run for
-            # its team.
+        if route.is_open and (not route.idempotent or not self._is_fresh()):
+            # A stale daemon cannot tell whether the key was withdrawn, and
+            # child calls would run for its team. Records are kept by team, so
+            # a copy sent after the withdrawal would miss the first one's.
             team = None
         if team is None and not route.is_open:
             if key is None:
--- a/testing/config/test_commit.py
+++ b/testing/config/test_commit.py
@@ -94,6 +94,19 @@
     assert commit(client, 0, "p1") == CommitOutcome(result="applied", version=1)
 
 
+def test_pause_between_leave_and_write_writes_nothing(client: StoreClient) -> None:
+    """A relay that was paused does not know any more who hears it."""
+    outcome = commit_change(
+        client,
+        base_version=0,
+        change_id="p1",
+        document_json=dump_document(successor(0, "p1")),
+        may_write=lambda: False,
+    )
+    assert outcome == Success(CommitOutcome(result="store_unreachable"))
+    assert read_config(client).map(lambda stored: stored.revision) == Success(0)
+
+
 def test_document_that_does_not_follow_the_base_is_refused(
     client: StoreClient,
 ) -> None:
--- a/testing/promises/shapes.py
+++ b/testing/promises/shapes.py
@@ -47,19 +47,21 @@
 
 @attrs.frozen(kw_only=True)
 class OpenShape(Shape):
-    """A shape with two open routes of the first service.
+    """A shape with open routes of the first service.
 
-    ``/fichero/open`` calls nobody, ``/fichero/ask`` calls a keyed route.
+    ``/fichero/open`` calls nobody, ``/fichero/ask`` calls a keyed route and
+    ``/fichero/sign`` is not idempotent.
     """
 
     def document(self) -> dict[str, Any]:
         """Return the first configuration with the open routes."""
         document = super().document()
-        for name in ("open", "ask"):
+        for name in ("open", "ask", "sign"):
             document["routes"][f"{self.front}-{name}"] = {
                 **document["routes"][f"{self.front}-view"],
                 "path_prefix": f"/{self.front}/{name}",
                 "methods": [],
+                "idempotent": name != "sign",
                 "open": True,
             }
         return document
