--- a/src/eelgrassweir/routing/picker.py
+++ b/src/eelgrassweir/routing/picker.py
@@ -21,6 +21,8 @@
 DRAINING_SKIP_MS = 2_000.0
 # A trial call that never ends must not block its target for good.
 TRIAL_LIMIT_MS = 5_000.0
+FORGET_MS = 60_000.0
+FORGET_FROM_TARGETS = 1_000
 
 
 @attrs.define
@@ -33,6 +35,9 @@
     skip_until_ms: float = 0.0
     trial_until_ms: float = 0.0
 
+    def closed_until_ms(self) -> float:
+        return max(self.skip_until_ms, self.trial_until_ms)
+
 
 class TargetPicker:
     """Pick the less loaded of two random targets, own domain first."""
@@ -41,6 +46,7 @@
         self._random = random
         self._targets: dict[str, _Target] = {}
         self._chosen_ms = 0.0
+        self._forget_at = FORGET_FROM_TARGETS
 
     def choose(
         self,
@@ -52,10 +58,10 @@
     ) -> control_pb2.Member | None:
         """Return a ready target, None if all are excluded or not ready."""
         self._chosen_ms = now_ms
-        ready = [m for m in members if m.state == READY and m.vm not in excluded]
-        usable = [m for m in ready if not self._is_skipped(m.vm, now_ms)] or ready
-        near = [m for m in usable if m.failure_domain == own_domain]
-        far = [m for m in usable if m.failure_domain != own_domain]
+        near, far = self._usable(members, own_domain, excluded, now_ms)
+        if not near and not far:
+            # All are skipped: better a target that failed lately than none.
+            near, far = self._usable(members, own_domain, excluded, math.inf)
         best_near = self._better_of_two(near, now_ms)
         best_far = self._better_of_two(far, now_ms)
         if best_near is None or best_far is None:
@@ -99,13 +105,45 @@
         target.skip_until_ms = now_ms + skip_ms * self._random.uniform(0.8, 1.2)
 
     def _target(self, vm: str) -> _Target:
-        return self._targets.setdefault(vm, _Target())
-
-    def _is_skipped(self, vm: str, now_ms: float) -> bool:
         target = self._targets.get(vm)
         if target is None:
-            return False
-        return now_ms < max(target.skip_until_ms, target.trial_until_ms)
+            self._forget_unused()
+            target = self._targets[vm] = _Target(reported_ms=self._chosen_ms)
+        return target
+
+    def _forget_unused(self) -> None:
+        """Drop the state of replaced VMs, which never come back."""
+        if len(self._targets) < self._forget_at:
+            return
+        oldest_ms = self._chosen_ms - FORGET_MS
+        self._targets = {
+            vm: target
+            for vm, target in self._targets.items()
+            if target.in_flight_calls or target.reported_ms > oldest_ms
+        }
+        self._forget_at = 2 * len(self._targets) + FORGET_FROM_TARGETS
+
+    def _usable(
+        self,
+        members: Sequence[control_pb2.Member],
+        own_domain: str,
+        excluded: set[str],
+        now_ms: float,
+    ) -> tuple[list[control_pb2.Member], list[control_pb2.Member]]:
+        near: list[control_pb2.Member] = []
+        far: list[control_pb2.Member] = []
+        for member in members:
+            vm = member.vm
+            if member.state != READY or vm in excluded:
+                continue
+            target = self._targets.get(vm)
+            if target is not None and now_ms < target.closed_until_ms():
+                continue
+            if member.failure_domain == own_domain:
+                near.append(member)
+            else:
+                far.append(member)
+        return near, far
 
     def _better_of_two(
         self, members: Sequence[control_pb2.Member], now_ms: float
