--- a/src/eelgrassweir/daemon/dispatch.py
+++ b/src/eelgrassweir/daemon/dispatch.py
@@ -178,7 +178,8 @@
         self, call: Call, result: HttpResponse | Refusal
     ) -> HttpResponse | Refusal:
         if isinstance(result, HttpResponse):
-            self._ratio.record_success(call.service, self._clock.now_ms())
+            if result.status < 500:
+                self._ratio.record_success(call.service, self._clock.now_ms())
             return result
         if call.maybe_run and result.not_run:
             # The last attempt did not run, but an earlier one may have.
