Test reports across a removal and promises during a takeover

Two were found by no test and have one now: a report for a grant from before the team was removed, and a promise during a takeover.

--- a/testing/daemon/test_share_service.py
+++ b/testing/daemon/test_share_service.py
@@ -386,6 +386,27 @@
     run(main)
 
 
+def test_holder_and_relay_taking_over_promise_nothing() -> None:
+    """Guard against a promise given while the takeover is under way."""
+
+    async def main(domain: Domain) -> None:
+        request = control_pb2.PromiseRequest(failure_domain="oviedo", life_ms=1000)
+        for service in domain.services.values():
+            await service.start()
+        # The takeover goes on for some ms after its first write.
+        while KEY not in domain.store.items:
+            assert domain.clock.now_ms() < 2000
+            await asyncio.sleep(0.0005)
+        assert domain.holder() is None
+        value = domain.store.items[KEY][0].value
+        taking = next(vm for vm in domain.services if f'"holder":"{vm}"' in value)
+        assert not (await domain.services[taking].promise(request)).promised
+        await domain.until(lambda: domain.holder() == taking, 2000)
+        assert not (await domain.services[taking].promise(request)).promised
+
+    run(main)
+
+
 def test_relay_that_lost_its_place_hands_the_share_over() -> None:
     async def main(domain: Domain) -> None:
         first = await domain.start()
--- a/testing/shares/test_holder.py
+++ b/testing/shares/test_holder.py
@@ -75,6 +75,17 @@
     assert lend(holder, 10, 5000) == 0
 
 
+def test_report_from_before_a_removal_frees_nothing() -> None:
+    """Guard against a report that lowers the count of another bucket."""
+    holder = make_holder(1000, 10)
+    grant = holder.grant("a", "registro", 10, 5000)
+    holder.set_parts({}, 5010)
+    holder.set_parts({"registro": Part(rate_per_s=1000, burst_calls=10)}, 5020)
+    holder.report("a", grant.grant_id, 10, 0, 5030)
+    assert lend(holder, 100, 7000) == 10
+    assert lend(holder, 100, 7500) == 0
+
+
 def test_several_borrowers_leave_tokens_for_each_other() -> None:
     """Guard against one daemon that takes the whole burst ahead of need."""
     holder = make_holder(0.001, 16, start_ms=-1e9)
