--- a/testing/fleet.py
+++ b/testing/fleet.py
@@ -127,6 +127,9 @@
     def start(self) -> None:
         """Start the store, the daemons and the backend servers."""
         self.directory.mkdir(parents=True, exist_ok=True)
+        # Runs of an earlier fleet in the same directory do not count.
+        for path in self.directory.glob("*.runs"):
+            path.unlink()
         if self.proxy is not None:
             self.proxy.__enter__()
         self.start_store()
