--- /dev/null
+++ b/testing/test_docs.py
@@ -0,0 +1,64 @@
+"""Guard against pages whose examples no longer match the code."""
+
+import doctest
+import os
+import pathlib
+import subprocess
+import sys
+
+import pytest
+
+import eelgrassweir
+from eelgrassweir.requests.refusal import STATUS_BY_CODE
+
+DOCS = pathlib.Path(__file__).parent.parent / "docs"
+SOURCES = pathlib.Path(eelgrassweir.__file__).parent.parent
+IMPORT_LIGHT = """
+import importlib, sys, threading
+importlib.import_module(sys.argv[1])
+assert threading.active_count() == 1, threading.enumerate()
+heavy = {"grpc", "cheroot"} & sys.modules.keys()
+assert not heavy, heavy
+"""
+
+
+def test_examples_of_embedding_page_run() -> None:
+    """Guard against an interface that changed without its page."""
+    result = doctest.testfile(str(DOCS / "embedding.md"), module_relative=False)
+    assert result.attempted > 0
+    assert result.failed == 0
+
+
+@pytest.mark.parametrize(
+    "module",
+    [
+        "eelgrassweir",
+        "eelgrassweir.daemon.gate",
+        "eelgrassweir.retries.budget",
+        "eelgrassweir.shares.borrower",
+        "eelgrassweir.shares.holder",
+        "eelgrassweir.requests.record",
+        "eelgrassweir.membership.table",
+    ],
+)
+def test_import_starts_no_thread_and_loads_no_server(module: str) -> None:
+    """Guard against an import that costs an embedder a thread or a server."""
+    done = subprocess.run(
+        [sys.executable, "-c", IMPORT_LIGHT, module],
+        env=os.environ | {"PYTHONPATH": str(SOURCES)},
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
+    assert done.returncode == 0, done.stderr
+
+
+def test_refusals_page_lists_each_code_with_its_status() -> None:
+    """Guard against a code that callers find nowhere, or a wrong status."""
+    rows = [
+        [cell.strip() for cell in line.strip("|").split("|")]
+        for line in (DOCS / "refusals.md").read_text().splitlines()
+        if line.startswith("| `")
+    ]
+    listed = {row[0].strip("`"): int(row[1]) for row in rows}
+    assert listed == STATUS_BY_CODE
