--- a/testing/test_docs.py
+++ b/testing/test_docs.py
@@ -1,17 +1,24 @@
 """Guard against pages whose examples no longer match the code."""
 
 import doctest
+import json
 import os
 import pathlib
+import re
 import subprocess
 import sys
 
 import pytest
+from returns.result import Success
 
 import eelgrassweir
+from eelgrassweir.daemon.control_metrics import ControlMetrics
+from eelgrassweir.daemon.metrics import Metrics
 from eelgrassweir.requests.refusal import STATUS_BY_CODE
+from eelgrassweir.settings.loader import check_settings
 
 DOCS = pathlib.Path(__file__).parent.parent / "docs"
+OPERATORS = DOCS / "operators.md"
 SOURCES = pathlib.Path(eelgrassweir.__file__).parent.parent
 IMPORT_LIGHT = """
 import importlib, sys, threading
@@ -62,3 +69,37 @@
     ]
     listed = {row[0].strip("`"): int(row[1]) for row in rows}
     assert listed == STATUS_BY_CODE
+
+
+def test_settings_of_operators_page_are_valid() -> None:
+    """Guard against a first example that the daemon refuses."""
+    blocks = re.findall(r"```json\n(.*?)```", OPERATORS.read_text(), re.DOTALL)
+    assert blocks
+    for block in blocks:
+        assert isinstance(check_settings(json.loads(block)), Success)
+
+
+def test_operators_page_lists_each_metric() -> None:
+    """Guard against a metric without a meaning, or one that is gone."""
+    registry = Metrics().registry
+    ControlMetrics(registry)
+    names = {
+        f"{metric.name}_total" if metric.type == "counter" else metric.name
+        for metric in registry.collect()
+    }
+    listed = set(re.findall(r"^\| `(eelgrassweir_\w+)", OPERATORS.read_text(), re.M))
+    assert listed == names
+
+
+def test_operators_page_lists_each_message_type() -> None:
+    """Guard against a log line that the operators find nowhere."""
+    used = {
+        name
+        for path in (SOURCES / "eelgrassweir").rglob("*.py")
+        for name in re.findall(
+            r'log_message\(\s*(?:message_type=)?"([^"]+)"', path.read_text()
+        )
+    }
+    text = OPERATORS.read_text()
+    listed = set(re.findall(r"^\| `((?:daemon|control|shares|admin):\w+)`", text, re.M))
+    assert listed == used
