--- a/src/eelgrassweir/daemon/admin_bridge.py
+++ b/src/eelgrassweir/daemon/admin_bridge.py
@@ -60,6 +60,7 @@
         "vm": app.settings.vm,
         "config_version": config.version if config else 0,
         "is_fresh": app.control.is_fresh(),
+        "store_reached": fleet.store_reached,
         "freshness_age_ms": app.control.freshness_age_ms(),
         "fleet": {
             "counts": [
--- a/src/eelgrassweir/daemon/fleet.py
+++ b/src/eelgrassweir/daemon/fleet.py
@@ -14,6 +14,8 @@
     """Hold the counts and names that the relays gave."""
 
     newest_version: int
+    # Whether a relay that answered has reached the store lately.
+    store_reached: bool
     daemons_by_version: dict[int, int]
     lagging: tuple[str, ...]
     unreachable_relays: tuple[str, ...]
@@ -58,6 +60,7 @@
     known = node.members.live_count()
     return FleetStatus(
         newest_version=newest,
+        store_reached=any(reply.store_reached for reply in heard),
         daemons_by_version=dict(sorted(counts.items())),
         lagging=tuple(lagging[:LAGGING_NAMES]),
         unreachable_relays=unreachable,
--- a/src/eelgrassweir/daemon/tls.py
+++ b/src/eelgrassweir/daemon/tls.py
@@ -33,7 +33,8 @@
 
     def __init__(self, files: KeyFiles, purpose: ssl.Purpose) -> None:
         self._files = files
-        self.context = ssl.create_default_context(purpose)
+        # Named authorities replace those of the system.
+        self.context = ssl.create_default_context(purpose, cafile=files.ca)
         if files.ca is not None:
             self.context.verify_mode = ssl.CERT_REQUIRED
         self._stamp: tuple[float, ...] = ()
