Put back the tokens of calls that were refused without a run

Ruled out: a limit that is too low; the deepest targets ran at all slots. Returning tokens at the entry, which exceeds the burst once they are reported. Change: entries report such tokens; the holder puts back what its bucket would have held had they not been spent, judged by the highest sum of level and outstanding tokens since. Conclusion: the any-window bound holds in the random walks with refunds.

--- a/src/eelgrassweir/daemon/dispatch.py
+++ b/src/eelgrassweir/daemon/dispatch.py
@@ -18,6 +18,7 @@
 from eelgrassweir.requests.ticket import Ticket, mint_ticket, parse_ticket
 from eelgrassweir.retries.budget import RetryBudget, RetryRatio
 from eelgrassweir.routing.picker import TargetPicker
+from eelgrassweir.shares.borrower import Token
 
 # Free attempts (after ``draining``) are bounded by this as well.
 MAX_ATTEMPTS = 8
@@ -42,6 +43,8 @@
     # Whether no other daemon can have a copy with the same ticket.
     is_only_sender: bool = False
     accepts_from: int = 0
+    # What the call took of its team's rate.
+    token: Token | None = None
     tried: set[str] = attrs.field(factory=set)
     # Targets whose link failed; over a new link they may still answer.
     link_failed: set[str] = attrs.field(factory=set)
--- a/src/eelgrassweir/daemon/entry.py
+++ b/src/eelgrassweir/daemon/entry.py
@@ -120,6 +120,10 @@
         else:
             result = await self._dispatcher.void(call, refusal)
         if isinstance(result, Refusal):
+            if result.not_run and call.token is not None:
+                # Hard resends of refused calls would otherwise use up the
+                # rate of a team that gets no answers.
+                self._tokens.refund(call.token)
             return self._refused(self._with_ticket(result, route))
         status_class = f"{result.status // 100}xx"
         self._metrics.answers.labels(route.name, status_class).inc()
@@ -223,6 +227,7 @@
                 self._refuse("rate_exceeded", reason),
                 retry_after_ms=decision.retry_after_ms,
             )
+        call.token = decision.token
         self._metrics.team_calls.labels(identity.team).inc()
         self._usage.record(identity.team)
         return None
--- a/src/eelgrassweir/daemon/share_service.py
+++ b/src/eelgrassweir/daemon/share_service.py
@@ -250,6 +250,7 @@
             seat.holder.report(
                 borrower, report.grant_id, report.spent, report.returned, now_ms
             )
+            seat.holder.refund(borrower, report.grant_id, report.refunded, now_ms)
         for wanted in request.requests:
             grant = seat.holder.grant(borrower, wanted.team, wanted.wanted, now_ms)
             self.granted_tokens += grant.tokens
--- a/src/eelgrassweir/daemon/tokens.py
+++ b/src/eelgrassweir/daemon/tokens.py
@@ -10,7 +10,7 @@
 from eelgrassweir.clock import Clock
 from eelgrassweir.errors import StepError
 from eelgrassweir.proto import control_pb2
-from eelgrassweir.shares.borrower import BorrowCall, Borrower
+from eelgrassweir.shares.borrower import BorrowCall, Borrower, Token
 
 Borrow = Callable[
     [str, control_pb2.BorrowRequest],
@@ -31,6 +31,7 @@
 
     granted: bool
     retry_after_ms: int = 0
+    token: Token | None = None
 
 
 class TokenService:
@@ -56,12 +57,13 @@
         self._holders = holders
         self._wait_ms = wait_ms
         self._borrower = Borrower()
-        self._waiters: dict[str, deque[asyncio.Future[bool]]] = {}
+        self._waiters: dict[str, deque[asyncio.Future[Token | None]]] = {}
         self._calls: set[asyncio.Task[None]] = set()
         self._timer: asyncio.TimerHandle | None = None
         self._is_running = False
         self.granted_calls = 0
         self.refused_calls = 0
+        self.refunded_calls = 0
         self.borrow_calls = 0
         self.failed_borrow_calls = 0
 
@@ -78,7 +80,7 @@
         for queue in self._waiters.values():
             for waiter in queue:
                 if not waiter.done():
-                    waiter.set_result(False)
+                    waiter.set_result(None)
         calls = list(self._calls)
         for call in calls:
             call.cancel()
@@ -88,35 +90,43 @@
         """Take one token of the team, waiting up to the limit for a grant."""
         now_ms = self._clock.now_ms()
         self._borrower.record_demand(team, now_ms)
-        if not self._waiters.get(team) and self._borrower.take(team, now_ms):
+        token = None if self._waiters.get(team) else self._borrower.take(team, now_ms)
+        if token is not None:
             if self._borrower.needs_call(team, now_ms):
                 self._pump()
             self._arm()
+        else:
+            token = await self._wait(team)
+        if token is not None:
             self.granted_calls += 1
-            return TokenDecision(granted=True)
-        if await self._wait(team):
-            self.granted_calls += 1
-            return TokenDecision(granted=True)
+            return TokenDecision(granted=True, token=token)
         self.refused_calls += 1
         domains = [domain for domain, _ in self._holders()]
         retry_ms = self._borrower.retry_after_ms(team, domains, self._clock.now_ms())
         return TokenDecision(granted=False, retry_after_ms=retry_ms)
 
+    def refund(self, token: Token) -> None:
+        """Give back the token of a call that was refused without a run."""
+        self.refunded_calls += 1
+        self._borrower.refund(token, self._clock.now_ms())
+        self._arm()
+
     def state(self) -> dict[str, object]:
         """Return counters, tokens and demand for the dump."""
         return {
             "granted_calls": self.granted_calls,
             "refused_calls": self.refused_calls,
+            "refunded_calls": self.refunded_calls,
             "borrow_calls": self.borrow_calls,
             "failed_borrow_calls": self.failed_borrow_calls,
             **self._borrower.state(self._clock.now_ms()),
         }
 
-    async def _wait(self, team: str) -> bool:
+    async def _wait(self, team: str) -> Token | None:
         if not self._is_running or self._wait_ms <= 0:
-            return False
+            return None
         loop = asyncio.get_running_loop()
-        waiter: asyncio.Future[bool] = loop.create_future()
+        waiter: asyncio.Future[Token | None] = loop.create_future()
         queue = self._waiters.setdefault(team, deque())
         queue.append(waiter)
         self._borrower.set_waiting(team, len(queue))
@@ -138,9 +148,10 @@
                 if queue[0].done():
                     queue.popleft()
                     continue
-                if not self._borrower.take(team, self._clock.now_ms()):
+                token = self._borrower.take(team, self._clock.now_ms())
+                if token is None:
                     break
-                queue.popleft().set_result(True)
+                queue.popleft().set_result(token)
             self._borrower.set_waiting(team, len(queue))
 
     def _pump(self) -> None:
@@ -190,6 +201,6 @@
         self._pump()
 
 
-def _refuse(waiter: asyncio.Future[bool]) -> None:
+def _refuse(waiter: asyncio.Future[Token | None]) -> None:
     if not waiter.done():
-        waiter.set_result(False)
+        waiter.set_result(None)
--- a/src/eelgrassweir/shares/borrower.py
+++ b/src/eelgrassweir/shares/borrower.py
@@ -57,17 +57,24 @@
     spent: int = 0
     returned: int = 0
     known_spent: int = 0
+    refunded: int = 0
     known_returned: int = 0
+    known_refunded: int = 0
     unreported_since_ms: float = math.inf
 
     def left(self) -> int:
         return self.tokens - self.spent - self.returned
 
     def has_news(self) -> bool:
-        return (self.spent, self.returned) != (self.known_spent, self.known_returned)
+        known = (self.known_spent, self.known_returned, self.known_refunded)
+        return (self.spent, self.returned, self.refunded) != known
 
-    def is_closed(self) -> bool:
-        return self.known_spent + self.known_returned == self.tokens
+
+@attrs.frozen(eq=False)
+class Token:
+    """One spent token, known by the grant that it came from."""
+
+    grant: _Held
 
 
 @attrs.define(kw_only=True)
@@ -114,15 +121,20 @@
     domain: str
     sent_ms: float
     wanted: dict[str, int]
-    reports: list[tuple[_Held, int, int]]
+    reports: list[tuple[_Held, int, int, int]]
 
     def message(self, vm: str, incarnation: str) -> control_pb2.BorrowRequest:
         """Return the request to send."""
         request = control_pb2.BorrowRequest(vm=vm, incarnation=incarnation)
         for team, wanted in self.wanted.items():
             request.requests.add(team=team, wanted=wanted)
-        for held, spent, returned in self.reports:
-            request.reports.add(grant_id=held.grant_id, spent=spent, returned=returned)
+        for held, spent, returned, refunded in self.reports:
+            request.reports.add(
+                grant_id=held.grant_id,
+                spent=spent,
+                returned=returned,
+                refunded=refunded,
+            )
         return request
 
 
@@ -166,19 +178,27 @@
         state = self._teams.setdefault(team, _Team())
         state.waiting = waiting
 
-    def take(self, team: str, now_ms: float) -> bool:
-        """Spend one token if there is a live one."""
+    def take(self, team: str, now_ms: float) -> Token | None:
+        """Spend and return one token if there is a live one."""
         state = self._teams.get(team)
         if state is None:
-            return False
+            return None
         held = state.held
         while held and (held[0].expires_ms <= now_ms or held[0].left() == 0):
             held.pop(0)
         if not held:
-            return False
+            return None
         held[0].spent += 1
         held[0].unreported_since_ms = min(held[0].unreported_since_ms, now_ms)
-        return True
+        return Token(held[0])
+
+    def refund(self, token: Token, now_ms: float) -> None:
+        """Ask the holder to put back a token whose call did not run."""
+        held = token.grant
+        if held.expires_ms <= now_ms:
+            return
+        held.refunded += 1
+        held.unreported_since_ms = min(held.unreported_since_ms, now_ms)
 
     def needs_call(self, team: str, now_ms: float) -> bool:
         """Say whether tokens of the team must be asked for now."""
@@ -365,7 +385,7 @@
         if not wanted and not self._has_due_report(peer, now_ms):
             return None
         reports = [
-            (held, held.spent, held.returned)
+            (held, held.spent, held.returned, held.refunded)
             for held in peer.held.values()
             if held.has_news()
         ]
@@ -385,12 +405,11 @@
         return False
 
     def _confirm_reports(self, peer: _Peer, call: BorrowCall, now_ms: float) -> None:
-        for held, spent, returned in call.reports:
+        for held, spent, returned, refunded in call.reports:
             held.known_spent = max(held.known_spent, spent)
             held.known_returned = max(held.known_returned, returned)
+            held.known_refunded = max(held.known_refunded, refunded)
             held.unreported_since_ms = now_ms if held.has_news() else math.inf
-            if held.is_closed():
-                peer.held.pop((held.holder_incarnation, held.grant_id), None)
 
     def _note_supply(
         self,
--- a/src/eelgrassweir/shares/holder.py
+++ b/src/eelgrassweir/shares/holder.py
@@ -10,6 +10,8 @@
 # levels are integers and no rounding error can add up to a token.
 _RATE_SCALE = 10**6
 _NS_PER_MS = 10**6
+# Sums within this time are kept as one; a grant life has few of them.
+_PEAK_STEP_NS = 5 * _NS_PER_MS
 _UNITS_PER_TOKEN = _RATE_SCALE * 10**9
 # A borrower that asked this recently competes for what is left.
 _ASKER_MEMORY_MS = 1000
@@ -53,11 +55,21 @@
     expires_ns: int
     spent: int = 0
     returned: int = 0
+    refunded: int = 0
+    # Serial of the first sum that no longer counts its spent tokens.
+    spent_serial: int = -1
 
     def open_tokens(self) -> int:
         return self.tokens - self.spent - self.returned
 
 
+@attrs.define
+class _Peak:
+    at_ns: int
+    units: int
+    serial: int
+
+
 @attrs.define(kw_only=True)
 class _Bucket:
     rate: int
@@ -67,6 +79,8 @@
     outstanding: int = 0
     lent: deque[_Lent] = attrs.field(factory=deque)
     askers: dict[str, int] = attrs.field(factory=dict)
+    # Highest sums of level and outstanding tokens with their times.
+    peaks: deque[_Peak] = attrs.field(factory=deque)
 
     def settle(self, now_ns: int) -> None:
         """Expire grants and refill, in the order of time."""
@@ -88,6 +102,39 @@
         self.level += self.rate * (now_ns - self.updated_ns)
         self.updated_ns = now_ns
         self.clip()
+        self._note_peak(now_ns)
+
+    def _note_peak(self, now_ns: int) -> None:
+        """Keep the sums of the last grant life; only a refill raises them."""
+        last = self.peaks[-1] if self.peaks else None
+        if last is None or now_ns - last.at_ns >= _PEAK_STEP_NS:
+            self.start_peak(now_ns)
+            return
+        last.units = max(last.units, self.units())
+
+    def start_peak(self, now_ns: int) -> int:
+        """Note the sum apart from earlier ones and return its serial."""
+        serial = self.peaks[-1].serial + 1 if self.peaks else 0
+        self.peaks.append(_Peak(now_ns, self.units(), serial))
+        return serial
+
+    def units(self) -> int:
+        """Return level plus outstanding tokens."""
+        return self.level + self.outstanding * _UNITS_PER_TOKEN
+
+    def refund(self, tokens: int, serial: int) -> None:
+        """Put back spent tokens as far as the burst would have held them.
+
+        Had they not been spent, every sum from ``serial`` on would have been
+        higher by as much. What a full bucket would have lost stays lost.
+        """
+        since = [peak for peak in self.peaks if peak.serial >= serial]
+        highest = max([self.units(), *(peak.units for peak in since)])
+        room = self.burst_calls * _UNITS_PER_TOKEN - highest
+        added = max(0, min(tokens * _UNITS_PER_TOKEN, room))
+        self.level += added
+        for peak in since:
+            peak.units += added
 
 
 def _to_ns(time_ms: float) -> int:
@@ -231,8 +278,24 @@
         bucket.outstanding -= more_spent + more_returned
         bucket.level += more_returned * _UNITS_PER_TOKEN
         bucket.clip()
-        if lent.open_tokens() == 0:
-            del self._lent[grant_id]
+        if more_spent and lent.spent_serial < 0:
+            lent.spent_serial = bucket.start_peak(_to_ns(now_ms))
+
+    def refund(
+        self, borrower: str, grant_id: int, refunded: int, now_ms: float
+    ) -> None:
+        """Take the total of spent tokens whose calls did not run."""
+        now_ns = _to_ns(now_ms)
+        lent = self._lent.get(grant_id)
+        if lent is None or lent.borrower != borrower or lent.expires_ns <= now_ns:
+            return
+        bucket = self._buckets.get(lent.team)
+        more = refunded - lent.refunded
+        if bucket is None or more <= 0 or refunded > lent.spent:
+            return
+        bucket.settle(now_ns)
+        lent.refunded = refunded
+        bucket.refund(more, lent.spent_serial)
 
     def state(self, now_ms: float) -> dict[str, dict[str, float]]:
         """Return level and outstanding tokens of each team for the dump."""
@@ -276,5 +339,8 @@
         self._sweep_ns = now_ns
         oldest_ns = now_ns - _ASKER_MEMORY_MS * _NS_PER_MS
         self._lent = {k: v for k, v in self._lent.items() if v.expires_ns > now_ns}
+        oldest_peak_ns = now_ns - self._life_ms * _NS_PER_MS
         for bucket in self._buckets.values():
+            while bucket.peaks and bucket.peaks[0].at_ns < oldest_peak_ns:
+                bucket.peaks.popleft()
             bucket.askers = {k: v for k, v in bucket.askers.items() if v >= oldest_ns}
--- a/testing/daemon/test_tokens.py
+++ b/testing/daemon/test_tokens.py
@@ -65,6 +65,7 @@
             holder.report(
                 request.vm, report.grant_id, report.spent, report.returned, now_ms
             )
+            holder.refund(request.vm, report.grant_id, report.refunded, now_ms)
         for item in request.requests:
             grant = holder.grant(request.vm, item.team, item.wanted, now_ms)
             reply.grants.add(**attrs.asdict(grant))
--- a/testing/shares/test_bound.py
+++ b/testing/shares/test_bound.py
@@ -10,7 +10,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from eelgrassweir.proto import control_pb2
-from eelgrassweir.shares.borrower import BorrowCall, Borrower
+from eelgrassweir.shares.borrower import BorrowCall, Borrower, Token
 from eelgrassweir.shares.holder import Part, ShareHolder, split_parts
 from eelgrassweir.shares.permit import Permit
 from testing.shares.window import worst_excess
@@ -62,6 +62,7 @@
         super().__init__()
         self.now_ms = 0
         self.admitted_ms: list[float] = []
+        self.tokens: list[tuple[Entry, Token, float]] = []
         self.net: list[Message] = []
         self.old_seats: list[Seat] = []
         self.lapse_ms = dict.fromkeys(DOMAINS, 0)
@@ -123,12 +124,22 @@
         missed = 0
         for _ in range(count):
             entry.borrower.record_demand(TEAM, local_ms)
-            if entry.borrower.take(TEAM, local_ms):
-                self.admitted_ms.append(self.now_ms)
-            else:
+            token = entry.borrower.take(TEAM, local_ms)
+            if token is None:
                 missed += 1
+                continue
+            self.admitted_ms.append(self.now_ms)
+            self.tokens.append((entry, token, self.now_ms))
         entry.borrower.set_waiting(TEAM, missed)
 
+    @rule(count=st.integers(1, 40))
+    def refund(self, count: int) -> None:
+        """Refuse late calls; what did not run does not count as admitted."""
+        for _ in range(min(count, len(self.tokens) // 2)):
+            entry, token, at_ms = self.tokens.pop()
+            self.admitted_ms.remove(at_ms)
+            entry.borrower.refund(token, entry.local_ms(self.now_ms))
+
     @rule(
         which=INDEX,
         count=st.integers(1, 60),
@@ -185,6 +196,9 @@
                 report.returned,
                 self.now_ms,
             )
+            seat.holder.refund(
+                message.entry.name, report.grant_id, report.refunded, self.now_ms
+            )
         for wanted in message.request.requests:
             grant = seat.holder.grant(
                 message.entry.name, wanted.team, wanted.wanted, self.now_ms
@@ -251,6 +265,7 @@
         "demand": 10,
         "deliver": 14,
         "lose": 2,
+        "refund": 6,
         "take_over": 0.5,
         "forget": 0.5,
     }
@@ -266,6 +281,8 @@
         fleet.deliver(which, random.random() < 0.5, random.random() < 0.3)
     if name == "lose":
         fleet.lose(which)
+    if name == "refund":
+        fleet.refund(count)
     domain = random.choice(DOMAINS)
     is_lapsed = fleet.now_ms >= fleet.lapse_ms[domain]
     if name == "take_over" or is_lapsed:
--- a/testing/shares/test_holder.py
+++ b/testing/shares/test_holder.py
@@ -101,3 +101,35 @@
     assert sum(part.burst_calls for part in parts.values()) == burst_calls
     rate_per_s = sum(part.rate_per_s for part in parts.values())
     assert rate_per_s == pytest.approx(90.0 if burst_calls else 0.0)
+
+
+def test_refund_gives_back_what_an_unfilled_bucket_would_hold() -> None:
+    holder = ShareHolder(
+        epoch="1",
+        grant_life_ms=LIFE_MS,
+        now_ms=0,
+        parts={"t": Part(rate_per_s=10, burst_calls=10)},
+    )
+    grant = holder.grant("a", "t", 10, 5_000)
+    assert grant.tokens == 10
+    holder.report("a", grant.grant_id, 10, 0, 5_001)
+    holder.refund("a", grant.grant_id, 4, 5_001)
+    holder.refund("a", grant.grant_id, 4, 5_001)
+    assert holder.grant("a", "t", 10, 5_001).tokens == 4
+
+
+def test_refund_after_the_bucket_was_full_again_is_worth_nothing() -> None:
+    """Else calls refused late would add to a full burst."""
+    holder = ShareHolder(
+        epoch="1",
+        grant_life_ms=LIFE_MS,
+        now_ms=0,
+        parts={"t": Part(rate_per_s=100, burst_calls=10)},
+    )
+    grant = holder.grant("a", "t", 10, 5_000)
+    holder.report("a", grant.grant_id, 10, 0, 5_001)
+    full = holder.grant("a", "t", 10, 5_200)
+    assert full.tokens == 10
+    holder.report("a", full.grant_id, 10, 0, 5_200)
+    holder.refund("a", grant.grant_id, 10, 5_200)
+    assert holder.grant("a", "t", 10, 5_200).tokens == 0
