Keep refunds for calls that waited up to 3 s in queues

Cause: most refused calls had waited longer than the grant life of 1 s, so their refunds came too late.

--- a/src/eelgrassweir/shares/borrower.py
+++ b/src/eelgrassweir/shares/borrower.py
@@ -7,6 +7,7 @@
 import attrs
 
 from eelgrassweir.proto import control_pb2
+from eelgrassweir.shares.holder import REFUND_MS
 from eelgrassweir.shares.permit import shortened_ms
 
 # Demand is covered for this long ahead. While all holders run out of tokens
@@ -195,7 +196,7 @@
     def refund(self, token: Token, now_ms: float) -> None:
         """Ask the holder to put back a token whose call did not run."""
         held = token.grant
-        if held.expires_ms <= now_ms:
+        if held.expires_ms <= now_ms - shortened_ms(REFUND_MS):
             return
         held.refunded += 1
         held.unreported_since_ms = min(held.unreported_since_ms, now_ms)
@@ -480,7 +481,8 @@
     def _forget_expired(self, now_ms: float) -> None:
         self._seen = {k: v for k, v in self._seen.items() if v > now_ms}
         for peer in self._peers.values():
-            ended = [k for k, v in peer.held.items() if v.expires_ms <= now_ms]
+            oldest_ms = now_ms - shortened_ms(REFUND_MS)
+            ended = [k for k, v in peer.held.items() if v.expires_ms <= oldest_ms]
             for key in ended:
                 del peer.held[key]
         idle = []
--- a/src/eelgrassweir/shares/holder.py
+++ b/src/eelgrassweir/shares/holder.py
@@ -10,6 +10,8 @@
 # levels are integers and no rounding error can add up to a token.
 _RATE_SCALE = 10**6
 _NS_PER_MS = 10**6
+# A call may wait this long in queues before it is refused without a run.
+REFUND_MS = 3_000
 # Sums within this time are kept as one; a grant life has few of them.
 _PEAK_STEP_NS = 5 * _NS_PER_MS
 _UNITS_PER_TOKEN = _RATE_SCALE * 10**9
@@ -89,6 +91,8 @@
             self._refill(lent.expires_ns)
             self.outstanding -= lent.open_tokens()
             lent.spent = lent.tokens - lent.returned
+            if lent.spent_serial < 0:
+                lent.spent_serial = self.start_peak(lent.expires_ns)
         self._refill(now_ns)
 
     def clip(self) -> None:
@@ -105,7 +109,7 @@
         self._note_peak(now_ns)
 
     def _note_peak(self, now_ns: int) -> None:
-        """Keep the sums of the last grant life; only a refill raises them."""
+        """Keep the highest sums; only a refill raises them."""
         last = self.peaks[-1] if self.peaks else None
         if last is None or now_ns - last.at_ns >= _PEAK_STEP_NS:
             self.start_peak(now_ns)
@@ -287,7 +291,9 @@
         """Take the total of spent tokens whose calls did not run."""
         now_ns = _to_ns(now_ms)
         lent = self._lent.get(grant_id)
-        if lent is None or lent.borrower != borrower or lent.expires_ns <= now_ns:
+        if lent is None or lent.borrower != borrower:
+            return
+        if lent.expires_ns + REFUND_MS * _NS_PER_MS <= now_ns:
             return
         bucket = self._buckets.get(lent.team)
         more = refunded - lent.refunded
@@ -338,8 +344,11 @@
             return
         self._sweep_ns = now_ns
         oldest_ns = now_ns - _ASKER_MEMORY_MS * _NS_PER_MS
-        self._lent = {k: v for k, v in self._lent.items() if v.expires_ns > now_ns}
-        oldest_peak_ns = now_ns - self._life_ms * _NS_PER_MS
+        oldest_lent_ns = now_ns - REFUND_MS * _NS_PER_MS
+        self._lent = {
+            k: v for k, v in self._lent.items() if v.expires_ns > oldest_lent_ns
+        }
+        oldest_peak_ns = oldest_lent_ns - self._life_ms * _NS_PER_MS
         for bucket in self._buckets.values():
             while bucket.peaks and bucket.peaks[0].at_ns < oldest_peak_ns:
                 bucket.peaks.popleft()
