--- a/src/eelgrassweir/settings/generated.py
+++ b/src/eelgrassweir/settings/generated.py
@@ -25,7 +25,7 @@
     advertised_control_address: str = ""
     seed_addresses: tuple[str, ...] = ()
     relays_per_domain_count: int = 3
-    tree_fan_out_count: int = 32
+    tree_fan_out_count: int = 8
     lease_ms: int = 5000
     beat_ms: int = 1000
     isolation_limit_ms: int = 10000
