--- a/src/eelgrassweir/daemon/app.py
+++ b/src/eelgrassweir/daemon/app.py
@@ -21,7 +21,8 @@
 from eelgrassweir.daemon.logs import open_log
 from eelgrassweir.daemon.metrics import Metrics
 from eelgrassweir.daemon.request_path import RequestPath, Surroundings
-from eelgrassweir.daemon.share_service import ShareService, Successor
+from eelgrassweir.daemon.share_ports import Successor
+from eelgrassweir.daemon.share_service import ShareService
 from eelgrassweir.daemon.tls import FLEET_NAME, FleetTls
 from eelgrassweir.daemon.tokens import TokenService
 from eelgrassweir.daemon.usage import UsageMeter
--- a/src/eelgrassweir/daemon/share_service.py
+++ b/src/eelgrassweir/daemon/share_service.py
@@ -2,25 +2,30 @@
 
 import asyncio
 import contextlib
-import json
-from collections.abc import Awaitable, Callable, Mapping, Sequence
-from typing import Any, Protocol
+from collections.abc import Callable, Sequence
 
 import attrs
 from eliot import log_message, write_traceback
 from returns.result import Result, Success
 
 from eelgrassweir.clock import Clock
+from eelgrassweir.daemon.share_ports import (
+    SendPromise,
+    ShareConfig,
+    Store,
+    StoreValue,
+    Successor,
+)
 from eelgrassweir.errors import StepError
 from eelgrassweir.proto import control_pb2
 from eelgrassweir.settings.generated import Settings
 from eelgrassweir.shares.holder import Part, ShareHolder, split_parts
-from eelgrassweir.shares.permit import (
+from eelgrassweir.shares.holder_record import (
     HolderRecord,
-    Permit,
-    PromiseBook,
-    takeover_at_ms,
+    dump_record,
+    parse_record,
 )
+from eelgrassweir.shares.permit import Permit, PromiseBook, takeover_at_ms
 
 _NAMED_SUCCESSORS = 2
 # A renewal is due this often in one lease, so that several may fail.
@@ -31,89 +36,6 @@
 _PROMISE_AFTER_FRACTION = 0.3
 
 
-class StoreValue(Protocol):
-    """Value of one key."""
-
-    @property
-    def value(self) -> str:
-        """Return the text of the value."""
-
-    @property
-    def revision(self) -> int:
-        """Return the revision of the last write of the key."""
-
-
-class Store(Protocol):
-    """Part of the store client that share holders use."""
-
-    def get(self, key: str) -> Result[Any, StepError]:
-        """Return the ``StoreValue`` of a key, or None."""
-
-    def put(
-        self, key: str, value: str, *, expect_revision: int, lease_id: str = ""
-    ) -> Result[int | None, StepError]:
-        """Write by compare-and-swap; None for a conflict."""
-
-    def delete(self, key: str, *, expect_revision: int) -> Result[bool, StepError]:
-        """Delete by compare-and-swap."""
-
-    def grant_lease(self, ttl_ms: int) -> Result[str, StepError]:
-        """Return the id of a new lease."""
-
-    def renew_lease(self, lease_id: str) -> Result[bool, StepError]:
-        """Renew a lease; False when it has lapsed."""
-
-    def revoke_lease(self, lease_id: str) -> Result[Any, StepError]:
-        """End a lease and delete its keys."""
-
-
-class TeamPart(Protocol):
-    """Rate and burst of one team in the configuration."""
-
-    @property
-    def rate_per_s(self) -> float:
-        """Return the rate of the team in calls per second."""
-
-    @property
-    def burst_calls(self) -> int:
-        """Return the burst of the team."""
-
-
-class ShareConfig(Protocol):
-    """Part of the configuration that share holders use."""
-
-    @property
-    def version(self) -> int:
-        """Return the version of the configuration."""
-
-    @property
-    def teams(self) -> Mapping[str, Any]:
-        """Return each team's ``TeamPart``."""
-
-    @property
-    def failure_domains(self) -> tuple[str, ...]:
-        """Return the failure domains that share the rates."""
-
-
-@attrs.frozen(kw_only=True)
-class Successor:
-    """Relay of the same failure domain that may be named as successor."""
-
-    vm: str
-    incarnation: str
-    control_address: str
-
-    def name(self) -> str:
-        """Return vm and incarnation, as written in the record."""
-        return f"{self.vm}/{self.incarnation}"
-
-
-SendPromise = Callable[
-    [str, control_pb2.PromiseRequest],
-    Awaitable[Result[control_pb2.PromiseReply, StepError]],
-]
-
-
 @attrs.define(kw_only=True)
 class _Seat:
     """State of this daemon while it is the holder."""
@@ -449,7 +371,7 @@
         if not isinstance(got, Success) or self._seat is not seat:
             return False
         value = got.unwrap()
-        record = None if value is None else _parse_record(value.value)
+        record = None if value is None else parse_record(value.value)
         if record is None or not self._is_own(record, seat.record.epoch):
             await self._leave(seat, "record replaced")
             return False
@@ -502,7 +424,7 @@
         revision = 0 if value is None else value.revision
         now_ms = self._clock.now_ms()
         if self._lapse is None or self._lapse.revision != revision:
-            record = None if value is None else _parse_record(value.value)
+            record = None if value is None else parse_record(value.value)
             self._lapse = _Lapse(record=record, revision=revision, seen_ms=now_ms)
         if now_ms < self._takeover_at_ms(self._lapse) or self._is_stopping:
             return
@@ -515,12 +437,12 @@
 
     def _note_holder(self, value: str) -> None:
         self._lapse = None
-        record = _parse_record(value)
+        record = parse_record(value)
         self._current_holder = "" if record is None else record.control_address
 
     async def _delete_key_of_predecessor(self, held: StoreValue) -> None:
         """Spare the fleet the rest of the lease of an ended process."""
-        if self._is_predecessor(_parse_record(held.value)):
+        if self._is_predecessor(parse_record(held.value)):
             await asyncio.to_thread(
                 self._store.delete, self._key, expect_revision=held.revision
             )
@@ -647,7 +569,7 @@
     ) -> Result[int | None, StepError]:
         return self._store.put(
             self._key,
-            _dump_record(record),
+            dump_record(record),
             expect_revision=expect_revision,
             lease_id=lease_id,
         )
@@ -656,18 +578,5 @@
         self, record: HolderRecord, expect_revision: int
     ) -> Result[int | None, StepError]:
         return self._store.put(
-            self._record_key, _dump_record(record), expect_revision=expect_revision
+            self._record_key, dump_record(record), expect_revision=expect_revision
         )
-
-
-def _dump_record(record: HolderRecord) -> str:
-    return json.dumps(attrs.asdict(record), separators=(",", ":"))
-
-
-def _parse_record(value: str) -> HolderRecord | None:
-    try:
-        fields = json.loads(value)
-        fields["successors"] = tuple(fields["successors"])
-        return HolderRecord(**fields)
-    except (ValueError, TypeError, KeyError):
-        return None
--- /dev/null
+++ b/src/eelgrassweir/shares/holder_record.py
@@ -0,0 +1,37 @@
+"""Record of the last share holder, as kept in the store."""
+
+import json
+
+import attrs
+
+
+@attrs.frozen(kw_only=True)
+class HolderRecord:
+    """Last holder of a failure domain's share, as kept in the store."""
+
+    holder: str
+    incarnation: str
+    control_address: str
+    # Names of the form vm/incarnation: a restarted process has forgotten its
+    # promises and must not count as the successor that gave them.
+    successors: tuple[str, ...]
+    epoch: int
+    lease_ms: int
+    outage_limit_ms: int
+    # Set by a holder that has stopped granting for good.
+    released: bool = False
+
+
+def dump_record(record: HolderRecord) -> str:
+    """Return the value of the record in the store."""
+    return json.dumps(attrs.asdict(record), separators=(",", ":"))
+
+
+def parse_record(value: str) -> HolderRecord | None:
+    """Return the record in a value of the store, or None if malformed."""
+    try:
+        fields = json.loads(value)
+        fields["successors"] = tuple(fields["successors"])
+        return HolderRecord(**fields)
+    except (ValueError, TypeError, KeyError):
+        return None
--- a/src/eelgrassweir/shares/permit.py
+++ b/src/eelgrassweir/shares/permit.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-import attrs
+from eelgrassweir.shares.holder_record import HolderRecord
 
 # Clocks of two VMs may run at rates that differ by up to this fraction; the
 # side that relies on a promise shortens it by as much.
@@ -14,23 +14,6 @@
     return life_ms * (1.0 - DRIFT_FRACTION)
 
 
-@attrs.frozen(kw_only=True)
-class HolderRecord:
-    """Last holder of a failure domain's share, as kept in the store."""
-
-    holder: str
-    incarnation: str
-    control_address: str
-    # Names of the form vm/incarnation: a restarted process has forgotten its
-    # promises and must not count as the successor that gave them.
-    successors: tuple[str, ...]
-    epoch: int
-    lease_ms: int
-    outage_limit_ms: int
-    # Set by a holder that has stopped granting for good.
-    released: bool = False
-
-
 class Permit:
     """Say whether a holder may grant, by its own monotonic clock.
 
--- a/testing/daemon/test_share_service.py
+++ b/testing/daemon/test_share_service.py
@@ -8,7 +8,8 @@
 import pytest
 from returns.result import Failure, Result, Success
 
-from eelgrassweir.daemon.share_service import ShareService, Successor
+from eelgrassweir.daemon.share_ports import Successor
+from eelgrassweir.daemon.share_service import ShareService
 from eelgrassweir.errors import StepError
 from eelgrassweir.proto import control_pb2
 from eelgrassweir.settings.generated import Settings
--- a/testing/shares/test_permit.py
+++ b/testing/shares/test_permit.py
@@ -3,8 +3,8 @@
 import attrs
 import pytest
 
+from eelgrassweir.shares.holder_record import HolderRecord
 from eelgrassweir.shares.permit import (
-    HolderRecord,
     Permit,
     PromiseBook,
     takeover_at_ms,
