Answer a request whose handler has a fault

Cause: an exception in a handler ended its task, so the caller or the other daemon waited for its deadline. The answer is now outcome_unknown, since nobody knows how far the request got.

--- a/src/eelgrassweir/daemon/http_server.py
+++ b/src/eelgrassweir/daemon/http_server.py
@@ -6,6 +6,7 @@
 from collections.abc import Awaitable, Callable
 
 import httptools
+from eliot import write_traceback
 
 from eelgrassweir.daemon.http_message import (
     HttpRequest,
@@ -15,6 +16,7 @@
 from eelgrassweir.requests.refusal import (
     Refusal,
     http_status,
+    internal_refusal,
     to_json,
     unless_ticketed,
 )
@@ -238,7 +240,7 @@
         try:
             while self._pending:
                 request, keep_alive = self._pending.popleft()
-                response = await self._server.handler(request)
+                response = await self._handle(request)
                 close = not keep_alive or self._server.is_closing
                 is_head = request.method == "HEAD"
                 self._write(encode_response(response, is_head=is_head, close=close))
@@ -262,6 +264,16 @@
         except TimeoutError:
             self.abort()
 
+    async def _handle(self, request: HttpRequest) -> HttpResponse:
+        """Answer one request, also if the handler has a fault."""
+        try:
+            return await self._server.handler(request)
+        except Exception as error:
+            write_traceback()
+            return refusal_response(
+                internal_refusal("handle a request", self._peer, error)
+            )
+
     def _refuse(self, code: str, reason: str) -> None:
         self._refused = True
         refusal = Refusal(
--- a/src/eelgrassweir/daemon/link_server.py
+++ b/src/eelgrassweir/daemon/link_server.py
@@ -4,6 +4,9 @@
 import ssl
 from collections.abc import Awaitable, Callable
 
+import attrs
+from eliot import write_traceback
+
 from eelgrassweir.clock import Clock
 from eelgrassweir.daemon.link_client import (
     FRAME_OVERHEAD_BYTES,
@@ -13,6 +16,7 @@
 )
 from eelgrassweir.daemon.link_frames import FrameProtocol
 from eelgrassweir.proto import link_pb2
+from eelgrassweir.requests.refusal import internal_refusal
 
 # The calling side closes a link without requests sooner, and pings one with
 # requests. A link that carries nothing for this long is silent or its peer is
@@ -157,9 +161,23 @@
         task.add_done_callback(lambda _: self._tasks.pop(stream_id, None))
 
     async def _run(self, request: link_pb2.Request) -> None:
-        reply = await self._server.handler(request, self._peer_vm)
+        reply = await self._handle(request)
         reply.stream_id = request.stream_id
         if isinstance(reply, link_pb2.Response):
             self.send(link_pb2.Frame(response=reply))
         else:
             self.send(link_pb2.Frame(refusal=reply))
+
+    async def _handle(self, request: link_pb2.Request) -> Reply:
+        """Run one request; a fault of the handler must not cost a reply."""
+        try:
+            return await self._server.handler(request, self._peer_vm)
+        except Exception as error:
+            write_traceback()
+            refusal = internal_refusal("handle a call", self._peer_vm, error)
+            return link_pb2.Refusal(**attrs.asdict(refusal, filter=_is_sent))
+
+
+def _is_sent(attribute: "attrs.Attribute[object]", _value: object) -> bool:
+    """Leave out the ticket, which only answers to callers carry."""
+    return attribute.name != "ticket"
--- a/src/eelgrassweir/requests/refusal.py
+++ b/src/eelgrassweir/requests/refusal.py
@@ -62,3 +62,17 @@
     if not any(name.lower() == "idempotency-key" for name, _ in headers):
         return refusal
     return attrs.evolve(refusal, not_run=False)
+
+
+def internal_refusal(step: str, peer: str, error: Exception) -> Refusal:
+    """Return the refusal for a fault of the daemon itself.
+
+    Nobody knows how far the request got.
+    """
+    return Refusal(
+        code="outcome_unknown",
+        not_run=False,
+        reason=f"internal error ({type(error).__name__})",
+        step=step,
+        peer=peer,
+    )
--- a/testing/daemon/test_http.py
+++ b/testing/daemon/test_http.py
@@ -191,3 +191,24 @@
         await server.stop()
 
     asyncio.run(scenario())
+
+
+def test_fault_of_the_handler_is_answered() -> None:
+    """Else the caller waits for an answer that never comes."""
+
+    async def scenario() -> bytes:
+        async def handler(request: HttpRequest) -> HttpResponse:
+            raise KeyError(request.path)
+
+        server = HttpServer(handler, body_limit_bytes=1_000)
+        await server.start("127.0.0.1", 0)
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        writer.write(b"GET /secret HTTP/1.1\r\nConnection: close\r\n\r\n")
+        answer = await asyncio.wait_for(reader.read(), 5)
+        await server.stop()
+        return answer
+
+    answer = asyncio.run(scenario())
+    assert b" 502 " in answer.split(b"\r\n")[0]
+    assert b'"not_run": false' in answer
+    assert b"secret" not in answer
--- a/testing/daemon/test_link.py
+++ b/testing/daemon/test_link.py
@@ -145,3 +145,18 @@
             server.close()
 
     asyncio.run(scenario())
+
+
+def test_fault_of_the_handler_is_a_reply() -> None:
+    async def handler(request: link_pb2.Request, peer: str) -> Reply:
+        raise KeyError(request.path)
+
+    async def scenario() -> None:
+        async with link_pair(handler) as (pool, address):
+            request = link_pb2.Request(path="0")
+            reply = await pool.call(address, "1", request, limit_ms=5_000)
+            assert isinstance(reply, link_pb2.Refusal)
+            assert reply.code == "outcome_unknown"
+            assert not reply.not_run
+
+    asyncio.run(scenario())
