--- a/src/eelgrassweir/daemon/entry.py
+++ b/src/eelgrassweir/daemon/entry.py
@@ -222,7 +222,7 @@
             return None
         decision = await self._tokens.take(identity.team)
         if not decision.granted:
-            reason = "the team is above its rate and burst"
+            reason = "no token of the rate and burst of the team is available"
             return attrs.evolve(
                 self._refuse("rate_exceeded", reason),
                 retry_after_ms=decision.retry_after_ms,
