--- a/experiments/faults.py
+++ b/experiments/faults.py
@@ -2,7 +2,7 @@
 
 import random
 import signal
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from experiments.harness import Event
 from testing.fleet import Fleet
@@ -12,23 +12,30 @@
 SHORT_PAUSE_MS = 300.0
 STORE_OUTAGE_MS = 3_000.0
 REPLACE_MS = 700.0
+LINK_DELAY_MS = 400.0
 
 Act = Callable[[Fleet], object]
 
 
 def plan_faults(
-    names: list[str], *, seed: int, duration_ms: float, every_ms: float
+    names: list[str],
+    *,
+    seed: int,
+    duration_ms: float,
+    every_ms: float,
+    kinds: "Mapping[str, Kind] | None" = None,
 ) -> tuple[list[Event], list[str]]:
     """Return events with faults, none near the end, and their log."""
     rng = random.Random(seed)
+    chosen = FAULTS if kinds is None else kinds
     events: list[Event] = []
     log: list[str] = []
     at_ms = 1_500.0
     while at_ms < duration_ms - 2 * PAUSE_MS:
-        kind = rng.choice(sorted(FAULTS))
+        kind = rng.choice(sorted(chosen))
         name = rng.choice(names)
         log.append(f"{at_ms:.0f} ms {kind} {name}")
-        events += [(at_ms + delay_ms, act) for delay_ms, act in FAULTS[kind](name)]
+        events += [(at_ms + delay_ms, act) for delay_ms, act in chosen[kind](name)]
         at_ms += rng.uniform(0.5, 1.5) * every_ms
     return events, log
 
@@ -82,7 +89,40 @@
     ]
 
 
-FAULTS: dict[str, Callable[[str], list[Event]]] = {
+def _delay(name: str) -> list[Event]:
+    def delay(fleet: Fleet) -> None:
+        assert fleet.proxy is not None
+        fleet.proxy.delay(f"{name}/link", LINK_DELAY_MS)
+
+    def end(fleet: Fleet) -> None:
+        assert fleet.proxy is not None
+        fleet.proxy.delay(f"{name}/link", 0.0)
+
+    return [(0.0, delay), (PAUSE_MS, end)]
+
+
+def _drain(name: str) -> list[Event]:
+    return [
+        (0.0, lambda fleet: fleet.terminate(name)),
+        (PAUSE_MS, lambda fleet: fleet.restart(name)),
+    ]
+
+
+def _closed_store(name: str) -> list[Event]:
+    return [
+        (0.0, lambda fleet: fleet.set_store(down="closed")),
+        (STORE_OUTAGE_MS, lambda fleet: fleet.set_store(down="")),
+    ]
+
+
+Kind = Callable[[str], list[Event]]
+
+SLOW_FAULTS: dict[str, Kind] = {
+    "closed store": _closed_store,
+    "delay link": _delay,
+    "drain": _drain,
+}
+FAULTS: dict[str, Kind] = {
     "cut control": lambda name: _cut(name, "control"),
     "cut link": lambda name: _cut(name, "link"),
     "kill daemon": lambda name: _replace(name, backend=False),
--- a/experiments/scenarios.py
+++ b/experiments/scenarios.py
@@ -2,18 +2,15 @@
 
 import collections
 import concurrent.futures
-import functools
 import pathlib
-import random
 import time
 from collections.abc import Callable
 from typing import Any
 
 import attrs
 
-from experiments.faults import plan_faults
+from experiments.faults import FAULTS, SLOW_FAULTS, plan_faults
 from experiments.harness import (
-    Event,
     Load,
     check_integrity,
     percentile,
@@ -163,7 +160,11 @@
     with run.fleet(proxied=True, keep_runs=True) as fleet:
         fleet.wait_ready()
         events, log = plan_faults(
-            list(fleet.vms), seed=run.seed, duration_ms=length_ms, every_ms=900.0
+            list(fleet.vms),
+            seed=run.seed,
+            duration_ms=length_ms,
+            every_ms=900.0,
+            kinds=FAULTS | SLOW_FAULTS,
         )
         print("\n".join(log))
         work = streams(run.shape, 0.5, tickets_ahead=4)
@@ -175,99 +176,6 @@
         return [("faults", summarise(run.shape, load) | counts | checks)]
 
 
-def several_faults(run: Run) -> list[Row]:
-    """Let random faults overlap for 24 s and look for broken promises."""
-    choice = random.Random(run.seed)
-    length_ms = run.duration_ms(24)
-    events = _random_faults(choice, run.shape, length_ms - 4_000.0)
-    with run.fleet(proxied=True, keep_runs=True) as fleet:
-        fleet.wait_ready()
-        work = streams(run.shape, 0.7)
-        load = run_load(fleet, work, length_ms, seed=run.seed, events=events)
-        return [("all", summarise(run.shape, load) | check_integrity(fleet, [load]))]
-
-
-def _random_faults(choice: random.Random, shape: Shape, end_ms: float) -> list[Event]:
-    """Return pairs of a fault and its end, about one a second."""
-    names = [name for name, _, _ in shape.vms()]
-    events: list[Event] = []
-    at_ms = 2_000.0
-    while at_ms < end_ms:
-        vm = choice.choice(names)
-        fault, end = choice.choice(FAULTS)
-        events.append((at_ms, functools.partial(_tell, fault, vm)))
-        lasting_ms = choice.uniform(300.0, 4_000.0)
-        events.append((at_ms + lasting_ms, functools.partial(_tell, end, vm)))
-        at_ms += choice.expovariate(1 / 1_000.0)
-    return events
-
-
-def _tell(act: Callable[[Fleet, str], object], vm: str, fleet: Fleet) -> None:
-    print(f"{vm}: {act.__name__}", flush=True)
-    act(fleet, vm)
-
-
-def _nothing(fleet: Fleet, vm: str) -> None:
-    """Leave what ends by itself."""
-
-
-def _silence_link(fleet: Fleet, vm: str) -> None:
-    assert fleet.proxy is not None
-    fleet.proxy.silence(f"{vm}/link")
-
-
-def _silence_answers(fleet: Fleet, vm: str) -> None:
-    assert fleet.proxy is not None
-    fleet.proxy.silence(f"{vm}/link", ("to_client",))
-
-
-def _cut_link(fleet: Fleet, vm: str) -> None:
-    assert fleet.proxy is not None
-    fleet.proxy.cut(f"{vm}/link")
-
-
-def _silence_control(fleet: Fleet, vm: str) -> None:
-    assert fleet.proxy is not None
-    fleet.proxy.silence(f"{vm}/control")
-
-
-def _delay_link(fleet: Fleet, vm: str) -> None:
-    assert fleet.proxy is not None
-    fleet.proxy.delay(f"{vm}/link", 400.0)
-
-
-def _end_delay(fleet: Fleet, vm: str) -> None:
-    assert fleet.proxy is not None
-    fleet.proxy.delay(f"{vm}/link", 0.0)
-
-
-def _close_store(fleet: Fleet, vm: str) -> None:
-    fleet.set_store(down="closed")
-
-
-def _open_store(fleet: Fleet, vm: str) -> None:
-    fleet.set_store(down="")
-
-
-def _start_again(fleet: Fleet, vm: str) -> None:
-    fleet.restart(vm)
-
-
-# Each fault with what ends it.
-FAULTS: tuple[tuple[Callable[[Fleet, str], None], Callable[[Fleet, str], None]], ...]
-FAULTS = (
-    (Fleet.kill, _start_again),
-    (Fleet.terminate, _start_again),
-    (Fleet.stop, Fleet.cont),
-    (_silence_link, _nothing),
-    (_silence_answers, _nothing),
-    (_silence_control, _nothing),
-    (_cut_link, _nothing),
-    (_delay_link, _end_delay),
-    (_close_store, _open_store),
-)
-
-
 def _fault(
     run: Run,
     events: list[tuple[float, Callable[[Fleet], None]]],
@@ -478,7 +386,6 @@
         kill_rack,
         cold_start,
         silent_links,
-        several_faults,
         random_faults,
         retry_storm,
         latency,
