--- a/src/eelgrassweir/daemon/http_client.py
+++ b/src/eelgrassweir/daemon/http_client.py
@@ -10,7 +10,13 @@
 import httptools
 
 from eelgrassweir.clock import Clock
-from eelgrassweir.daemon.http_message import HttpRequest, HttpResponse, encode_request
+from eelgrassweir.daemon.http_message import (
+    Headers,
+    HttpRequest,
+    HttpResponse,
+    encode_request,
+    find_header,
+)
 from eelgrassweir.errors import StepError
 
 CONNECT_LIMIT_MS = 1_000
@@ -43,11 +49,39 @@
     is_silent: bool = False
 
 
+def _is_any(_request: HttpRequest, _answer: Headers) -> bool:
+    return True
+
+
+@attrs.frozen(kw_only=True)
+class ClientOptions:
+    """Hold how a server is spoken to."""
+
+    connect_limit_ms: int = CONNECT_LIMIT_MS
+    rest_ms: int = REST_MS
+    distrust_ms: int = DISTRUST_MS
+    # Whether the server is sent the host that the request names.
+    keeps_host: bool = False
+    # Whether an answer without a length ends with its connection.
+    reads_to_end: bool = False
+    # Whether the fields of an answer belong to the request; another answer is
+    # skipped.
+    is_own: Callable[[HttpRequest, Headers], bool] = _is_any
+
+
 class BackendClient:
     """Send requests to one backend server over pooled connections."""
 
-    def __init__(self, address: str, *, clock: Clock, body_limit_bytes: int) -> None:
+    def __init__(
+        self,
+        address: str,
+        *,
+        clock: Clock,
+        body_limit_bytes: int,
+        options: ClientOptions | None = None,
+    ) -> None:
         self.address = address
+        self._options = options or ClientOptions()
         self._clock = clock
         self._body_limit_bytes = body_limit_bytes
         # In the order in which the connections became idle.
@@ -76,7 +110,9 @@
         connection = self._take_idle()
         is_pooled = connection is not None
         if connection is None:
-            connection = await self._connect(min(limit_ms, CONNECT_LIMIT_MS))
+            connection = await self._connect(
+                min(limit_ms, self._options.connect_limit_ms)
+            )
         is_complete = False
         if is_pooled and 0 < silence_ms < limit_ms:
             connection.watch(silence_ms, is_alive)
@@ -120,7 +156,7 @@
             # Some servers say 408 before they close an idle connection.
             if now_ms - connection.idle_since_ms > REUSE_IDLE_MS:
                 return
-        self._reuse_from_ms = now_ms + DISTRUST_MS
+        self._reuse_from_ms = now_ms + self._options.distrust_ms
         for connection in self._idle:
             connection.close()
         self._idle.clear()
@@ -154,7 +190,7 @@
                 del self._idle[index]
             elif idle_ms > REUSE_IDLE_MS:
                 break
-            elif idle_ms >= REST_MS:
+            elif idle_ms >= self._options.rest_ms:
                 del self._idle[index]
                 return connection
         else:
@@ -172,7 +208,10 @@
             async with asyncio.timeout(limit_ms / 1e3):
                 _, connection = await loop.create_connection(
                     lambda: BackendConnection(
-                        self.address, self._body_limit_bytes, self._note_unasked
+                        self.address,
+                        self._body_limit_bytes,
+                        self._note_unasked,
+                        self._options,
                     ),
                     host.strip("[]"),
                     int(port),
@@ -203,8 +242,13 @@
         address: str,
         body_limit_bytes: int,
         on_unasked: Callable[["BackendConnection"], None],
+        options: ClientOptions,
     ) -> None:
         self._on_unasked = on_unasked
+        self._options = options
+        self._request: HttpRequest | None = None
+        self._is_foreign = False
+        self._ends_with_connection = False
         self._response: HttpResponse | None = None
         self._is_out_of_step = False
         self._address = address
@@ -237,7 +281,11 @@
         self.has_received = False
         self._response = None
         self._is_out_of_step = False
-        self._transport.write(encode_request(request, self._address))
+        self._request = request
+        host = self._address
+        if self._options.keeps_host:
+            host = find_header(request.headers, "host") or host
+        self._transport.write(encode_request(request, host))
         try:
             return await self._done
         finally:
@@ -268,6 +316,8 @@
         self._headers: list[tuple[str, str]] = []
         self._body = bytearray()
         self._has_length = False
+        self._is_foreign = False
+        self._ends_with_connection = False
 
     # asyncio.Protocol
 
@@ -276,6 +326,15 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
 
+    def eof_received(self) -> bool:
+        """End an answer that had no length."""
+        if self._ends_with_connection and not self._is_foreign:
+            self._finish(self._parser.get_status_code())
+            self.is_reusable = False
+            if self._response is not None and self._done and not self._done.done():
+                self._done.set_result(self._response)
+        return False
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail an exchange whose answer is not complete."""
         self._transport = None
@@ -323,9 +382,16 @@
         status = self._parser.get_status_code()
         if status < 200:
             return
+        assert self._request is not None
+        headers = tuple(self._headers)
+        self._is_foreign = not self._options.is_own(self._request, headers)
         if self._is_head:
             self._finish(status)
-        elif status not in (204, 304) and not self._has_length:
+        elif status in (204, 304) or self._has_length:
+            return
+        elif self._options.reads_to_end:
+            self._ends_with_connection = True
+        else:
             # The end of such a body cannot be told from a broken connection.
             self._fail("answer without a length")
 
@@ -338,7 +404,7 @@
     def on_message_complete(self) -> None:
         """Finish the exchange, unless the message was an interim answer."""
         status = self._parser.get_status_code()
-        if status < 200:
+        if status < 200 or self._is_foreign:
             self._start_message()
             return
         self._finish(status)
--- a/src/eelgrassweir/daemon/http_server.py
+++ b/src/eelgrassweir/daemon/http_server.py
@@ -5,6 +5,7 @@
 import ssl
 from collections.abc import Awaitable, Callable
 
+import attrs
 import httptools
 from eliot import write_traceback
 
@@ -25,6 +26,9 @@
 
 HEAD_LIMIT_BYTES = 32_768
 PIPELINE_LIMIT = 4
+# Requests of these methods are safe (RFC 9110 section 9.2.1): those that were
+# sent together run together, and a copy sent again does no harm.
+CONCURRENT_METHODS = frozenset(("GET", "HEAD"))
 # A connection on which no request has started for this long is closed.
 IDLE_LIMIT_S = 75.0
 # A request whose bytes stop arriving is given up after this long.
@@ -46,8 +50,21 @@
 )
 
 
+@attrs.define(eq=False)
+class _Exchange:
+    """Hold one request of a connection until its answer is written."""
+
+    request: HttpRequest
+    keep_alive: bool
+    task: "asyncio.Task[HttpResponse] | None" = None
+
+
 class HttpServer:
-    """Serve one listener and keep its open connections."""
+    """Serve one listener and keep its open connections.
+
+    ``render`` turns a refusal of the server itself into an answer. With
+    ``warns_idle`` an idle connection gets a refusal before it is closed.
+    """
 
     def __init__(
         self,
@@ -55,8 +72,12 @@
         *,
         body_limit_bytes: int,
         idle_limit_s: float = IDLE_LIMIT_S,
+        render: "Callable[[Refusal], HttpResponse] | None" = None,
+        warns_idle: bool = True,
     ) -> None:
         self.handler = handler
+        self.render = render or refusal_response
+        self.warns_idle = warns_idle
         self.idle_limit_s = idle_limit_s
         self.receive_limit_s = min(idle_limit_s, RECEIVE_LIMIT_S)
         self.write_limit_s = min(idle_limit_s, WRITE_LIMIT_S)
@@ -128,7 +149,7 @@
         self._server = server
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
-        self._pending: collections.deque[tuple[HttpRequest, bool]] = collections.deque()
+        self._pending: collections.deque[_Exchange] = collections.deque()
         self._task: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._peer = ""
@@ -163,6 +184,9 @@
         self._clear_timer()
         if self._task is not None:
             self._task.cancel()
+        for exchange in self._pending:
+            if exchange.task is not None:
+                exchange.task.cancel()
 
     def pause_writing(self) -> None:
         """Wait with further answers until the caller takes what was sent."""
@@ -227,7 +251,10 @@
             body=bytes(self._body),
             peer=self._peer,
         )
-        self._pending.append((request, self._parser.should_keep_alive()))
+        exchange = _Exchange(request, self._parser.should_keep_alive())
+        self._pending.append(exchange)
+        if all(e.request.method in CONCURRENT_METHODS for e in self._pending):
+            self._begin(exchange)
         if len(self._pending) >= PIPELINE_LIMIT and self._transport is not None:
             self._transport.pause_reading()
         if self._task is None:
@@ -236,15 +263,17 @@
     # Answers
 
     async def _serve(self) -> None:
-        """Answer queued requests one after the other."""
+        """Write the answers in the order of their requests."""
         try:
             while self._pending:
-                request, keep_alive = self._pending.popleft()
-                response = await self._handle(request)
-                close = not keep_alive or self._server.is_closing
-                is_head = request.method == "HEAD"
+                exchange = self._pending[0]
+                response = await self._begin(exchange)
+                self._pending.popleft()
+                close = not exchange.keep_alive or self._server.is_closing
+                is_head = exchange.request.method == "HEAD"
                 self._write(encode_response(response, is_head=is_head, close=close))
                 if close or (self._refused and not self._pending):
+                    self._drop_pending()
                     self.close()
                     return
                 await self._wait_for_room()
@@ -254,6 +283,13 @@
         finally:
             self._task = None
 
+    def _begin(self, exchange: _Exchange) -> "asyncio.Task[HttpResponse]":
+        """Start to work on a request unless that has happened."""
+        if exchange.task is None:
+            loop = asyncio.get_running_loop()
+            exchange.task = loop.create_task(self._handle(exchange.request))
+        return exchange.task
+
     async def _wait_for_room(self) -> None:
         """Give up a connection whose caller takes no bytes."""
         if self._can_write.is_set():
@@ -270,9 +306,15 @@
             return await self._server.handler(request)
         except Exception as error:
             write_traceback()
-            return refusal_response(
-                internal_refusal("handle a request", self._peer, error)
-            )
+            refusal = internal_refusal("handle a request", self._peer, error)
+            return self._server.render(refusal)
+
+    def _drop_pending(self) -> None:
+        """Cancel requests behind the last answer; callers send them again."""
+        for exchange in self._pending:
+            if exchange.task is not None:
+                exchange.task.cancel()
+        self._pending.clear()
 
     def _refuse(self, code: str, reason: str) -> None:
         self._refused = True
@@ -282,7 +324,7 @@
         if self._task is not None:
             # The requests before this one still get their answers.
             return
-        response = refusal_response(unless_ticketed(refusal, self._headers))
+        response = self._server.render(unless_ticketed(refusal, self._headers))
         self._write(encode_response(response, is_head=False, close=True))
         self.close()
 
@@ -335,8 +377,9 @@
         """Close the connection unless a request is in progress."""
         if self._is_ended or self.is_busy:
             return
-        response = refusal_response(CLOSING)
-        self._write(encode_response(response, is_head=False, close=True))
+        if self._server.warns_idle:
+            response = self._server.render(CLOSING)
+            self._write(encode_response(response, is_head=False, close=True))
         self.close()
 
     def _set_timer(self, limit_s: float) -> None:
--- a/src/eelgrassweir/daemon/link_client.py
+++ b/src/eelgrassweir/daemon/link_client.py
@@ -38,6 +38,7 @@
     silence_ms: int
     body_limit_bytes: int
     tls: ssl.SSLContext | None = None
+    connect_limit_ms: int = CONNECT_LIMIT_MS
 
 
 class LinkConnection(FrameProtocol):
@@ -149,7 +150,9 @@
                 self._fail_all(f"silent for {self._options.silence_ms} ms")
                 self.close()
                 return
-            self.send(link_pb2.Frame(ping=link_pb2.Ping(id=int(now_ms))))
+            quiet_since_ms = min(self._last_received_ms, self._last_used_ms)
+            if now_ms - quiet_since_ms >= self._options.ping_ms:
+                self.send(link_pb2.Frame(ping=link_pb2.Ping(id=int(now_ms))))
         elif now_ms - self._last_used_ms > IDLE_LIMIT_MS:
             self.close()
 
@@ -251,7 +254,7 @@
         loop = asyncio.get_running_loop()
         link = LinkConnection(address, self._options, self._clock)
         try:
-            async with asyncio.timeout(CONNECT_LIMIT_MS / 1e3):
+            async with asyncio.timeout(self._options.connect_limit_ms / 1e3):
                 await loop.create_connection(
                     lambda: link,
                     host.strip("[]"),
@@ -262,7 +265,7 @@
                 hello = await link.hello
         except TimeoutError:
             link.close()
-            reason = f"no link in {CONNECT_LIMIT_MS} ms"
+            reason = f"no link in {self._options.connect_limit_ms} ms"
             raise LinkError("link connect", address, reason, False) from None
         except OSError as error:
             reason = error.strerror or type(error).__name__
--- /dev/null
+++ b/src/eelgrassweir/mesh/app.py
@@ -0,0 +1,329 @@
+"""Application object of a daemon on the platform."""
+
+import asyncio
+import random
+import signal
+
+from eliot import log_message
+
+from eelgrassweir.clock import Clock
+from eelgrassweir.daemon.address import split_address
+from eelgrassweir.daemon.http_client import BackendClient, ClientOptions
+from eelgrassweir.daemon.http_server import Handler, HttpServer
+from eelgrassweir.daemon.identity import make_identity
+from eelgrassweir.daemon.link_client import LinkOptions, LinkPool, Reply
+from eelgrassweir.daemon.link_server import LinkServer
+from eelgrassweir.daemon.metrics import Metrics
+from eelgrassweir.errors import StepError
+from eelgrassweir.mesh.backend import BackendBeside, Taken
+from eelgrassweir.mesh.config_state import ConfigState
+from eelgrassweir.mesh.control import ControlService
+from eelgrassweir.mesh.directory import Directory, entry_key
+from eelgrassweir.mesh.dispatch import Dispatcher
+from eelgrassweir.mesh.entry import EntryService
+from eelgrassweir.mesh.feed import StoreFeed
+from eelgrassweir.mesh.link_messages import decode_request, encode_result
+from eelgrassweir.mesh.quota import QuotaShare
+from eelgrassweir.mesh.registration import Registration
+from eelgrassweir.mesh.target import TargetService
+from eelgrassweir.mesh.wire import Store, Wire
+from eelgrassweir.proto import control_pb2, link_pb2
+from eelgrassweir.retries.budget import RetryRatio
+from eelgrassweir.routing.picker import TargetPicker
+from eelgrassweir.routing.rules import RoutingConfig
+from eelgrassweir.settings.mesh_generated import MeshSettings
+from eelgrassweir.store.items import Change, Item, Removal, Snapshot
+
+TICK_MS = 100
+# Largest body until a configuration names one.
+BODY_LIMIT_BYTES = 67_108_864
+LINK_CONNECT_LIMIT_MS = 300
+BACKEND_CONNECT_LIMIT_MS = 300
+QUEUE_LIMIT_CALLS = 400
+# A watch can miss changes for about a second before the store says that its
+# history is gone; the rest covers timers and the way of the request.
+KEY_MARGIN_MS = 1_300
+# Shares of the budget for repeated arrivals. Repeats of a run repeat its calls
+# as well, so one daemon uses less than its part.
+RATIO_SHARE = 0.35
+SLACK_SHARE = 0.4
+# Callers take up to two missed questions, a second apart, to learn that the
+# daemon leaves, and may send for a while after that.
+STOP_SERVE_MS = 3_500
+STOP_MARGIN_MS = 500
+STOP_POLL_MS = 20
+CLOSE_LIMIT_MS = 300
+
+
+class Application:
+    """Own the parts of one daemon and their life cycle."""
+
+    def __init__(self, settings: MeshSettings, wire: Wire, store: Store) -> None:
+        self.settings = settings
+        self._wire = wire
+        self.clock = Clock()
+        self.seed = settings.seed or random.SystemRandom().getrandbits(62)
+        rng = random.Random(self.seed)
+        self.identity = make_identity(settings.vm, self.clock)
+        self.metrics = Metrics()
+        self.store = store
+        self.config = ConfigState(wire.decode_config, self._take_config)
+        self.directory = Directory(self.clock)
+        self.feed = StoreFeed(
+            store,
+            clock=self.clock,
+            rng=rng,
+            watch_ms=settings.store_watch_ms,
+            on_snapshot=self._take_snapshot,
+            on_change=self._take_change,
+        )
+        self._own_key = entry_key(settings.vm)
+        self.registration = Registration(
+            store,
+            clock=self.clock,
+            key=self._own_key,
+            lease_ms=settings.lease_ms,
+            revision=lambda: self.directory.revision_of(self._own_key),
+        )
+        self.backend = BackendBeside(
+            clock=self.clock, drain_ms=settings.drain_ms, connect=self._connect_backend
+        )
+        self.target = TargetService(
+            vm=settings.vm,
+            clock=self.clock,
+            rng=rng,
+            backend=self.backend,
+            wire=wire,
+            queue_limit_calls=QUEUE_LIMIT_CALLS,
+        )
+        link_options = LinkOptions(
+            vm=settings.vm,
+            incarnation=self.identity.incarnation,
+            ping_ms=settings.link_ping_ms,
+            silence_ms=settings.link_silence_ms,
+            body_limit_bytes=BODY_LIMIT_BYTES,
+            connect_limit_ms=LINK_CONNECT_LIMIT_MS,
+        )
+        self.links = LinkPool(link_options, self.clock)
+        self.link_server = LinkServer(link_options, self._run_linked, self.clock)
+        daemons = self.directory.members.live_count
+        self.ratio = RetryRatio(
+            percent=int(100 * settings.budget_ratio * RATIO_SHARE), spare_retries=1
+        )
+        self.dispatcher = Dispatcher(
+            vm=settings.vm,
+            incarnation=self.identity.incarnation,
+            failure_domain=settings.failure_domain,
+            clock=self.clock,
+            members=self.directory.members,
+            picker=TargetPicker(rng),
+            ratio=self.ratio,
+            links=self.links,
+            target=self.target,
+            on_retry=lambda service: self.metrics.retries.labels(service).inc(),
+        )
+        self.quota = QuotaShare(self.clock, daemons)
+        self.entry = EntryService(
+            vm=settings.vm,
+            service=settings.service,
+            clock=self.clock,
+            rng=rng,
+            wire=wire,
+            config=lambda: self.config.current,
+            freshness=self.feed.freshness,
+            fresh_limit_ms=settings.revoke_ms - KEY_MARGIN_MS,
+            quota=self.quota,
+            dispatcher=self.dispatcher,
+            metrics=self.metrics,
+        )
+        self.control = ControlService(
+            wire=wire,
+            backend=self.backend,
+            on_taken=self._take_backend,
+            is_ready=self.is_ready,
+        )
+        self.callers = self._server(self.entry.handle)
+        self.control_server = self._server(self.control.handle)
+        self.ready_server = self._server(self.control.handle)
+        self.is_stopping = False
+        self._stop_requested = asyncio.Event()
+        self._tasks: list[asyncio.Task[None]] = []
+
+    # Life cycle
+
+    async def run(self) -> None:
+        """Run until SIGTERM, then leave without cutting a request."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stop_requested.set)
+        loop.add_signal_handler(signal.SIGHUP, self._note_hangup)
+        await self.start()
+        await self._stop_requested.wait()
+        await self.leave()
+        await self.stop()
+
+    async def start(self) -> None:
+        """Open the listeners and begin to follow the store."""
+        log_message(
+            message_type="daemon:start",
+            vm=self.settings.vm,
+            service=self.settings.service,
+            incarnation=self.identity.incarnation,
+            seed=self.seed,
+        )
+        settings = self.settings
+        self._announce()
+        for run in (self.feed.run, self.registration.run, self._run_ticks):
+            self._tasks.append(asyncio.create_task(run()))
+        await self.control_server.start(*split_address(settings.control_address))
+        await self.link_server.start(*split_address(settings.link_address))
+        await self.callers.start(*split_address(settings.callers_address))
+        await self.ready_server.start(*split_address(settings.ready_address))
+
+    async def leave(self) -> None:
+        """Say that the daemon leaves, then end what is in flight."""
+        started_ms = self.clock.now_ms()
+        log_message(message_type="daemon:leave", in_flight=self.in_flight_calls())
+        self.is_stopping = True
+        self.callers.announce_close()
+        self._announce()
+        longest_ms = self.settings.grace_s * 1e3 - STOP_MARGIN_MS - CLOSE_LIMIT_MS
+        while True:
+            waited_ms = self.clock.now_ms() - started_ms
+            if waited_ms >= longest_ms:
+                break
+            if waited_ms >= STOP_SERVE_MS and not self.in_flight_calls():
+                break
+            if waited_ms >= self.settings.drain_ms / 2:
+                self.target.is_stopping = True
+            await asyncio.sleep(STOP_POLL_MS / 1e3)
+        await self._close_callers()
+        log_message(message_type="daemon:left", in_flight=self.in_flight_calls())
+
+    async def _close_callers(self) -> None:
+        """Close callers' connections; those with an answer under way last."""
+        end_ms = self.clock.now_ms() + CLOSE_LIMIT_MS
+        while self.callers.connection_count and self.clock.now_ms() < end_ms:
+            self.callers.close_idle()
+            await asyncio.sleep(STOP_POLL_MS / 1e3)
+
+    async def stop(self) -> None:
+        """Close everything."""
+        for task in self._tasks:
+            task.cancel()
+        try:
+            async with asyncio.timeout(CLOSE_LIMIT_MS / 2e3):
+                await self.registration.end()
+        except (TimeoutError, StepError, OSError, KeyError, ValueError) as error:
+            log_message(message_type="registration:end_failed", reason=str(error))
+        for server in (self.callers, self.ready_server, self.control_server):
+            await server.stop()
+        await self.link_server.stop()
+        self.links.close()
+        self.backend.close()
+        self.store.close()
+        log_message(message_type="daemon:stop", vm=self.settings.vm)
+
+    # State
+
+    def is_ready(self) -> bool:
+        """Return whether callers may send requests here."""
+        return self.config.current is not None and not self.is_stopping
+
+    def in_flight_calls(self) -> int:
+        """Return the number of requests that the daemon still works on."""
+        return (
+            self.entry.in_flight_calls
+            + self.target.running_calls
+            + self.callers.busy_count
+            + self.link_server.busy_count
+        )
+
+    # Reactions
+
+    def _take_snapshot(self, snapshot: Snapshot) -> None:
+        self.directory.take_snapshot(snapshot)
+        for item in snapshot.items:
+            if item.key == self._wire.config_key:
+                self.config.take(item.value, item.revision)
+        if not self.directory.revision_of(self._own_key):
+            self.registration.note_lapse(snapshot.revision)
+
+    def _take_change(self, change: Change) -> None:
+        if change.key == self._wire.config_key:
+            if isinstance(change, Item):
+                self.config.take(change.value, change.revision)
+            return
+        self.directory.take_change(change)
+        if change.key == self._own_key and isinstance(change, Removal):
+            self.registration.note_lapse(change.revision)
+
+    def _take_config(self, config: RoutingConfig) -> None:
+        self.metrics.config_version.set(config.version)
+        self.callers.idle_limit_s = config.limits.idle_timeout_ms / 1e3
+        self.callers.body_limit_bytes = config.limits.body_bytes
+
+    def _take_backend(self, taken: Taken) -> None:
+        announcement = self.backend.announcement
+        if announcement is not None:
+            self.target.gate.set_slots(announcement.slots)
+        self._announce()
+
+    def _announce(self) -> None:
+        """Write what stands beside this daemon into its entry."""
+        announcement = self.backend.announcement
+        is_leaving = self.is_stopping or self.backend.is_leaving
+        entry = control_pb2.Member(
+            vm=self.settings.vm,
+            incarnation=self.identity.incarnation,
+            state=control_pb2.DRAINING if is_leaving else control_pb2.READY,
+            failure_domain=self.settings.failure_domain,
+            link_address=self.settings.link_address,
+        )
+        if announcement is not None:
+            entry.service = announcement.service
+            entry.slots = announcement.slots
+        self.registration.set_value(entry.SerializeToString(deterministic=True))
+
+    async def _run_linked(self, message: link_pb2.Request, _peer: str) -> Reply:
+        result = await self.target.handle(message.context, decode_request(message))
+        return encode_result(result, self.target.load())
+
+    async def _run_ticks(self) -> None:
+        """Look at what changes with time alone."""
+        while True:
+            await asyncio.sleep(TICK_MS / 1e3)
+            self.directory.drop_missing()
+            age_ms = self.feed.freshness.age_ms(self.clock.now_ms())
+            self.metrics.config_age.set(-1 if age_ms is None else age_ms / 1e3)
+            daemons = max(1, self.directory.members.live_count())
+            slack = self.settings.budget_slack_calls * SLACK_SHARE / daemons
+            self.ratio.set_spare(int(slack))
+
+    def _note_hangup(self) -> None:
+        log_message(message_type="daemon:reload", vm=self.settings.vm)
+
+    # Connections
+
+    def _server(self, handler: Handler) -> HttpServer:
+        return HttpServer(
+            handler,
+            body_limit_bytes=BODY_LIMIT_BYTES,
+            render=self._wire.refusal_answer,
+            warns_idle=False,
+        )
+
+    def _connect_backend(self, address: str) -> BackendClient:
+        return BackendClient(
+            address,
+            clock=self.clock,
+            body_limit_bytes=BODY_LIMIT_BYTES,
+            options=ClientOptions(
+                connect_limit_ms=BACKEND_CONNECT_LIMIT_MS,
+                rest_ms=0,
+                distrust_ms=0,
+                keeps_host=True,
+                reads_to_end=True,
+                is_own=self._wire.is_own_answer,
+            ),
+        )
--- /dev/null
+++ b/src/eelgrassweir/mesh/backend.py
@@ -0,0 +1,134 @@
+"""The backend server beside a daemon, as it announces itself."""
+
+import enum
+from collections.abc import Callable
+
+from eliot import log_message
+
+from eelgrassweir.clock import Clock
+from eelgrassweir.daemon.http_client import BackendClient
+from eelgrassweir.requests.calls import Announcement, Leave
+
+# Other daemons learn of a leave within milliseconds. What they sent before is
+# taken for this share of the time allowed, then refused as not run.
+NOTICE_SHARE = 0.5
+# Nothing is passed on after this share, whatever has waited in the queue.
+LAST_SEND_SHARE = 0.85
+# Announcements may be seconds late; a crash shows in the connections first.
+SILENT_LIMIT_MS = 12_000.0
+
+
+class Taken(enum.Enum):
+    """Say what an announcement changed."""
+
+    NOTHING = "nothing"
+    STATE = "state"
+    INSTANCE = "instance"
+
+
+class BackendBeside:
+    """Know the newest incarnation of the backend server and when it leaves."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        drain_ms: float,
+        connect: Callable[[str], BackendClient],
+    ) -> None:
+        self._clock = clock
+        self._drain_ms = drain_ms
+        self._connect = connect
+        self._heard_ms = 0.0
+        self._leaving_since_ms: float | None = None
+        self.announcement: Announcement | None = None
+        self.client: BackendClient | None = None
+
+    def take(self, announcement: Announcement) -> Taken:
+        """Take an announcement unless it is older than what is known."""
+        known = self.announcement
+        now_ms = self._clock.now_ms()
+        if known is None or _is_successor(announcement, known):
+            self._replace(announcement, now_ms)
+            return Taken.INSTANCE
+        if not _is_same(announcement, known):
+            return Taken.NOTHING
+        if announcement.sequence <= known.sequence:
+            return Taken.NOTHING
+        self.announcement = announcement
+        self._heard_ms = now_ms
+        if announcement.is_draining and self._leaving_since_ms is None:
+            self._leaving_since_ms = now_ms
+            return Taken.STATE
+        if known.slots != announcement.slots:
+            return Taken.STATE
+        return Taken.NOTHING
+
+    def leave(self, leave: Leave) -> Taken:
+        """Note that the backend server exits."""
+        known = self.announcement
+        if known is None or known.instance != leave.instance:
+            return Taken.NOTHING
+        born_ms = leave.started_wall_ms
+        if born_ms is not None and born_ms != known.started_wall_ms:
+            return Taken.NOTHING
+        if self._leaving_since_ms is not None:
+            return Taken.NOTHING
+        self._leaving_since_ms = self._clock.now_ms()
+        return Taken.STATE
+
+    @property
+    def is_leaving(self) -> bool:
+        """Return whether the backend server has said that it leaves."""
+        return self._leaving_since_ms is not None
+
+    def is_present(self) -> bool:
+        """Return whether a backend server announced itself lately."""
+        if self.announcement is None:
+            return False
+        return self._clock.now_ms() - self._heard_ms <= SILENT_LIMIT_MS
+
+    def takes_new(self) -> bool:
+        """Return whether new requests may wait for the backend server."""
+        return self.is_present() and self._is_within(NOTICE_SHARE)
+
+    def may_send(self) -> bool:
+        """Return whether a request may be passed on now."""
+        return self.announcement is not None and self._is_within(LAST_SEND_SHARE)
+
+    def close(self) -> None:
+        """Close the connections."""
+        if self.client is not None:
+            self.client.close()
+
+    def _is_within(self, share: float) -> bool:
+        if self._leaving_since_ms is None:
+            return True
+        leaving_ms = self._clock.now_ms() - self._leaving_since_ms
+        return leaving_ms < self._drain_ms * share
+
+    def _replace(self, announcement: Announcement, now_ms: float) -> None:
+        self.close()
+        self.client = self._connect(announcement.address)
+        self.announcement = announcement
+        self._heard_ms = now_ms
+        self._leaving_since_ms = now_ms if announcement.is_draining else None
+        log_message(
+            message_type="backend:announced",
+            instance=announcement.instance,
+            service=announcement.service,
+            slots=announcement.slots,
+            started_wall_ms=announcement.started_wall_ms,
+        )
+
+
+def _is_same(announcement: Announcement, known: Announcement) -> bool:
+    return (
+        announcement.instance == known.instance
+        and announcement.started_wall_ms == known.started_wall_ms
+    )
+
+
+def _is_successor(announcement: Announcement, known: Announcement) -> bool:
+    """Tell whether another, later start announces itself."""
+    return announcement.started_wall_ms > known.started_wall_ms
--- /dev/null
+++ b/src/eelgrassweir/mesh/config_state.py
@@ -0,0 +1,40 @@
+"""The configuration in force at one daemon."""
+
+from collections.abc import Callable
+
+from eliot import log_message
+from returns.result import Failure, Result
+
+from eelgrassweir.errors import StepError
+from eelgrassweir.routing.rules import RoutingConfig
+
+
+class ConfigState:
+    """Take newer versions only."""
+
+    def __init__(
+        self,
+        decode: Callable[[bytes], Result[RoutingConfig, StepError]],
+        on_config: Callable[[RoutingConfig], None],
+    ) -> None:
+        self._decode = decode
+        self._on_config = on_config
+        self.current: RoutingConfig | None = None
+
+    def take(self, payload: bytes, revision: int) -> None:
+        """Put a document into force unless it is older or unreadable."""
+        result = self._decode(payload)
+        if isinstance(result, Failure):
+            error = result.failure()
+            log_message(
+                message_type="config:unreadable", revision=revision, reason=str(error)
+            )
+            return
+        config = result.unwrap()
+        if self.current is not None and config.version <= self.current.version:
+            return
+        self.current = config
+        log_message(
+            message_type="config:in_force", version=config.version, revision=revision
+        )
+        self._on_config(config)
--- /dev/null
+++ b/src/eelgrassweir/mesh/dispatch.py
@@ -0,0 +1,187 @@
+"""Choice of targets for one request, and repeated tries within the limits."""
+
+import asyncio
+from collections.abc import Callable
+
+import attrs
+
+from eelgrassweir.clock import Clock
+from eelgrassweir.daemon.http_message import HttpRequest, HttpResponse
+from eelgrassweir.daemon.link_client import LinkError, LinkPool
+from eelgrassweir.membership.table import MemberTable
+from eelgrassweir.mesh.link_messages import decode_result, encode_request
+from eelgrassweir.mesh.target import TargetResult, TargetService
+from eelgrassweir.proto import link_pb2
+from eelgrassweir.proto.control_pb2 import Member
+from eelgrassweir.requests.refusal import Refusal
+from eelgrassweir.retries.budget import RetryRatio
+from eelgrassweir.routing.picker import TargetPicker
+
+STEP = "dispatch"
+# Refusals that reached no backend server are not limited by the route.
+MAX_SENDS = 4
+NO_TARGET_RETRY_MS = 300
+# With less time left another try would only be cut off.
+LEAST_RETRY_MS = 20.0
+SERVER_ERROR = 500
+
+
+@attrs.define(kw_only=True)
+class Call:
+    """Hold one request on its way to a target."""
+
+    request: HttpRequest
+    context: link_pb2.CallContext
+    deadline_ms: float
+    # Targets that the request may reach.
+    attempts: int
+    arrivals: int = 0
+    may_have_run: bool = False
+    tried: set[str] = attrs.field(factory=set)
+
+
+class Dispatcher:
+    """Send requests to targets, one at a time."""
+
+    def __init__(
+        self,
+        *,
+        vm: str,
+        incarnation: str,
+        failure_domain: str,
+        clock: Clock,
+        members: MemberTable,
+        picker: TargetPicker,
+        ratio: RetryRatio,
+        links: LinkPool,
+        target: TargetService,
+        on_retry: Callable[[str], None],
+    ) -> None:
+        self._vm = vm
+        self._incarnation = incarnation
+        self._failure_domain = failure_domain
+        self._clock = clock
+        self._members = members
+        self._picker = picker
+        self._ratio = ratio
+        self._links = links
+        self._target = target
+        self._on_retry = on_retry
+
+    async def send(self, call: Call) -> HttpResponse | Refusal:
+        """Return the answer of a target or why there is none."""
+        service = call.context.service
+        self._ratio.record_first(service, self._clock.now_ms())
+        last: TargetResult | None = None
+        for _ in range(MAX_SENDS):
+            member = self._choose(call)
+            if member is None or (last and not self._may_send_again(call, last)):
+                break
+            call.tried.add(member.vm)
+            last = await self._attempt(call, member)
+            call.arrivals += last.reached_backend
+            if not self._is_repeatable(call, last):
+                break
+        if last is None:
+            return self._refuse(f"no target of {service} is ready")
+        return self._final(call, last.result)
+
+    def _final(
+        self, call: Call, result: HttpResponse | Refusal
+    ) -> HttpResponse | Refusal:
+        if isinstance(result, HttpResponse):
+            if result.status < SERVER_ERROR:
+                now_ms = self._clock.now_ms()
+                self._ratio.record_success(call.context.service, now_ms)
+            return result
+        if call.may_have_run and result.not_run:
+            return attrs.evolve(result, not_run=False)
+        return result
+
+    def _is_repeatable(self, call: Call, last: TargetResult) -> bool:
+        """Tell whether another try is allowed and may help."""
+        if call.deadline_ms - self._clock.now_ms() < LEAST_RETRY_MS:
+            return False
+        result = last.result
+        if isinstance(result, HttpResponse):
+            return call.context.idempotent and result.status >= SERVER_ERROR
+        if result.not_run:
+            return result.code != "deadline_exceeded"
+        call.may_have_run = True
+        return call.context.idempotent
+
+    def _may_send_again(self, call: Call, last: TargetResult) -> bool:
+        """Take what another try costs."""
+        if call.arrivals == 0:
+            return True
+        if call.arrivals >= call.attempts:
+            return False
+        service = call.context.service
+        if not self._ratio.take(service, self._clock.now_ms()):
+            return False
+        self._on_retry(service)
+        return True
+
+    def _choose(self, call: Call) -> Member | None:
+        return self._picker.choose(
+            self._members.ready(call.context.service),
+            own_domain=self._failure_domain,
+            excluded=call.tried,
+            now_ms=self._clock.now_ms(),
+        )
+
+    async def _attempt(self, call: Call, member: Member) -> TargetResult:
+        limit_ms = call.deadline_ms - self._clock.now_ms()
+        call.context.remaining_ms = max(1, int(limit_ms))
+        self._picker.record_start(member.vm)
+        try:
+            if member.vm == self._vm and member.incarnation == self._incarnation:
+                return await self._run_here(call, limit_ms)
+            reply = await self._links.call(
+                member.link_address,
+                member.incarnation,
+                encode_request(call.request, call.context),
+                limit_ms=limit_ms,
+            )
+            self._picker.record_load(member.vm, reply.load, self._clock.now_ms())
+            return decode_result(reply)
+        except LinkError as error:
+            return self._link_failed(member, error)
+        finally:
+            self._picker.record_end(member.vm)
+
+    async def _run_here(self, call: Call, limit_ms: float) -> TargetResult:
+        try:
+            async with asyncio.timeout(limit_ms / 1e3):
+                result = await self._target.handle(call.context, call.request)
+        except TimeoutError:
+            reason = f"no answer in {limit_ms:.0f} ms"
+            raise LinkError("local call", self._vm, reason, is_timeout=True) from None
+        self._picker.record_load(self._vm, self._target.load(), self._clock.now_ms())
+        return result
+
+    def _link_failed(self, member: Member, error: LinkError) -> TargetResult:
+        if not error.is_timeout or not error.maybe_sent:
+            self._picker.record_failure(member.vm, self._clock.now_ms())
+        code = "outcome_unknown" if error.maybe_sent else "no_target"
+        if error.is_timeout:
+            code = "deadline_exceeded"
+        refusal = Refusal(
+            code=code,
+            not_run=not error.maybe_sent,
+            reason=error.reason,
+            step=error.step,
+            peer=member.vm,
+            retry_after_ms=NO_TARGET_RETRY_MS,
+        )
+        return TargetResult(refusal, error.maybe_sent)
+
+    def _refuse(self, reason: str) -> Refusal:
+        return Refusal(
+            code="no_target",
+            not_run=True,
+            reason=reason,
+            step=STEP,
+            peer=self._vm,
+            retry_after_ms=NO_TARGET_RETRY_MS,
+        )
--- /dev/null
+++ b/src/eelgrassweir/mesh/entry.py
@@ -0,0 +1,184 @@
+"""Requests of the callers on this VM and of its backend server."""
+
+import random
+from collections.abc import Callable
+
+import attrs
+from eliot import log_message
+
+from eelgrassweir.clock import Clock
+from eelgrassweir.daemon.http_message import HttpRequest, HttpResponse
+from eelgrassweir.daemon.metrics import Metrics
+from eelgrassweir.membership.freshness import Freshness
+from eelgrassweir.mesh.dispatch import Call, Dispatcher
+from eelgrassweir.mesh.quota import QuotaShare
+from eelgrassweir.mesh.wire import Wire
+from eelgrassweir.proto import link_pb2
+from eelgrassweir.requests.calls import CallerRequest
+from eelgrassweir.requests.refusal import Refusal
+from eelgrassweir.routing.rules import RouteRule, RoutingConfig, TeamRule, pick_service
+
+STEP = "entry"
+# Urgency within the mesh; a call of a running request comes before any root
+# request, since its parent's work is lost with it.
+CHILD_PRIORITY = link_pb2.CRITICAL
+NO_CONFIG_RETRY_MS = 500
+STALE_RETRY_MS = 500
+
+
+@attrs.frozen
+class Grant:
+    """Hold the route and the team of a request that may go on."""
+
+    route: RouteRule
+    team: TeamRule | None
+
+
+class EntryService:
+    """Check, charge and dispatch requests."""
+
+    def __init__(
+        self,
+        *,
+        vm: str,
+        service: str,
+        clock: Clock,
+        rng: random.Random,
+        wire: Wire,
+        config: Callable[[], RoutingConfig | None],
+        freshness: Freshness,
+        fresh_limit_ms: float,
+        quota: QuotaShare,
+        dispatcher: Dispatcher,
+        metrics: Metrics,
+    ) -> None:
+        self._vm = vm
+        self._service = service
+        self._clock = clock
+        self._rng = rng
+        self._wire = wire
+        self._config = config
+        self._freshness = freshness
+        self._fresh_limit_ms = fresh_limit_ms
+        self._quota = quota
+        self._dispatcher = dispatcher
+        self._metrics = metrics
+        self.in_flight_calls = 0
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answer one request."""
+        started_ms = self._clock.now_ms()
+        self.in_flight_calls += 1
+        try:
+            return await self._answer(request, started_ms)
+        finally:
+            self.in_flight_calls -= 1
+            self._metrics.latency.observe((self._clock.now_ms() - started_ms) / 1e3)
+
+    async def _answer(self, request: HttpRequest, started_ms: float) -> HttpResponse:
+        asked = self._wire.read_caller_request(request)
+        config = self._config()
+        if config is None:
+            refusal = self._refuse("config_missing", "no configuration received yet")
+            return self._refused(asked, refusal)
+        grant = self._check(config, asked, request)
+        if isinstance(grant, Refusal):
+            return self._refused(asked, grant)
+        call = self._make_call(request, asked, grant, started_ms)
+        result = await self._dispatcher.send(call)
+        if isinstance(result, Refusal):
+            if result.not_run and grant.team is not None:
+                self._quota.give_back(grant.team)
+            return self._refused(asked, result)
+        self._metrics.answers.labels(
+            grant.route.name, f"{result.status // 100}xx"
+        ).inc()
+        return result
+
+    def _check(
+        self, config: RoutingConfig, asked: CallerRequest, request: HttpRequest
+    ) -> Grant | Refusal:
+        route = config.match(asked.host, request.path)
+        if route is None:
+            return self._refuse("route_unknown", "no route matches")
+        if asked.key is None:
+            if route.is_open:
+                return Grant(route, None)
+            return self._refuse("key_missing", "this route needs a key")
+        team = config.team_of(asked.key)
+        if team is None:
+            if route.is_open:
+                return Grant(route, None)
+            return self._refuse("key_unknown", "the key is not valid")
+        if not self._freshness.is_fresh(self._clock.now_ms(), self._fresh_limit_ms):
+            if route.is_open:
+                return Grant(route, None)
+            reason = "cut off from the store; the key may have been withdrawn"
+            refusal = self._refuse("config_stale", reason)
+            return attrs.evolve(refusal, retry_after_ms=STALE_RETRY_MS)
+        wait_ms = self._quota.take(team)
+        if wait_ms:
+            reason = f"team {team.name} is above its rate"
+            refusal = self._refuse("rate_exceeded", reason)
+            return attrs.evolve(refusal, retry_after_ms=wait_ms)
+        return Grant(route, team)
+
+    def _make_call(
+        self,
+        request: HttpRequest,
+        asked: CallerRequest,
+        grant: Grant,
+        started_ms: float,
+    ) -> Call:
+        route, team = grant.route, grant.team
+        limit_ms = float(route.timeout_ms)
+        if asked.remaining_ms is not None:
+            limit_ms = min(limit_ms, asked.remaining_ms)
+        context = link_pb2.CallContext(
+            request_id=asked.request_id,
+            team=team.name if team else "",
+            priority=_urgency(route, team),
+            depth=0 if team else 1,
+            idempotent=route.idempotent,
+            service=pick_service(route, self._rng),
+            caller_service=self._service,
+        )
+        return Call(
+            request=attrs.evolve(request, headers=asked.headers),
+            context=context,
+            deadline_ms=started_ms + limit_ms,
+            attempts=route.attempts,
+        )
+
+    def _refuse(self, code: str, reason: str) -> Refusal:
+        return Refusal(
+            code=code,
+            not_run=True,
+            reason=reason,
+            step=STEP,
+            peer=self._vm,
+            retry_after_ms=NO_CONFIG_RETRY_MS if code == "config_missing" else 0,
+        )
+
+    def _refused(self, asked: CallerRequest, refusal: Refusal) -> HttpResponse:
+        self._metrics.refusals.labels(refusal.code).inc()
+        log_message(
+            message_type="request:refused",
+            request=asked.request_id,
+            code=refusal.code,
+            not_run=refusal.not_run,
+            reason=refusal.reason,
+            step=refusal.step,
+            peer=refusal.peer,
+        )
+        return self._wire.refusal_answer(refusal)
+
+
+def _urgency(route: RouteRule, team: TeamRule | None) -> link_pb2.Priority.ValueType:
+    """Return the priority of a request at its target.
+
+    A team's rank goes before the route's; rank 0 is the most urgent.
+    """
+    if team is None:
+        return CHILD_PRIORITY
+    return link_pb2.NORMAL if team.priority <= 0 else link_pb2.BACKGROUND
--- /dev/null
+++ b/src/eelgrassweir/mesh/feed.py
@@ -0,0 +1,86 @@
+"""Follow the store: one watch over all keys keeps a daemon up to date."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from eliot import log_message
+
+from eelgrassweir.clock import Clock
+from eelgrassweir.errors import StepError
+from eelgrassweir.membership.freshness import Freshness
+from eelgrassweir.mesh.wire import Store
+from eelgrassweir.store.items import Change, HistoryGone, Snapshot
+
+FIRST_PAUSE_MS = 50.0
+# Configurations must be in force soon after the store is back.
+LONGEST_PAUSE_MS = 500.0
+
+
+class StoreFeed:
+    """Read the store once, then watch it; start over when history is lost.
+
+    ``freshness`` counts from the moment at which a call was sent that showed
+    the state of the store.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        *,
+        clock: Clock,
+        rng: random.Random,
+        watch_ms: int,
+        on_snapshot: Callable[[Snapshot], None],
+        on_change: Callable[[Change], None],
+    ) -> None:
+        self._store = store
+        self._clock = clock
+        self._rng = rng
+        self._watch_ms = watch_ms
+        self._on_snapshot = on_snapshot
+        self._on_change = on_change
+        self._revision: int | None = None
+        self._failures = 0
+        self.freshness = Freshness()
+
+    @property
+    def is_reached(self) -> bool:
+        """Return whether the last call had an answer."""
+        return self._revision is not None and self._failures == 0
+
+    async def run(self) -> None:
+        """Follow the store until cancelled."""
+        while True:
+            try:
+                await self._step()
+            except HistoryGone:
+                log_message(message_type="store:history_gone", revision=self._revision)
+                self._revision = None
+            except (StepError, OSError, KeyError, ValueError, TypeError) as error:
+                await self._pause(error)
+
+    async def _step(self) -> None:
+        sent_ms = self._clock.now_ms()
+        if self._revision is None:
+            snapshot = await self._store.read_all()
+            self._on_snapshot(snapshot)
+            self._revision = snapshot.revision
+        else:
+            changes = await self._store.watch(self._revision, self._watch_ms)
+            for change in changes.changes:
+                self._on_change(change)
+            self._revision = max(self._revision, changes.revision)
+        if self._failures:
+            log_message(message_type="store:regained", failures=self._failures)
+        self._failures = 0
+        self.freshness.record(sent_ms)
+
+    async def _pause(self, error: Exception) -> None:
+        """Wait longer after each failure in a row."""
+        if not self._failures:
+            age_ms = self.freshness.age_ms(self._clock.now_ms())
+            log_message(message_type="store:lost", reason=str(error), age_ms=age_ms)
+        pause_ms = min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS * 2.0 ** min(self._failures, 8))
+        self._failures += 1
+        await asyncio.sleep(pause_ms * self._rng.uniform(0.5, 1.0) / 1e3)
--- /dev/null
+++ b/src/eelgrassweir/mesh/main.py
@@ -0,0 +1,76 @@
+"""Command of the daemon on the platform."""
+
+import argparse
+import asyncio
+import os
+import pathlib
+import sys
+
+from eliot import to_file
+from returns.result import Failure, Result
+
+from eelgrassweir.clock import Clock
+from eelgrassweir.platform import configuration, messages
+from eelgrassweir.platform.store import PlatformStore
+from eelgrassweir.settings.loader import SettingsError, load_settings_as
+from eelgrassweir.settings.mesh_generated import FIELDS, MeshSettings
+
+# The platform names the settings file in this variable.
+SETTINGS_VARIABLE = "EELGRASSWEIR_BOOT"
+EXIT_SETTINGS = 2
+
+
+def main(arguments: list[str] | None = None) -> None:
+    """Check the settings and run the daemon until it is told to stop."""
+    parser = argparse.ArgumentParser(prog="eelgrassweir-mesh")
+    parser.add_argument("--settings", type=pathlib.Path, help="settings file")
+    parser.add_argument("--check", action="store_true", help="check and exit")
+    options = parser.parse_args(arguments)
+    path = options.settings or pathlib.Path(os.environ.get(SETTINGS_VARIABLE, ""))
+    result = read_settings(path)
+    if isinstance(result, Failure):
+        print(result.failure(), file=sys.stderr)
+        sys.exit(EXIT_SETTINGS)
+    if options.check:
+        print(f"{path}: valid")
+        return
+    run(result.unwrap())
+
+
+def read_settings(path: pathlib.Path) -> Result[MeshSettings, SettingsError]:
+    """Read and check the settings at ``path``."""
+    return load_settings_as(MeshSettings, FIELDS, path)
+
+
+def run(settings: MeshSettings) -> None:
+    """Run the daemon."""
+    # Imported late, so that a check of the settings stays quick.
+    from eelgrassweir.mesh.app import Application
+    from eelgrassweir.mesh.wire import Wire
+
+    to_file(sys.stdout)
+    wire = Wire(
+        config_key=configuration.CONFIG_KEY,
+        decode_config=configuration.decode_config,
+        read_caller_request=messages.read_caller_request,
+        read_control_message=messages.read_control_message,
+        backend_headers=messages.backend_headers,
+        is_own_answer=messages.is_own_answer,
+        was_not_executed=messages.was_not_executed,
+        is_genuine=messages.is_genuine,
+        refusal_answer=messages.refusal_answer,
+    )
+
+    async def serve() -> None:
+        store = PlatformStore(
+            settings.store_address,
+            clock=Clock(),
+            timeout_ms=settings.store_timeout_ms,
+        )
+        await Application(settings, wire, store).run()
+
+    asyncio.run(serve())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/eelgrassweir/mesh/target.py
@@ -0,0 +1,208 @@
+"""Requests to the backend server beside this daemon."""
+
+import random
+
+import attrs
+from eliot import log_message
+
+from eelgrassweir.admission.limit import ConcurrencyLimit, Outcome
+from eelgrassweir.clock import Clock
+from eelgrassweir.daemon.gate import Admission, Gate
+from eelgrassweir.daemon.http_client import ExchangeError, Sent
+from eelgrassweir.daemon.http_message import HttpRequest, HttpResponse
+from eelgrassweir.mesh.backend import BackendBeside
+from eelgrassweir.mesh.wire import Wire
+from eelgrassweir.proto import link_pb2
+from eelgrassweir.requests.calls import BackendFields
+from eelgrassweir.requests.refusal import Refusal
+
+STEP = "target"
+# Some backend servers slow down when nearly all slots are taken.
+USED_SLOTS_SHARE = 0.95
+DRAINING_RETRY_MS = 50
+NO_BACKEND_RETRY_MS = 500
+
+
+class SlotLimit(ConcurrencyLimit):
+    """Let as many calls run as the backend server has slots for."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._slots = 0
+
+    @property
+    def limit_calls(self) -> int:
+        """Return the number of calls that may run at once."""
+        return self._slots
+
+    def set_ceiling(self, slots: int) -> None:
+        """Follow the announced slots."""
+        self._slots = max(1, int(slots * USED_SLOTS_SHARE))
+
+    def record(self, **_sample: object) -> None:
+        """Ignore latencies; the slots are exact."""
+
+
+@attrs.frozen
+class TargetResult:
+    """Hold the outcome of one request at a target.
+
+    ``reached_backend`` tells whether the backend server can have seen it.
+    """
+
+    result: HttpResponse | Refusal
+    reached_backend: bool
+
+
+class TargetService:
+    """Admit requests to the backend server and run them on it."""
+
+    def __init__(
+        self,
+        *,
+        vm: str,
+        clock: Clock,
+        rng: random.Random,
+        backend: BackendBeside,
+        wire: Wire,
+        queue_limit_calls: int,
+    ) -> None:
+        self._vm = vm
+        self._clock = clock
+        self._backend = backend
+        self._wire = wire
+        self.gate = Gate(clock, vm, queue_limit_calls, rng, limit=SlotLimit())
+        self.is_stopping = False
+        self.running_calls = 0
+
+    def load(self) -> link_pb2.Load:
+        """Return the load for a reply."""
+        load = self.gate.load()
+        load.draining = self.is_stopping or self._backend.is_leaving
+        return load
+
+    async def handle(
+        self, context: link_pb2.CallContext, request: HttpRequest
+    ) -> TargetResult:
+        """Run one request once, or refuse it."""
+        started_ms = self._clock.now_ms()
+        deadline_ms = started_ms + context.remaining_ms
+        refusal = self._refusal_before_queue(context)
+        if refusal is not None:
+            return TargetResult(refusal, False)
+        self.running_calls += 1
+        try:
+            admission = await self.gate.enter(
+                priority=context.priority,
+                depth=context.depth,
+                remaining_ms=context.remaining_ms,
+            )
+            if isinstance(admission, Refusal):
+                return TargetResult(admission, False)
+            return await self._run(context, request, admission, deadline_ms)
+        finally:
+            self.running_calls -= 1
+
+    async def _run(
+        self,
+        context: link_pb2.CallContext,
+        request: HttpRequest,
+        admission: Admission,
+        deadline_ms: float,
+    ) -> TargetResult:
+        outcome = Outcome.CANCELLED
+        try:
+            result = await self._exchange(context, request, deadline_ms)
+            ok = isinstance(result.result, HttpResponse)
+            outcome = Outcome.OK if ok else Outcome.FAILED
+            return result
+        finally:
+            self.gate.leave(admission, outcome)
+
+    async def _exchange(
+        self,
+        context: link_pb2.CallContext,
+        request: HttpRequest,
+        deadline_ms: float,
+    ) -> TargetResult:
+        backend = self._backend
+        client, announcement = backend.client, backend.announcement
+        remaining_ms = deadline_ms - self._clock.now_ms()
+        if client is None or announcement is None or not backend.may_send():
+            return TargetResult(self._refuse("draining", "left while queued"), False)
+        if remaining_ms < 1.0:
+            reason = "no time left after the queue"
+            return TargetResult(self._refuse("deadline_exceeded", reason), False)
+        fields = BackendFields(
+            request_id=context.request_id,
+            remaining_ms=int(remaining_ms),
+            team=context.team,
+            caller_service=context.caller_service,
+            expected_instance=announcement.instance,
+        )
+        headers = self._wire.backend_headers(request.headers, fields)
+        outbound = attrs.evolve(request, headers=headers)
+        try:
+            response = await client.exchange(outbound, limit_ms=remaining_ms)
+        except ExchangeError as error:
+            return self._failed(context, error)
+        return self._answered(context, response)
+
+    def _answered(
+        self, context: link_pb2.CallContext, response: HttpResponse
+    ) -> TargetResult:
+        if self._wire.was_not_executed(response):
+            refusal = self._refuse(
+                "overloaded", f"the backend server refused with {response.status}"
+            )
+            return TargetResult(refusal, True)
+        if not self._wire.is_genuine(response):
+            reason = f"answer with status {response.status} is not genuine"
+            log_message(
+                message_type="target:spoiled", request=context.request_id, reason=reason
+            )
+            return TargetResult(self._unknown(reason), True)
+        return TargetResult(response, True)
+
+    def _failed(
+        self, context: link_pb2.CallContext, error: ExchangeError
+    ) -> TargetResult:
+        log_message(
+            message_type="target:failed",
+            request=context.request_id,
+            reason=str(error),
+            sent=error.sent.value,
+        )
+        if error.sent is Sent.NOT_SENT:
+            return TargetResult(self._refuse("no_target", error.reason), False)
+        if error.is_timeout:
+            refusal = self._unknown(error.reason, "deadline_exceeded")
+            return TargetResult(refusal, True)
+        return TargetResult(self._unknown(error.reason), True)
+
+    def _refusal_before_queue(self, context: link_pb2.CallContext) -> Refusal | None:
+        announcement = self._backend.announcement
+        if announcement is None or not self._backend.is_present():
+            return self._refuse("no_target", "no backend server is announced")
+        if context.service != announcement.service:
+            reason = f"the backend server here is of {announcement.service}"
+            return self._refuse("no_target", reason)
+        if self.is_stopping or not self._backend.takes_new():
+            return self._refuse("draining", "this VM is leaving")
+        return None
+
+    def _unknown(self, reason: str, code: str = "outcome_unknown") -> Refusal:
+        return Refusal(
+            code=code, not_run=False, reason=reason, step=STEP, peer=self._vm
+        )
+
+    def _refuse(self, code: str, reason: str) -> Refusal:
+        retry_ms = DRAINING_RETRY_MS if code == "draining" else NO_BACKEND_RETRY_MS
+        return Refusal(
+            code=code,
+            not_run=True,
+            reason=reason,
+            step=STEP,
+            peer=self._vm,
+            retry_after_ms=retry_ms,
+        )
--- /dev/null
+++ b/src/eelgrassweir/platform/messages.py
@@ -0,0 +1,177 @@
+"""Decode requests and encode answers in the platform's HTTP interface."""
+
+import json
+from typing import Any
+
+from eelgrassweir.daemon.http_message import (
+    Headers,
+    HttpRequest,
+    HttpResponse,
+    find_header,
+)
+from eelgrassweir.requests.calls import (
+    Announcement,
+    BackendFields,
+    CallerRequest,
+    ControlMessage,
+    Leave,
+    Malformed,
+    ReadinessQuestion,
+)
+from eelgrassweir.requests.refusal import Refusal, http_status, to_json
+
+REQUEST_ID = "x-request-id"
+DEADLINE = "x-deadline-milliseconds"
+KEY = "x-credential"
+TEAM = "x-tenant"
+CALLER_SERVICE = "x-caller-service"
+EXPECTED_INSTANCE = "x-expected-instance"
+SIGNATURE = "x-response-signature"
+NOT_EXECUTED = "x-not-executed"
+
+READINESS_PATH = "/-/readiness"
+HEARTBEAT_PATH = "/-/Instances.Heartbeat/"
+DEREGISTER_PATH = "/-/Instances.Deregister/"
+
+# Fields that the system sets itself or that end at it.
+OWN_FIELDS = frozenset(
+    (REQUEST_ID, DEADLINE, KEY, TEAM, CALLER_SERVICE, EXPECTED_INSTANCE)
+)
+MISDIRECTED = 421
+# The platform's answer to these codes differs from that of our own interface:
+# it reads 408, 421, 429 and 503 as "not run", and all other statuses not.
+STATUS_BY_CODE = {"rate_exceeded": 429, "deadline_exceeded": 504}
+
+
+def read_caller_request(request: HttpRequest) -> CallerRequest:
+    """Return what the fields of a request say."""
+    own: dict[str, str] = {}
+    headers = []
+    host = ""
+    for name, value in request.headers:
+        lower = name.lower()
+        if lower in OWN_FIELDS:
+            own.setdefault(lower, value.strip())
+            continue
+        if lower == "host":
+            host = value.strip()
+        headers.append((name, value))
+    deadline = own.get(DEADLINE)
+    is_number = deadline is not None and deadline.isdecimal()
+    return CallerRequest(
+        request_id=own.get(REQUEST_ID, ""),
+        host=host.partition(":")[0].lower(),
+        remaining_ms=float(deadline) if deadline and is_number else None,
+        key=own.get(KEY),
+        headers=tuple(headers),
+    )
+
+
+def backend_headers(headers: Headers, fields: BackendFields) -> Headers:
+    """Return the fields of a request to a backend server."""
+    own = [
+        ("X-Request-Id", fields.request_id),
+        ("X-Deadline-Milliseconds", str(fields.remaining_ms)),
+        ("X-Caller-Service", fields.caller_service),
+        ("X-Expected-Instance", fields.expected_instance),
+    ]
+    if fields.team:
+        own.append(("X-Tenant", fields.team))
+    return (*headers, *own)
+
+
+def is_own_answer(request: HttpRequest, headers: Headers) -> bool:
+    """Tell whether an answer is to the request, as one without an id is."""
+    answered = find_header(headers, REQUEST_ID)
+    return answered is None or answered == find_header(request.headers, REQUEST_ID)
+
+
+def was_not_executed(response: HttpResponse) -> bool:
+    """Tell whether the backend server says that it did not run the request."""
+    if response.status == MISDIRECTED:
+        return True
+    return find_header(response.headers, NOT_EXECUTED) is not None
+
+
+def is_genuine(response: HttpResponse) -> bool:
+    """Tell whether an answer is what the backend server meant to send."""
+    if find_header(response.headers, "content-encoding") is not None:
+        return False
+    return find_header(response.headers, SIGNATURE) is not None
+
+
+def refusal_answer(refusal: Refusal) -> HttpResponse:
+    """Return the answer to a caller whose request got none.
+
+    A request that may have run gets 502 or 504: the platform takes 503 for
+    a promise that it has not.
+    """
+    status = STATUS_BY_CODE.get(refusal.code) or http_status(refusal.code)
+    if status in (429, 503) and not refusal.not_run:
+        status = 502
+    if status in (409, 428, 499):
+        status = 502
+    headers = [("Content-Type", "application/json")]
+    if refusal.retry_after_ms > 0 and status in (429, 503):
+        headers.append(("Retry-After", f"{refusal.retry_after_ms / 1e3:.3f}"))
+    return HttpResponse(status, tuple(headers), to_json(refusal))
+
+
+# Messages of backend servers and of the platform
+
+
+def read_control_message(request: HttpRequest) -> ControlMessage | None:
+    """Return what is asked, None for a path that nobody serves."""
+    path = request.path.partition("?")[0]
+    if path == READINESS_PATH:
+        return ReadinessQuestion()
+    if path.startswith(HEARTBEAT_PATH):
+        return _read(request, path[len(HEARTBEAT_PATH) :], _announcement)
+    if path.startswith(DEREGISTER_PATH):
+        return _read(request, path[len(DEREGISTER_PATH) :], _leave)
+    return None
+
+
+def _read(request: HttpRequest, instance: str, decode: Any) -> ControlMessage:
+    try:
+        body = json.loads(request.body) if request.body else {}
+        message: ControlMessage = decode(instance, body)
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        return Malformed(f"{type(error).__name__}: {error}")
+    return message
+
+
+def _announcement(instance: str, body: dict[str, Any]) -> Announcement | Malformed:
+    state = body["state"]
+    if state not in ("ready", "draining"):
+        return Malformed(f"state {state!r}")
+    return Announcement(
+        instance=instance,
+        address=_text(body["address"]),
+        service=_text(body["service"]),
+        slots=_whole(body["slots"]),
+        is_draining=state == "draining",
+        started_wall_ms=_whole(body.get("born", 0)),
+        sequence=_whole(body["sequence"]),
+        cold_ms=int(body.get("coldRemaining") or 0),
+    )
+
+
+def _leave(instance: str, body: dict[str, Any]) -> Leave:
+    born = body.get("born")
+    return Leave(
+        instance=instance,
+        started_wall_ms=None if born is None else _whole(born),
+    )
+
+
+def _whole(value: Any) -> int:
+    if not isinstance(value, int) or isinstance(value, bool):
+        raise TypeError(f"{value!r} is no whole number")
+    return value
+
+
+def _text(value: Any) -> str:
+    if not isinstance(value, str) or not value:
+        raise TypeError(f"{value!r} is no text")
+    return value
--- /dev/null
+++ b/src/eelgrassweir/platform/store.py
@@ -0,0 +1,171 @@
+"""Client of the platform's metadata store."""
+
+import base64
+import json
+from collections.abc import Mapping
+from typing import Any
+from urllib.parse import quote
+
+from eelgrassweir.clock import Clock
+from eelgrassweir.daemon.http_client import BackendClient, ClientOptions, ExchangeError
+from eelgrassweir.daemon.http_message import HttpRequest
+from eelgrassweir.errors import StepError
+from eelgrassweir.store.items import (
+    Change,
+    Changes,
+    Conflict,
+    HistoryGone,
+    Item,
+    LeaseGone,
+    Removal,
+    Snapshot,
+)
+
+# A page of a range has at most 1 MB of values, in base64 within JSON.
+ANSWER_LIMIT_BYTES = 4_194_304
+CONNECT_LIMIT_MS = 500
+
+
+class PlatformStore:
+    """Speak the store's protocol; a call is one exchange, without retries."""
+
+    def __init__(self, address: str, *, clock: Clock, timeout_ms: int) -> None:
+        self._address = address
+        self._timeout_ms = timeout_ms
+        self._client = BackendClient(
+            address,
+            clock=clock,
+            body_limit_bytes=ANSWER_LIMIT_BYTES,
+            options=ClientOptions(connect_limit_ms=CONNECT_LIMIT_MS, rest_ms=0),
+        )
+        self.calls = 0
+
+    def close(self) -> None:
+        """Close the connections to the store."""
+        self._client.close()
+
+    async def read_all(self) -> Snapshot:
+        """Return all items of the store.
+
+        The pages are no snapshot; a watch from the revision of the first page
+        brings what changed meanwhile.
+
+        :raises StepError: without an answer.
+        """
+        items: list[Item] = []
+        revision = 0
+        after = ""
+        while True:
+            path = f"/-/kv-range?prefix=&after={quote(after, safe='')}"
+            page = await self._call("GET", path if after else "/-/kv-range?prefix=")
+            revision = revision or int(page["storeRevision"])
+            items += [_item(entry) for entry in page["items"]]
+            if not page["hasMore"] or not page["items"]:
+                return Snapshot(items=tuple(items), revision=revision)
+            after = items[-1].key
+
+    async def watch(self, after_revision: int, wait_ms: int) -> Changes:
+        """Return the changes after a revision, none if none come in time.
+
+        :raises HistoryGone: if the store no longer has them all.
+        :raises StepError: without an answer.
+        """
+        path = f"/-/kv-watch?prefix=&after={after_revision}&waitMs={wait_ms}"
+        answer = await self._call("GET", path, extra_ms=wait_ms)
+        return Changes(
+            changes=tuple(_change(entry) for entry in answer["events"]),
+            revision=int(answer["storeRevision"]),
+        )
+
+    async def grant_lease(self, ttl_ms: int) -> int:
+        """Return a new lease."""
+        answer = await self._call("POST", "/-/kv-lease", {"ttl_time": ttl_ms})
+        return int(answer["lease"])
+
+    async def renew_lease(self, lease_id: int) -> None:
+        """Extend a lease.
+
+        :raises LeaseGone: if it has ended.
+        """
+        await self._call("POST", f"/-/kv-keep/{lease_id}", {})
+
+    async def end_lease(self, lease_id: int) -> None:
+        """End a lease; its keys go with it."""
+        await self._call("DELETE", f"/-/kv-lease-end/{lease_id}")
+
+    async def write(
+        self, key: str, value: bytes, *, lease_id: int, expected_revision: int
+    ) -> int:
+        """Write an item and return its revision.
+
+        ``expected_revision`` is 0 for a key that must not exist.
+
+        :raises Conflict: if the key has another revision.
+        :raises LeaseGone: if the lease has ended.
+        """
+        entry = {
+            "key": key,
+            "value": base64.b64encode(value).decode("ascii"),
+            "lease": lease_id,
+        }
+        condition = {"key": key, "revision": expected_revision}
+        change = {"expected": [condition], "writes": [entry], "deletes": []}
+        answer = await self._call("POST", "/-/kv-txn", change)
+        return int(answer["revision"])
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        body: Mapping[str, Any] | None = None,
+        *,
+        extra_ms: int = 0,
+    ) -> dict[str, Any]:
+        self.calls += 1
+        headers: tuple[tuple[str, str], ...] = ()
+        payload = b""
+        if body is not None:
+            payload = json.dumps(body, separators=(",", ":")).encode()
+            headers = (("Content-Type", "application/json"),)
+        request = HttpRequest(method, path, headers, payload)
+        step = path.partition("?")[0]
+        response = await self._client.exchange(
+            request, limit_ms=self._timeout_ms + extra_ms
+        )
+        if response.status == 410:
+            raise HistoryGone
+        if response.status == 404:
+            raise LeaseGone
+        if response.status not in (200, 412):
+            raise StepError(step, self._address, f"status {response.status}")
+        try:
+            answer = json.loads(response.body)
+        except ValueError as error:
+            raise ExchangeError(step, self._address, f"not JSON ({error})") from None
+        if not isinstance(answer, dict):
+            raise StepError(step, self._address, "not an object")
+        if response.status == 412:
+            raise Conflict(_present_revision(answer))
+        return answer
+
+
+def _present_revision(answer: Mapping[str, Any]) -> int:
+    """Return the revision of the one key that the condition named."""
+    for entry in answer.get("items") or ():
+        return int(entry.get("revision") or 0)
+    return 0
+
+
+def _item(entry: Mapping[str, Any]) -> Item:
+    return Item(
+        key=entry["key"],
+        value=base64.b64decode(entry["value"]),
+        revision=int(entry["revision"]),
+        lease_id=int(entry.get("lease") or 0),
+    )
+
+
+def _change(entry: Mapping[str, Any]) -> Change:
+    if entry.get("removed"):
+        return Removal(key=entry["key"], revision=int(entry["revision"]))
+    return _item(entry)
--- a/src/eelgrassweir/retries/budget.py
+++ b/src/eelgrassweir/retries/budget.py
@@ -60,6 +60,10 @@
         self._spare_retries = spare_retries
         self._services: dict[str, collections.deque[_Bucket]] = {}
 
+    def set_spare(self, spare_retries: int) -> None:
+        """Set the retries that are allowed without earlier successes."""
+        self._spare_retries = spare_retries
+
     def record_first(self, service: str, now_ms: float) -> None:
         """Count the first attempt of a call."""
         self._bucket(service, now_ms).first_calls += 1
--- a/src/eelgrassweir/settings/loader.py
+++ b/src/eelgrassweir/settings/loader.py
@@ -3,7 +3,8 @@
 import json
 import pathlib
 import re
-from typing import Any
+from collections.abc import Sequence
+from typing import Any, TypeVar
 
 import attrs
 from returns.result import Failure, Result, Success
@@ -11,6 +12,8 @@
 from eelgrassweir.settings.field import Field
 from eelgrassweir.settings.generated import FIELDS, Settings
 
+AnySettings = TypeVar("AnySettings")
+
 
 @attrs.frozen
 class SettingsError:
@@ -26,20 +29,34 @@
 
 def load_settings(path: pathlib.Path) -> Result[Settings, SettingsError]:
     """Read the settings file at ``path`` and check every field."""
+    return load_settings_as(Settings, FIELDS, path)
+
+
+def check_settings(document: Any) -> Result[Settings, SettingsError]:
+    """Check a decoded settings document and return it as ``Settings``."""
+    return check_settings_as(Settings, FIELDS, document)
+
+
+def load_settings_as(
+    kind: type[AnySettings], fields: Sequence[Field], path: pathlib.Path
+) -> Result[AnySettings, SettingsError]:
+    """Read the file at ``path`` and return it as a checked ``kind``."""
     try:
         document = json.loads(path.read_text())
     except OSError as error:
         return Failure(SettingsError("file", str(path), f"readable ({error.strerror})"))
     except ValueError as error:
         return Failure(SettingsError("file", str(path), f"JSON ({error})"))
-    return check_settings(document)
+    return check_settings_as(kind, fields, document)
 
 
-def check_settings(document: Any) -> Result[Settings, SettingsError]:
-    """Check a decoded settings document and return it as ``Settings``."""
+def check_settings_as(
+    kind: type[AnySettings], fields: Sequence[Field], document: Any
+) -> Result[AnySettings, SettingsError]:
+    """Check ``fields`` of a decoded document and return it as ``kind``."""
     if not isinstance(document, dict):
         return Failure(SettingsError("file", _show(document), "one JSON object"))
-    known = {field.name: field for field in FIELDS}
+    known = {field.name: field for field in fields}
     for name, value in document.items():
         if name not in known:
             allowed = "a known field: " + ", ".join(sorted(known))
@@ -47,14 +64,14 @@
         problem = _check_value(known[name], value)
         if problem is not None:
             return Failure(SettingsError(name, _show(value), problem))
-    for field in FIELDS:
+    for field in fields:
         if field.required and field.name not in document:
             return Failure(SettingsError(field.name, "missing", "required"))
     values: dict[str, Any] = {
         name: tuple(value) if isinstance(value, list) else value
         for name, value in document.items()
     }
-    return Success(Settings(**values))
+    return Success(kind(**values))
 
 
 def _show(value: Any) -> str:
@@ -65,6 +82,8 @@
     """Return what is allowed, or None if ``value`` is."""
     if field.kind == "integer":
         return _check_integer(field, value)
+    if field.kind == "number":
+        return _check_number(field, value)
     if field.kind == "string":
         return _check_string(field, value)
     if not isinstance(value, list):
@@ -85,6 +104,15 @@
     return None if field.minimum <= value <= field.maximum else allowed
 
 
+def _check_number(field: Field, value: Any) -> str | None:
+    allowed = f"a number from {field.minimum} to {field.maximum}"
+    if not isinstance(value, int | float) or isinstance(value, bool):
+        return allowed
+    assert field.minimum is not None
+    assert field.maximum is not None
+    return None if field.minimum <= value <= field.maximum else allowed
+
+
 def _check_string(field: Field, value: Any) -> str | None:
     assert field.pattern is not None
     if isinstance(value, str) and re.match(field.pattern, value):
--- a/testing/test_docs.py
+++ b/testing/test_docs.py
@@ -19,6 +19,7 @@
 
 DOCS = pathlib.Path(__file__).parent.parent / "docs"
 OPERATORS = DOCS / "operators.md"
+OPERATIONS = DOCS / "OPERATIONS.md"
 SOURCES = pathlib.Path(eelgrassweir.__file__).parent.parent
 IMPORT_LIGHT = """
 import importlib, sys, threading
@@ -100,6 +101,6 @@
             r'log_message\(\s*(?:message_type=)?"([^"]+)"', path.read_text()
         )
     }
-    text = OPERATORS.read_text()
-    listed = set(re.findall(r"^\| `((?:daemon|control|shares|admin):\w+)`", text, re.M))
+    text = OPERATORS.read_text() + OPERATIONS.read_text()
+    listed = set(re.findall(r"^\| `((?!eliot:)\w+:\w+)`", text, re.M))
     assert listed == used
