Lend the rate of teams through share holders on the platform, and test the mesh

Change: TokenService, Borrower and ShareHolder carry the rate; the holder of a failure domain follows from the directory, and the links carry the calls. The mesh runs on uvloop.

Tests: the whole path with daemons, backend servers and a store of the platform's protocol in one process; the decoders of the adapter.

--- a/src/eelgrassweir/daemon/http_client.py
+++ b/src/eelgrassweir/daemon/http_client.py
@@ -5,6 +5,7 @@
 import enum
 import math
 from collections.abc import Callable
+from typing import cast
 
 import attrs
 import httptools
@@ -323,7 +324,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Note the transport."""
-        assert isinstance(transport, asyncio.Transport)
+        transport = cast(asyncio.Transport, transport)
         self._transport = transport
 
     def eof_received(self) -> bool:
--- a/src/eelgrassweir/daemon/http_server.py
+++ b/src/eelgrassweir/daemon/http_server.py
@@ -4,6 +4,7 @@
 import collections
 import ssl
 from collections.abc import Awaitable, Callable
+from typing import cast
 
 import attrs
 import httptools
@@ -170,7 +171,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start to read."""
-        assert isinstance(transport, asyncio.Transport)
+        transport = cast(asyncio.Transport, transport)
         self._transport = transport
         peer = transport.get_extra_info("peername")
         self._peer = f"{peer[0]}:{peer[1]}" if peer else ""
--- a/src/eelgrassweir/daemon/link_client.py
+++ b/src/eelgrassweir/daemon/link_client.py
@@ -18,6 +18,8 @@
 FRAME_OVERHEAD_BYTES = 131_072
 
 Reply = link_pb2.Response | link_pb2.Refusal
+Question = link_pb2.Request | link_pb2.Borrow
+Answer = Reply | link_pb2.Lent
 
 
 @attrs.frozen
@@ -49,7 +51,7 @@
         self._address = address
         self._options = options
         self._clock = clock
-        self._streams: dict[int, asyncio.Future[Reply]] = {}
+        self._streams: dict[int, asyncio.Future[Answer]] = {}
         self._next_stream_id = 1
         self._last_received_ms = clock.now_ms()
         self._last_used_ms = self._last_received_ms
@@ -87,6 +89,8 @@
             self._resolve(frame.response.stream_id, frame.response)
         elif kind == "refusal":
             self._resolve(frame.refusal.stream_id, frame.refusal)
+        elif kind == "lent":
+            self._resolve(frame.lent.stream_id, frame.lent)
         elif kind == "hello" and not self.hello.done():
             self.hello.set_result(frame.hello)
 
@@ -95,15 +99,33 @@
 
         :raises LinkError: without a reply in ``limit_ms``.
         """
+        answer = await self._ask(request, limit_ms)
+        assert not isinstance(answer, link_pb2.Lent)
+        return answer
+
+    async def borrow(self, request: bytes, *, limit_ms: float) -> bytes:
+        """Ask the peer, a share holder, for tokens and return its reply.
+
+        :raises LinkError: without a reply in ``limit_ms``.
+        """
+        answer = await self._ask(link_pb2.Borrow(request=request), limit_ms)
+        assert isinstance(answer, link_pb2.Lent)
+        return answer.reply
+
+    async def _ask(self, question: Question, limit_ms: float) -> Answer:
         if not self._streams:
             # Silence counts from the first request that waits.
             self._last_received_ms = self._clock.now_ms()
         self._last_used_ms = self._clock.now_ms()
         stream_id = self._next_stream_id
         self._next_stream_id += 1
-        request.stream_id = stream_id
-        future: asyncio.Future[Reply] = asyncio.get_running_loop().create_future()
-        if not self.send(link_pb2.Frame(request=request)):
+        question.stream_id = stream_id
+        future: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
+        if isinstance(question, link_pb2.Borrow):
+            frame = link_pb2.Frame(borrow=question)
+        else:
+            frame = link_pb2.Frame(request=question)
+        if not self.send(frame):
             raise LinkError("link send", self._address, "connection closed", False)
         self._streams[stream_id] = future
         is_answered = False
@@ -128,7 +150,7 @@
         """Return the number of requests without a reply."""
         return len(self._streams)
 
-    def _resolve(self, stream_id: int, reply: Reply) -> None:
+    def _resolve(self, stream_id: int, reply: Answer) -> None:
         future = self._streams.get(stream_id)
         if future is not None and not future.done():
             future.set_result(reply)
@@ -187,6 +209,16 @@
         left_ms = limit_ms - (self._clock.now_ms() - started_ms)
         return await link.call(request, limit_ms=max(left_ms, 1.0))
 
+    async def borrow(
+        self, address: str, incarnation: str, request: bytes, *, limit_ms: float
+    ) -> bytes:
+        """Ask the share holder at ``address`` for tokens.
+
+        :raises LinkError: without a reply in ``limit_ms``.
+        """
+        link = await self._get(address, incarnation, limit_ms)
+        return await link.borrow(request, limit_ms=limit_ms)
+
     def close(self) -> None:
         """Close all links."""
         if self._timer is not None:
--- a/src/eelgrassweir/daemon/link_frames.py
+++ b/src/eelgrassweir/daemon/link_frames.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import struct
+from typing import cast
 
 from google.protobuf.message import DecodeError
 
@@ -26,7 +27,8 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Note the transport."""
-        assert isinstance(transport, asyncio.Transport)
+        # The transports of other event loops share the interface only.
+        transport = cast(asyncio.Transport, transport)
         self.transport = transport
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/src/eelgrassweir/daemon/link_server.py
+++ b/src/eelgrassweir/daemon/link_server.py
@@ -27,14 +27,21 @@
 ABANDONED_FACTOR = 3
 
 RequestHandler = Callable[[link_pb2.Request, str], Awaitable[Reply]]
+# Turns a serialized BorrowRequest into a serialized BorrowReply.
+Lender = Callable[[bytes], bytes]
 
 
 class LinkServer:
     """Accept links of other daemons."""
 
     def __init__(
-        self, options: LinkOptions, handler: RequestHandler, clock: Clock
+        self,
+        options: LinkOptions,
+        handler: RequestHandler,
+        clock: Clock,
+        lender: Lender | None = None,
     ) -> None:
+        self.lender = lender
         self.options = options
         self.handler = handler
         self.clock = clock
@@ -149,6 +156,10 @@
             task = self._tasks.get(frame.cancel.stream_id)
             if task is not None:
                 task.cancel()
+        elif kind == "borrow" and self._server.lender is not None:
+            reply = self._server.lender(frame.borrow.request)
+            lent = link_pb2.Lent(stream_id=frame.borrow.stream_id, reply=reply)
+            self.send(link_pb2.Frame(lent=lent))
         elif kind == "ping":
             self.send(link_pb2.Frame(pong=link_pb2.Pong(id=frame.ping.id)))
         elif kind == "hello":
--- a/src/eelgrassweir/mesh/app.py
+++ b/src/eelgrassweir/mesh/app.py
@@ -14,6 +14,7 @@
 from eelgrassweir.daemon.link_client import LinkOptions, LinkPool, Reply
 from eelgrassweir.daemon.link_server import LinkServer
 from eelgrassweir.daemon.metrics import Metrics
+from eelgrassweir.daemon.tokens import TokenService
 from eelgrassweir.errors import StepError
 from eelgrassweir.mesh.backend import BackendBeside, Taken
 from eelgrassweir.mesh.config_state import ConfigState
@@ -22,8 +23,8 @@
 from eelgrassweir.mesh.dispatch import Dispatcher
 from eelgrassweir.mesh.entry import EntryService
 from eelgrassweir.mesh.feed import StoreFeed
+from eelgrassweir.mesh.lending import Lending
 from eelgrassweir.mesh.link_messages import decode_request, encode_result
-from eelgrassweir.mesh.quota import QuotaShare
 from eelgrassweir.mesh.registration import Registration
 from eelgrassweir.mesh.target import TargetService
 from eelgrassweir.mesh.wire import Store, Wire
@@ -40,6 +41,8 @@
 LINK_CONNECT_LIMIT_MS = 300
 BACKEND_CONNECT_LIMIT_MS = 300
 QUEUE_LIMIT_CALLS = 400
+# Longest wait of a request for a token of its team.
+TOKEN_WAIT_MS = 50
 # A watch can miss changes for about a second before the store says that its
 # history is gone; the rest covers timers and the way of the request.
 KEY_MARGIN_MS = 1_300
@@ -105,8 +108,30 @@
             connect_limit_ms=LINK_CONNECT_LIMIT_MS,
         )
         self.links = LinkPool(link_options, self.clock)
-        self.link_server = LinkServer(link_options, self._run_linked, self.clock)
-        daemons = self.directory.members.live_count
+        self.lending = Lending(
+            vm=settings.vm,
+            incarnation=self.identity.incarnation,
+            failure_domain=settings.failure_domain,
+            failure_domains=settings.failure_domains,
+            overage=settings.quota_overage,
+            clock=self.clock,
+            members=self.directory.members,
+            links=self.links,
+        )
+        self.tokens = TokenService(
+            clock=self.clock,
+            vm=settings.vm,
+            incarnation=self.identity.incarnation,
+            borrow=self.lending.borrow,
+            holders=self.lending.holders,
+            wait_ms=TOKEN_WAIT_MS,
+        )
+        self.link_server = LinkServer(
+            link_options,
+            self._run_linked,
+            self.clock,
+            lender=self.lending.lend_serialized,
+        )
         self.ratio = RetryRatio(
             percent=int(100 * settings.budget_ratio * RATIO_SHARE), spare_retries=1
         )
@@ -122,7 +147,6 @@
             target=self.target,
             on_retry=lambda service: self.metrics.retries.labels(service).inc(),
         )
-        self.quota = QuotaShare(self.clock, daemons)
         self.entry = EntryService(
             vm=settings.vm,
             service=settings.service,
@@ -132,7 +156,7 @@
             config=lambda: self.config.current,
             freshness=self.feed.freshness,
             fresh_limit_ms=settings.revoke_ms - KEY_MARGIN_MS,
-            quota=self.quota,
+            tokens=self.tokens,
             dispatcher=self.dispatcher,
             metrics=self.metrics,
         )
@@ -173,6 +197,7 @@
         )
         settings = self.settings
         self._announce()
+        await self.tokens.start()
         for run in (self.feed.run, self.registration.run, self._run_ticks):
             self._tasks.append(asyncio.create_task(run()))
         await self.control_server.start(*split_address(settings.control_address))
@@ -218,6 +243,7 @@
             log_message(message_type="registration:end_failed", reason=str(error))
         for server in (self.callers, self.ready_server, self.control_server):
             await server.stop()
+        await self.tokens.stop()
         await self.link_server.stop()
         self.links.close()
         self.backend.close()
@@ -260,6 +286,7 @@
 
     def _take_config(self, config: RoutingConfig) -> None:
         self.metrics.config_version.set(config.version)
+        self.lending.take_config(config)
         self.callers.idle_limit_s = config.limits.idle_timeout_ms / 1e3
         self.callers.body_limit_bytes = config.limits.body_bytes
 
--- a/src/eelgrassweir/mesh/entry.py
+++ b/src/eelgrassweir/mesh/entry.py
@@ -9,14 +9,15 @@
 from eelgrassweir.clock import Clock
 from eelgrassweir.daemon.http_message import HttpRequest, HttpResponse
 from eelgrassweir.daemon.metrics import Metrics
+from eelgrassweir.daemon.tokens import TokenService
 from eelgrassweir.membership.freshness import Freshness
 from eelgrassweir.mesh.dispatch import Call, Dispatcher
-from eelgrassweir.mesh.quota import QuotaShare
 from eelgrassweir.mesh.wire import Wire
 from eelgrassweir.proto import link_pb2
 from eelgrassweir.requests.calls import CallerRequest
 from eelgrassweir.requests.refusal import Refusal
 from eelgrassweir.routing.rules import RouteRule, RoutingConfig, TeamRule, pick_service
+from eelgrassweir.shares.borrower import Token
 
 STEP = "entry"
 # Urgency within the mesh; a call of a running request comes before any root
@@ -32,6 +33,8 @@
 
     route: RouteRule
     team: TeamRule | None
+    # What the request took of the team's rate.
+    token: Token | None = None
 
 
 class EntryService:
@@ -48,7 +51,7 @@
         config: Callable[[], RoutingConfig | None],
         freshness: Freshness,
         fresh_limit_ms: float,
-        quota: QuotaShare,
+        tokens: TokenService,
         dispatcher: Dispatcher,
         metrics: Metrics,
     ) -> None:
@@ -60,7 +63,7 @@
         self._config = config
         self._freshness = freshness
         self._fresh_limit_ms = fresh_limit_ms
-        self._quota = quota
+        self._tokens = tokens
         self._dispatcher = dispatcher
         self._metrics = metrics
         self.in_flight_calls = 0
@@ -81,21 +84,21 @@
         if config is None:
             refusal = self._refuse("config_missing", "no configuration received yet")
             return self._refused(asked, refusal)
-        grant = self._check(config, asked, request)
+        grant = await self._check(config, asked, request)
         if isinstance(grant, Refusal):
             return self._refused(asked, grant)
         call = self._make_call(request, asked, grant, started_ms)
         result = await self._dispatcher.send(call)
         if isinstance(result, Refusal):
-            if result.not_run and grant.team is not None:
-                self._quota.give_back(grant.team)
+            if result.not_run and grant.token is not None:
+                self._tokens.refund(grant.token)
             return self._refused(asked, result)
         self._metrics.answers.labels(
             grant.route.name, f"{result.status // 100}xx"
         ).inc()
         return result
 
-    def _check(
+    async def _check(
         self, config: RoutingConfig, asked: CallerRequest, request: HttpRequest
     ) -> Grant | Refusal:
         route = config.match(asked.host, request.path)
@@ -116,12 +119,14 @@
             reason = "cut off from the store; the key may have been withdrawn"
             refusal = self._refuse("config_stale", reason)
             return attrs.evolve(refusal, retry_after_ms=STALE_RETRY_MS)
-        wait_ms = self._quota.take(team)
-        if wait_ms:
+        if team.rate_per_s <= 0:
+            return Grant(route, team)
+        decision = await self._tokens.take(team.name)
+        if not decision.granted:
             reason = f"team {team.name} is above its rate"
             refusal = self._refuse("rate_exceeded", reason)
-            return attrs.evolve(refusal, retry_after_ms=wait_ms)
-        return Grant(route, team)
+            return attrs.evolve(refusal, retry_after_ms=decision.retry_after_ms)
+        return Grant(route, team, decision.token)
 
     def _make_call(
         self,
--- a/src/eelgrassweir/mesh/main.py
+++ b/src/eelgrassweir/mesh/main.py
@@ -1,15 +1,17 @@
 """Command of the daemon on the platform."""
 
 import argparse
-import asyncio
 import os
 import pathlib
 import sys
 
+import uvloop
 from eliot import to_file
 from returns.result import Failure, Result
 
 from eelgrassweir.clock import Clock
+from eelgrassweir.mesh.app import Application
+from eelgrassweir.mesh.wire import Wire
 from eelgrassweir.platform import configuration, messages
 from eelgrassweir.platform.store import PlatformStore
 from eelgrassweir.settings.loader import SettingsError, load_settings_as
@@ -34,7 +36,8 @@
     if options.check:
         print(f"{path}: valid")
         return
-    run(result.unwrap())
+    to_file(sys.stdout)
+    uvloop.run(serve(result.unwrap()))
 
 
 def read_settings(path: pathlib.Path) -> Result[MeshSettings, SettingsError]:
@@ -42,14 +45,9 @@
     return load_settings_as(MeshSettings, FIELDS, path)
 
 
-def run(settings: MeshSettings) -> None:
-    """Run the daemon."""
-    # Imported late, so that a check of the settings stays quick.
-    from eelgrassweir.mesh.app import Application
-    from eelgrassweir.mesh.wire import Wire
-
-    to_file(sys.stdout)
-    wire = Wire(
+def make_wire() -> Wire:
+    """Return the adapter's functions."""
+    return Wire(
         config_key=configuration.CONFIG_KEY,
         decode_config=configuration.decode_config,
         read_caller_request=messages.read_caller_request,
@@ -61,15 +59,13 @@
         refusal_answer=messages.refusal_answer,
     )
 
-    async def serve() -> None:
-        store = PlatformStore(
-            settings.store_address,
-            clock=Clock(),
-            timeout_ms=settings.store_timeout_ms,
-        )
-        await Application(settings, wire, store).run()
 
-    asyncio.run(serve())
+async def serve(settings: MeshSettings) -> None:
+    """Run the daemon until it is told to stop."""
+    store = PlatformStore(
+        settings.store_address, clock=Clock(), timeout_ms=settings.store_timeout_ms
+    )
+    await Application(settings, make_wire(), store).run()
 
 
 if __name__ == "__main__":
--- a/src/eelgrassweir/settings/mesh_generated.py
+++ b/src/eelgrassweir/settings/mesh_generated.py
@@ -15,6 +15,8 @@
     vm: str
     failure_domain: str
     region: str
+    failure_domains: tuple[str, ...]
+    quota_overage: float
     service: str
     backend_address: str
     callers_address: str
@@ -57,6 +59,19 @@
         required=True,
         pattern="^[A-Za-z0-9_.-]{1,63}$",
     ),
+    Field(
+        name="failure_domains",
+        kind="array",
+        required=True,
+        pattern="^[A-Za-z0-9_.-]{1,63}$",
+    ),
+    Field(
+        name="quota_overage",
+        kind="number",
+        required=True,
+        minimum=0,
+        maximum=10,
+    ),
     Field(
         name="service",
         kind="string",
--- /dev/null
+++ b/testing/mesh/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the daemon on the platform."""
--- /dev/null
+++ b/testing/mesh/fleet.py
@@ -0,0 +1,243 @@
+"""A few daemons with stand-ins for backend servers, in the test's process."""
+
+import asyncio
+import contextlib
+import json
+import socket
+from collections.abc import AsyncIterator, Sequence
+from typing import Any
+
+import attrs
+
+from eelgrassweir.clock import Clock
+from eelgrassweir.daemon.http_client import BackendClient, ClientOptions
+from eelgrassweir.daemon.http_message import HttpRequest, HttpResponse, find_header
+from eelgrassweir.daemon.http_server import HttpServer
+from eelgrassweir.mesh.app import Application
+from eelgrassweir.mesh.main import make_wire
+from eelgrassweir.platform.store import PlatformStore
+from eelgrassweir.settings.mesh_generated import MeshSettings
+from testing.stand_ins.platform_store import PlatformStoreStandIn
+
+HOST = "notes.example"
+KEY = "key-of-t"
+LIMIT_S = 10.0
+
+
+@attrs.define(eq=False)
+class BackendStandIn:
+    """Answer requests as a backend server of the platform does."""
+
+    service: str
+    instance: str
+    slots: int = 10
+    started_wall_ms: int = 1_000
+    delay_s: float = 0.0
+    status: int = 200
+    not_executed: bool = False
+    hold: asyncio.Event | None = None
+    runs: list[HttpRequest] = attrs.field(factory=list)
+    address: str = ""
+    server: HttpServer | None = None
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        self.server = HttpServer(self._handle, body_limit_bytes=100_000)
+        await self.server.start("127.0.0.1", 0)
+        self.address = f"127.0.0.1:{self.server.port}"
+
+    async def _handle(self, request: HttpRequest) -> HttpResponse:
+        request_id = find_header(request.headers, "x-request-id") or ""
+        own = (("X-Request-Id", request_id), ("X-Instance-Id", self.instance))
+        expected = find_header(request.headers, "x-expected-instance")
+        if expected not in (None, self.instance):
+            return HttpResponse(421, own, b"")
+        if self.not_executed:
+            return HttpResponse(503, (*own, ("X-Not-Executed", "1")), b"")
+        self.runs.append(request)
+        if self.hold is not None:
+            await self.hold.wait()
+        await asyncio.sleep(self.delay_s)
+        signed = (*own, ("X-Response-Signature", "signed"))
+        return HttpResponse(self.status, signed, request_id.encode())
+
+    def beat(self, sequence: int = 1, state: str = "ready") -> HttpRequest:
+        """Return a heartbeat."""
+        body = {
+            "service": self.service,
+            "address": self.address,
+            "slots": self.slots,
+            "state": state,
+            "sequence": sequence,
+            "coldRemaining": 0,
+            "born": self.started_wall_ms,
+        }
+        path = f"/-/Instances.Heartbeat/{self.instance}"
+        return HttpRequest("POST", path, (), json.dumps(body).encode())
+
+
+def route(prefix: str, service: str, **changes: Any) -> dict[str, Any]:
+    """Return a route of a configuration document."""
+    rule = {
+        "name": prefix,
+        "host": HOST,
+        "prefix": prefix,
+        "kind": "safe",
+        "timeout": 2_000,
+        "objective": 500,
+        "priority": 1,
+        "service": service,
+        "attempts": 2,
+        "public": True,
+    }
+    return rule | changes
+
+
+def document(version: int, routes: Sequence[dict[str, Any]], **team: Any) -> bytes:
+    """Return a configuration document with one team that holds ``KEY``."""
+    holder = {"name": "t", "apiKeys": [KEY], "priority": 1, "ratePerS": 0, "burst": 0}
+    body = {
+        "version": version,
+        "routes": list(routes),
+        "services": [],
+        "tenants": [holder | team],
+        "limits": {
+            "headerBytes": 16_384,
+            "bodyBytes": 100_000,
+            "headerTimeout": 3_000,
+            "idleTimeout": 15_000,
+        },
+    }
+    return json.dumps(body).encode()
+
+
+@attrs.define(eq=False)
+class MeshFleet:
+    """Hold the daemons and what stands beside them."""
+
+    store: PlatformStoreStandIn
+    store_address: str
+    daemons: list[Application] = attrs.field(factory=list)
+    backends: list[BackendStandIn] = attrs.field(factory=list)
+    version: int = 0
+
+    def configure(self, *routes: dict[str, Any], **team: Any) -> None:
+        """Write a new version of the configuration."""
+        self.version += 1
+        self.store.put("op/config", document(self.version, routes, **team))
+
+    async def add(self, backend: BackendStandIn, **changes: Any) -> Application:
+        """Start a daemon beside a new backend server."""
+        await backend.start()
+        settings = mesh_settings(
+            f"vm-{len(self.daemons)}", backend.service, backend.address
+        )
+        settings = attrs.evolve(settings, store_address=self.store_address, **changes)
+        store = PlatformStore(
+            self.store_address, clock=Clock(), timeout_ms=settings.store_timeout_ms
+        )
+        daemon = Application(settings, make_wire(), store)
+        await daemon.start()
+        await daemon.control.handle(backend.beat())
+        self.daemons.append(daemon)
+        self.backends.append(backend)
+        return daemon
+
+    async def settled(self) -> None:
+        """Wait until all daemons know each other and the configuration."""
+
+        def is_settled() -> bool:
+            return all(
+                daemon.config.current is not None
+                and daemon.config.current.version == self.version
+                and daemon.directory.members.live_count() == len(self.daemons)
+                and all(member.service for member in daemon.directory.members.all())
+                for daemon in self.daemons
+            )
+
+        await eventually(is_settled)
+
+    async def call(
+        self,
+        daemon: Application,
+        path: str,
+        *headers: tuple[str, str],
+        method: str = "GET",
+    ) -> HttpResponse:
+        """Send one request as a caller of the daemon's VM."""
+        client = BackendClient(
+            daemon.settings.callers_address,
+            clock=Clock(),
+            body_limit_bytes=100_000,
+            options=ClientOptions(keeps_host=True),
+        )
+        fields = (("Host", HOST), ("X-Request-Id", "r"), *headers)
+        request = HttpRequest(method, path, fields, b"")
+        try:
+            return await client.exchange(request, limit_ms=LIMIT_S * 1e3)
+        finally:
+            client.close()
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        for daemon in self.daemons:
+            await daemon.stop()
+        for backend in self.backends:
+            assert backend.server is not None
+            await backend.server.stop()
+        await self.store.stop()
+
+
+@contextlib.asynccontextmanager
+async def mesh_fleet() -> AsyncIterator[MeshFleet]:
+    """Start a store; daemons are added by the test."""
+    store = PlatformStoreStandIn()
+    fleet = MeshFleet(store, await store.start())
+    try:
+        yield fleet
+    finally:
+        await fleet.stop()
+
+
+async def eventually(condition: Any, limit_s: float = LIMIT_S) -> None:
+    """Wait until ``condition`` holds."""
+    async with asyncio.timeout(limit_s):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+def free_address() -> str:
+    """Return a loopback address that nobody listens on."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+def mesh_settings(vm: str, service: str, backend_address: str) -> MeshSettings:
+    """Return settings with free ports."""
+    return MeshSettings(
+        vm=vm,
+        failure_domain="a",
+        region="r",
+        failure_domains=("a",),
+        service=service,
+        backend_address=backend_address,
+        callers_address=free_address(),
+        control_address=free_address(),
+        ready_address=free_address(),
+        link_address=free_address(),
+        admin_address=free_address(),
+        store_address="127.0.0.1:1",
+        drain_ms=400,
+        grace_s=6,
+        revoke_ms=5_000,
+        config_apply_ms=2_000,
+        budget_ratio=0.2,
+        budget_slack_calls=50,
+        quota_window_s=5,
+        quota_overage=0.1,
+        store_watch_ms=300,
+        store_timeout_ms=300,
+        lease_ms=1_500,
+        seed=7,
+    )
--- /dev/null
+++ b/testing/mesh/test_whole_path.py
@@ -0,0 +1,277 @@
+"""Guard against requests that get lost, doubled or misdirected in the mesh."""
+
+import asyncio
+
+import pytest
+
+from eelgrassweir.daemon.http_message import find_header
+from testing.mesh.fleet import KEY, BackendStandIn, eventually, mesh_fleet, route
+
+KEYED = ("X-Credential", KEY)
+
+
+def test_request_reaches_a_target_beside_another_daemon() -> None:
+    """Guard against a path that breaks between the two daemons."""
+
+    async def scenario() -> None:
+        async with mesh_fleet() as fleet:
+            entry = await fleet.add(BackendStandIn("lists", "i-0"))
+            await fleet.add(BackendStandIn("notes", "i-1"))
+            fleet.configure(route("/a/", "notes", public=False))
+            await fleet.settled()
+            response = await fleet.call(entry, "/a/b", KEYED)
+            assert (response.status, response.body) == (200, b"r")
+            (run,) = fleet.backends[1].runs
+            assert run.path == "/a/b"
+            assert find_header(run.headers, "x-caller-service") == "lists"
+            assert find_header(run.headers, "x-tenant") == "t"
+            assert find_header(run.headers, "x-expected-instance") == "i-1"
+            assert find_header(run.headers, "x-credential") is None
+            assert int(find_header(run.headers, "x-deadline-milliseconds") or 0) <= 2000
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("path", "headers", "status"),
+    [
+        ("/b/", (), 404),
+        ("/a/", (), 401),
+        ("/a/", (("X-Credential", "other"),), 401),
+        ("/a/", (KEYED,), 200),
+    ],
+)
+def test_key_and_route_are_checked(
+    path: str, headers: tuple[tuple[str, str], ...], status: int
+) -> None:
+    """Guard against a request that runs for nobody or without a route."""
+
+    async def scenario() -> None:
+        async with mesh_fleet() as fleet:
+            entry = await fleet.add(BackendStandIn("notes", "i-0"))
+            fleet.configure(route("/a/", "notes", public=False))
+            await fleet.settled()
+            response = await fleet.call(entry, path, *headers)
+            assert response.status == status
+
+    asyncio.run(scenario())
+
+
+def test_daemon_without_a_configuration_refuses_with_503() -> None:
+    """Guard against a 404 or 401 before anything is known."""
+
+    async def scenario() -> None:
+        async with mesh_fleet() as fleet:
+            entry = await fleet.add(BackendStandIn("notes", "i-0"))
+            assert not entry.is_ready()
+            response = await fleet.call(entry, "/a/")
+            assert response.status == 503
+            assert find_header(response.headers, "retry-after") is not None
+
+    asyncio.run(scenario())
+
+
+def test_unsafe_request_goes_on_only_after_a_refusal_without_a_run() -> None:
+    """Guard against a second run of a request that is not idempotent."""
+
+    async def scenario() -> None:
+        async with mesh_fleet() as fleet:
+            entry = await fleet.add(BackendStandIn("lists", "i-0"))
+            first = BackendStandIn("notes", "i-1", not_executed=True)
+            second = BackendStandIn("notes", "i-2")
+            await fleet.add(first)
+            await fleet.add(second)
+            fleet.configure(route("/a/", "notes", kind="unsafe"))
+            await fleet.settled()
+            for _ in range(4):
+                response = await fleet.call(entry, "/a/", method="POST")
+                assert response.status in (200, 503)
+            first.not_executed = False
+            first.status = second.status = 500
+            before = len(first.runs) + len(second.runs)
+            response = await fleet.call(entry, "/a/", method="POST")
+            assert response.status == 500
+            assert len(first.runs) + len(second.runs) == before + 1
+
+    asyncio.run(scenario())
+
+
+def test_answer_is_cut_off_at_the_timeout_of_the_route() -> None:
+    """Guard against a caller that waits longer than the operator allows."""
+
+    async def scenario() -> None:
+        async with mesh_fleet() as fleet:
+            entry = await fleet.add(BackendStandIn("notes", "i-0", delay_s=5.0))
+            fleet.configure(route("/a/", "notes", timeout=200))
+            await fleet.settled()
+            async with asyncio.timeout(1.5):
+                response = await fleet.call(entry, "/a/")
+            assert response.status == 504
+
+    asyncio.run(scenario())
+
+
+def test_leaving_backend_gets_nothing_after_the_drain() -> None:
+    """Guard against work that reaches a target after its leave."""
+
+    async def scenario() -> None:
+        async with mesh_fleet() as fleet:
+            entry = await fleet.add(BackendStandIn("lists", "i-0"))
+            leaving = BackendStandIn("notes", "i-1")
+            stays = BackendStandIn("notes", "i-2")
+            daemon = await fleet.add(leaving)
+            await fleet.add(stays)
+            fleet.configure(route("/a/", "notes"))
+            await fleet.settled()
+            # The store is away, so other daemons do not learn of the leave.
+            fleet.store.fault = "busy"
+            await daemon.control.handle(leaving.beat(2, "draining"))
+            await asyncio.sleep(daemon.settings.drain_ms / 1e3)
+            before = len(leaving.runs)
+            for _ in range(12):
+                assert (await fleet.call(entry, "/a/")).status == 200
+            assert len(leaving.runs) == before
+
+    asyncio.run(scenario())
+
+
+def test_entry_is_written_again_after_its_lease_lapsed() -> None:
+    """Guard against a daemon that nobody finds after an outage."""
+
+    async def scenario() -> None:
+        async with mesh_fleet() as fleet:
+            daemon = await fleet.add(BackendStandIn("notes", "i-0"))
+            fleet.configure(route("/a/", "notes"))
+            await fleet.settled()
+            fleet.store.end_leases()
+            assert "members/vm-0" not in fleet.store.items
+            await eventually(lambda: "members/vm-0" in fleet.store.items, 2.0)
+            assert daemon.directory.members.live_count() == 1
+
+    asyncio.run(scenario())
+
+
+def test_writes_without_an_answer_are_settled() -> None:
+    """Guard against an entry lost with the answer to its write."""
+
+    async def scenario() -> None:
+        async with mesh_fleet() as fleet:
+            fleet.store.fault = "lose_writes"
+            await fleet.add(BackendStandIn("notes", "i-0"))
+            await asyncio.sleep(0.7)
+            fleet.store.fault = ""
+            fleet.configure(route("/a/", "notes"))
+            await fleet.settled()
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("fault", ["compact", "busy", "silent"])
+def test_new_configuration_comes_into_force_after_a_fault(fault: str) -> None:
+    """Guard against a daemon that stays at an old version for good."""
+
+    async def scenario() -> None:
+        async with mesh_fleet() as fleet:
+            daemon = await fleet.add(BackendStandIn("notes", "i-0"))
+            fleet.configure(route("/a/", "notes"))
+            await fleet.settled()
+            if fault == "compact":
+                fleet.store.fault = "mute"
+                fleet.configure(route("/b/", "notes"))
+                fleet.store.compact()
+            else:
+                fleet.store.fault = fault
+                await asyncio.sleep(0.5)
+                fleet.configure(route("/b/", "notes"))
+            fleet.store.fault = ""
+            await fleet.settled()
+            assert (await fleet.call(daemon, "/b/")).status == 200
+            assert (await fleet.call(daemon, "/a/")).status == 404
+
+    asyncio.run(scenario())
+
+
+def test_older_version_never_comes_back() -> None:
+    """Guard against a configuration that is in force and reverts."""
+
+    async def scenario() -> None:
+        async with mesh_fleet() as fleet:
+            daemon = await fleet.add(BackendStandIn("notes", "i-0"))
+            fleet.version = 5
+            fleet.configure(route("/a/", "notes"))
+            await fleet.settled()
+            fleet.version = 3
+            fleet.configure(route("/b/", "notes"))
+            await asyncio.sleep(0.3)
+            assert daemon.config.current is not None
+            assert daemon.config.current.version == 6
+
+    asyncio.run(scenario())
+
+
+def test_keyed_requests_stop_when_the_store_has_not_been_heard() -> None:
+    """Guard against a withdrawn key that still works on a daemon cut off."""
+
+    async def scenario() -> None:
+        async with mesh_fleet() as fleet:
+            daemon = await fleet.add(BackendStandIn("notes", "i-0"), revoke_ms=1_800)
+            routes = route("/a/", "notes", public=False), route("/o/", "notes")
+            fleet.configure(*routes)
+            await fleet.settled()
+            assert (await fleet.call(daemon, "/a/", KEYED)).status == 200
+            fleet.store.fault = "silent"
+            await asyncio.sleep(1.8)
+            assert (await fleet.call(daemon, "/a/", KEYED)).status == 503
+            assert (await fleet.call(daemon, "/o/")).status == 200
+
+    asyncio.run(scenario())
+
+
+def test_team_stays_within_its_rate_over_all_daemons() -> None:
+    """Guard against a rate that each daemon grants anew."""
+
+    async def scenario() -> None:
+        async with mesh_fleet() as fleet:
+            for number in range(3):
+                await fleet.add(BackendStandIn("notes", f"i-{number}"))
+            rule = route("/a/", "notes", public=False)
+            fleet.configure(rule, ratePerS=20, burst=20)
+            await fleet.settled()
+            loop = asyncio.get_running_loop()
+            started_s = loop.time()
+            while loop.time() - started_s < 2.0:
+                calls = [
+                    fleet.call(daemon, "/a/", KEYED)
+                    for daemon in fleet.daemons
+                    for _ in range(4)
+                ]
+                await asyncio.gather(*calls)
+            served = sum(len(backend.runs) for backend in fleet.backends)
+            elapsed_s = loop.time() - started_s
+            assert served <= (20 * elapsed_s + 20) * 1.1 + 20
+            assert served >= 20 * elapsed_s * 0.7
+
+    asyncio.run(scenario())
+
+
+def test_stop_cuts_no_request() -> None:
+    """Guard against an answer that is lost in a planned stop."""
+
+    async def scenario() -> None:
+        async with mesh_fleet() as fleet:
+            entry = await fleet.add(BackendStandIn("lists", "i-0"))
+            await fleet.add(BackendStandIn("notes", "i-1", delay_s=1.0))
+            fleet.configure(route("/a/", "notes"))
+            await fleet.settled()
+            call = asyncio.create_task(fleet.call(entry, "/a/"))
+            await eventually(lambda: fleet.backends[1].runs)
+            leave = asyncio.create_task(entry.leave())
+            assert (await call).status == 200
+            await asyncio.sleep(0.1)
+            assert not entry.is_ready()
+            late = await fleet.call(entry, "/a/")
+            assert late.status == 200
+            assert find_header(late.headers, "connection") == "close"
+            await leave
+
+    asyncio.run(scenario())
--- /dev/null
+++ b/testing/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapter to the platform."""
--- /dev/null
+++ b/testing/platform/test_messages.py
@@ -0,0 +1,155 @@
+"""Guard against fields of the platform that are lost, kept or misread."""
+
+import json
+import pathlib
+import re
+
+import pytest
+
+import eelgrassweir
+from eelgrassweir.daemon.http_message import HttpRequest, HttpResponse
+from eelgrassweir.platform import messages
+from eelgrassweir.requests.calls import Announcement, BackendFields, Leave, Malformed
+from eelgrassweir.requests.refusal import STATUS_BY_CODE, Refusal
+
+SOURCES = pathlib.Path(eelgrassweir.__file__).parent
+WIRE_WORDS = (
+    "storeRevision|allowStale|X-Credential|X-Caller-Service|X-Response-Signature"
+    "|coldRemaining|trafficSplit|X-Tenant|X-Deadline-Milliseconds|kv-txn|apiKeys"
+)
+BEAT = {
+    "service": "notes",
+    "address": "10.0.0.1:80",
+    "slots": 10,
+    "state": "ready",
+    "sequence": 4,
+    "coldRemaining": 0,
+    "born": 17,
+}
+
+
+def heartbeat(**changes: object) -> HttpRequest:
+    """Return a heartbeat with some fields changed; None removes a field."""
+    body = {k: v for k, v in (BEAT | changes).items() if v is not None}
+    path = "/-/Instances.Heartbeat/i-1"
+    return HttpRequest("POST", path, (), json.dumps(body).encode())
+
+
+def test_key_and_forged_fields_are_not_forwarded() -> None:
+    """Guard against a key or a forged tenant that reaches a backend server."""
+    forged = ("X-CREDENTIAL", "x-tenant", "X-Caller-Service", "X-Expected-Instance")
+    headers = (
+        ("Host", "Notes.example:80"),
+        ("Accept", "*/*"),
+        *((name, "forged") for name in forged),
+        ("X-Deadline-Milliseconds", "250"),
+        ("X-Request-Id", "r1"),
+    )
+    asked = messages.read_caller_request(HttpRequest("GET", "/", headers, b""))
+    assert asked.key == "forged"
+    assert asked.host == "notes.example"
+    assert asked.remaining_ms == 250.0
+    fields = BackendFields(
+        request_id="r1",
+        remaining_ms=200,
+        team="t",
+        caller_service="c",
+        expected_instance="i-1",
+    )
+    sent = dict(messages.backend_headers(asked.headers, fields))
+    assert sent == {
+        "Host": "Notes.example:80",
+        "Accept": "*/*",
+        "X-Request-Id": "r1",
+        "X-Deadline-Milliseconds": "200",
+        "X-Caller-Service": "c",
+        "X-Expected-Instance": "i-1",
+        "X-Tenant": "t",
+    }
+
+
+@pytest.mark.parametrize("code", sorted(STATUS_BY_CODE))
+@pytest.mark.parametrize("not_run", [False, True])
+def test_status_promises_not_run_only_if_that_is_so(code: str, not_run: bool) -> None:
+    """Guard against a promise for a request that may have run."""
+    refusal = Refusal(code=code, not_run=not_run, reason="", step="", peer="")
+    status = messages.refusal_answer(refusal).status
+    assert not_run or status not in (408, 421, 429, 503)
+
+
+def test_heartbeat_is_decoded() -> None:
+    """Guard against a field of a heartbeat that is taken for another."""
+    assert messages.read_control_message(heartbeat()) == Announcement(
+        instance="i-1",
+        address="10.0.0.1:80",
+        service="notes",
+        slots=10,
+        is_draining=False,
+        started_wall_ms=17,
+        sequence=4,
+        cold_ms=0,
+    )
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"state": "asleep"},
+        {"state": None},
+        {"slots": "10"},
+        {"slots": None},
+        {"sequence": True},
+        {"born": "17"},
+        {"born": 1.5},
+        {"address": ""},
+        {"service": 7},
+    ],
+)
+def test_unusable_heartbeat_names_no_backend_server(changes: dict[str, object]) -> None:
+    """Guard against a target made up from another writer's message."""
+    assert isinstance(messages.read_control_message(heartbeat(**changes)), Malformed)
+
+
+def test_bytes_that_are_no_json_are_malformed() -> None:
+    """Guard against a fault of the daemon on bytes it cannot read."""
+    path = "/-/Instances.Heartbeat/i-1"
+    for body in (b"\xff", b"[]", b"3", b"{"):
+        message = messages.read_control_message(HttpRequest("POST", path, (), body))
+        assert isinstance(message, Malformed)
+
+
+def test_deregistration_may_tell_the_start() -> None:
+    """Guard against a leave that is lost for lack of a body."""
+    path = "/-/Instances.Deregister/i-1"
+    bare = messages.read_control_message(HttpRequest("POST", path, (), b""))
+    told = messages.read_control_message(HttpRequest("POST", path, (), b'{"born":3}'))
+    assert bare == Leave(instance="i-1", started_wall_ms=None)
+    assert told == Leave(instance="i-1", started_wall_ms=3)
+
+
+def test_answer_to_another_request_is_not_own() -> None:
+    """Guard against a late second answer taken for the next one."""
+    request = HttpRequest("GET", "/", (("X-Request-Id", "r1"),), b"")
+    assert messages.is_own_answer(request, (("x-request-id", "r1"),))
+    assert messages.is_own_answer(request, ())
+    assert not messages.is_own_answer(request, (("X-Request-Id", "r0"),))
+
+
+def test_answer_without_signature_is_not_genuine() -> None:
+    """Guard against a success that no backend server made."""
+    signed = ("X-Response-Signature", "s")
+    assert messages.is_genuine(HttpResponse(200, (signed,), b""))
+    assert not messages.is_genuine(HttpResponse(200, (), b""))
+    coded = HttpResponse(200, (signed, ("Content-Encoding", "gzip")), b"")
+    assert not messages.is_genuine(coded)
+
+
+def test_platform_words_stay_in_the_adapter() -> None:
+    """Guard against wire names and imports that leak out of the adapter."""
+    for path in SOURCES.rglob("*.py"):
+        if path.is_relative_to(SOURCES / "platform"):
+            continue
+        text = path.read_text()
+        assert not re.search(WIRE_WORDS, text, re.IGNORECASE), path
+        if path != SOURCES / "mesh" / "main.py":
+            assert "eelgrassweir.platform" not in text, path
