Prepay tokens on the platform; count an empty watch as word of its end

(2) The age of the configuration counted from the start of a watch of 2 s and rose above the limit for keyed requests before the next one ended: 1,396 answers of 503 config_stale. Ruled out: overload of targets; the queue of no target was in use. Change: tokens count as spent when they are lent and cover half a second; an empty watch is word of the store at its end; the bucket's rate is what the window allows. The own zone's targets come first until they are much fuller.

--- a/src/eelgrassweir/mesh/app.py
+++ b/src/eelgrassweir/mesh/app.py
@@ -14,7 +14,6 @@
 from eelgrassweir.daemon.link_client import LinkOptions, LinkPool, Reply
 from eelgrassweir.daemon.link_server import LinkServer
 from eelgrassweir.daemon.metrics import Metrics
-from eelgrassweir.daemon.tokens import TokenService
 from eelgrassweir.errors import StepError
 from eelgrassweir.mesh.backend import BackendBeside, Taken
 from eelgrassweir.mesh.config_state import ConfigState
@@ -23,7 +22,7 @@
 from eelgrassweir.mesh.dispatch import Dispatcher
 from eelgrassweir.mesh.entry import EntryService
 from eelgrassweir.mesh.feed import StoreFeed
-from eelgrassweir.mesh.lending import Lending
+from eelgrassweir.mesh.lending import Lending, QuotaTerms
 from eelgrassweir.mesh.link_messages import decode_request, encode_result
 from eelgrassweir.mesh.registration import Registration
 from eelgrassweir.mesh.target import TargetService
@@ -41,8 +40,9 @@
 LINK_CONNECT_LIMIT_MS = 300
 BACKEND_CONNECT_LIMIT_MS = 300
 QUEUE_LIMIT_CALLS = 400
-# Longest wait of a request for a token of its team.
-TOKEN_WAIT_MS = 50
+# Bytes between failure domains are dear, and the slots are exact, so the own
+# domain is left only when its targets are much fuller than others.
+OWN_DOMAIN_MARGIN = 0.6
 # A watch can miss changes for about a second before the store says that its
 # history is gone; the rest covers timers and the way of the request.
 KEY_MARGIN_MS = 1_300
@@ -53,7 +53,7 @@
 # Callers take up to two missed questions, a second apart, to learn that the
 # daemon leaves, and may send for a while after that.
 STOP_SERVE_MS = 3_500
-STOP_MARGIN_MS = 500
+STOP_MARGIN_MS = 1_000
 STOP_POLL_MS = 20
 CLOSE_LIMIT_MS = 300
 
@@ -113,19 +113,13 @@
             incarnation=self.identity.incarnation,
             failure_domain=settings.failure_domain,
             failure_domains=settings.failure_domains,
-            overage=settings.quota_overage,
+            terms=QuotaTerms(
+                window_s=settings.quota_window_s, overage=settings.quota_overage
+            ),
             clock=self.clock,
             members=self.directory.members,
             links=self.links,
         )
-        self.tokens = TokenService(
-            clock=self.clock,
-            vm=settings.vm,
-            incarnation=self.identity.incarnation,
-            borrow=self.lending.borrow,
-            holders=self.lending.holders,
-            wait_ms=TOKEN_WAIT_MS,
-        )
         self.link_server = LinkServer(
             link_options,
             self._run_linked,
@@ -141,7 +135,7 @@
             failure_domain=settings.failure_domain,
             clock=self.clock,
             members=self.directory.members,
-            picker=TargetPicker(rng),
+            picker=TargetPicker(rng, own_domain_margin=OWN_DOMAIN_MARGIN),
             ratio=self.ratio,
             links=self.links,
             target=self.target,
@@ -156,7 +150,7 @@
             config=lambda: self.config.current,
             freshness=self.feed.freshness,
             fresh_limit_ms=settings.revoke_ms - KEY_MARGIN_MS,
-            tokens=self.tokens,
+            lending=self.lending,
             dispatcher=self.dispatcher,
             metrics=self.metrics,
         )
@@ -197,7 +191,6 @@
         )
         settings = self.settings
         self._announce()
-        await self.tokens.start()
         for run in (self.feed.run, self.registration.run, self._run_ticks):
             self._tasks.append(asyncio.create_task(run()))
         await self.control_server.start(*split_address(settings.control_address))
@@ -243,7 +236,6 @@
             log_message(message_type="registration:end_failed", reason=str(error))
         for server in (self.callers, self.ready_server, self.control_server):
             await server.stop()
-        await self.tokens.stop()
         await self.link_server.stop()
         self.links.close()
         self.backend.close()
@@ -321,6 +313,7 @@
         while True:
             await asyncio.sleep(TICK_MS / 1e3)
             self.directory.drop_missing()
+            self.lending.follow_directory()
             age_ms = self.feed.freshness.age_ms(self.clock.now_ms())
             self.metrics.config_age.set(-1 if age_ms is None else age_ms / 1e3)
             daemons = max(1, self.directory.members.live_count())
--- a/src/eelgrassweir/mesh/entry.py
+++ b/src/eelgrassweir/mesh/entry.py
@@ -9,15 +9,14 @@
 from eelgrassweir.clock import Clock
 from eelgrassweir.daemon.http_message import HttpRequest, HttpResponse
 from eelgrassweir.daemon.metrics import Metrics
-from eelgrassweir.daemon.tokens import TokenService
 from eelgrassweir.membership.freshness import Freshness
 from eelgrassweir.mesh.dispatch import Call, Dispatcher
+from eelgrassweir.mesh.lending import Lending
 from eelgrassweir.mesh.wire import Wire
 from eelgrassweir.proto import link_pb2
 from eelgrassweir.requests.calls import CallerRequest
 from eelgrassweir.requests.refusal import Refusal
 from eelgrassweir.routing.rules import RouteRule, RoutingConfig, TeamRule, pick_service
-from eelgrassweir.shares.borrower import Token
 
 STEP = "entry"
 # Urgency within the mesh; a call of a running request comes before any root
@@ -33,8 +32,6 @@
 
     route: RouteRule
     team: TeamRule | None
-    # What the request took of the team's rate.
-    token: Token | None = None
 
 
 class EntryService:
@@ -51,7 +48,7 @@
         config: Callable[[], RoutingConfig | None],
         freshness: Freshness,
         fresh_limit_ms: float,
-        tokens: TokenService,
+        lending: Lending,
         dispatcher: Dispatcher,
         metrics: Metrics,
     ) -> None:
@@ -63,7 +60,7 @@
         self._config = config
         self._freshness = freshness
         self._fresh_limit_ms = fresh_limit_ms
-        self._tokens = tokens
+        self._lending = lending
         self._dispatcher = dispatcher
         self._metrics = metrics
         self.in_flight_calls = 0
@@ -90,8 +87,8 @@
         call = self._make_call(request, asked, grant, started_ms)
         result = await self._dispatcher.send(call)
         if isinstance(result, Refusal):
-            if result.not_run and grant.token is not None:
-                self._tokens.refund(grant.token)
+            if result.not_run and grant.team is not None:
+                self._lending.give_back(grant.team)
             return self._refused(asked, result)
         self._metrics.answers.labels(
             grant.route.name, f"{result.status // 100}xx"
@@ -121,12 +118,12 @@
             return attrs.evolve(refusal, retry_after_ms=STALE_RETRY_MS)
         if team.rate_per_s <= 0:
             return Grant(route, team)
-        decision = await self._tokens.take(team.name)
-        if not decision.granted:
+        wait_ms = await self._lending.take(team)
+        if wait_ms:
             reason = f"team {team.name} is above its rate"
             refusal = self._refuse("rate_exceeded", reason)
-            return attrs.evolve(refusal, retry_after_ms=decision.retry_after_ms)
-        return Grant(route, team, decision.token)
+            return attrs.evolve(refusal, retry_after_ms=wait_ms)
+        return Grant(route, team)
 
     def _make_call(
         self,
--- a/src/eelgrassweir/mesh/feed.py
+++ b/src/eelgrassweir/mesh/feed.py
@@ -15,13 +15,15 @@
 FIRST_PAUSE_MS = 50.0
 # Configurations must be in force soon after the store is back.
 LONGEST_PAUSE_MS = 500.0
+SHORTEST_WAIT_PART = 5
 
 
 class StoreFeed:
     """Read the store once, then watch it; start over when history is lost.
 
     ``freshness`` counts from the moment at which a call was sent that showed
-    the state of the store.
+    the state of the store. A watch without changes shows it at its end: the
+    store answers it after the whole wait.
     """
 
     def __init__(
@@ -67,7 +69,10 @@
             self._on_snapshot(snapshot)
             self._revision = snapshot.revision
         else:
-            changes = await self._store.watch(self._revision, self._watch_ms)
+            wait_ms = self._wait_ms(sent_ms)
+            changes = await self._store.watch(self._revision, wait_ms)
+            if not changes.changes:
+                sent_ms = min(sent_ms + wait_ms, self._clock.now_ms())
             for change in changes.changes:
                 self._on_change(change)
             self._revision = max(self._revision, changes.revision)
@@ -76,6 +81,11 @@
         self._failures = 0
         self.freshness.record(sent_ms)
 
+    def _wait_ms(self, now_ms: float) -> int:
+        """Return a shorter wait if the last word of the store is old."""
+        age_ms = self.freshness.age_ms(now_ms) or 0.0
+        return int(max(self._watch_ms - age_ms, self._watch_ms / SHORTEST_WAIT_PART))
+
     async def _pause(self, error: Exception) -> None:
         """Wait longer after each failure in a row."""
         if not self._failures:
--- a/src/eelgrassweir/mesh/lending.py
+++ b/src/eelgrassweir/mesh/lending.py
@@ -1,13 +1,13 @@
 """Rate and burst of teams: one daemon of each failure domain lends tokens."""
 
+import asyncio
 from collections.abc import Sequence
 
+import attrs
 from eliot import log_message
-from returns.result import Failure, Result, Success
 
 from eelgrassweir.clock import Clock
 from eelgrassweir.daemon.link_client import LinkError, LinkPool
-from eelgrassweir.errors import StepError
 from eelgrassweir.membership.table import MemberTable
 from eelgrassweir.proto.control_pb2 import (
     DOWN,
@@ -17,21 +17,31 @@
     Member,
 )
 from eelgrassweir.routing.rules import RoutingConfig, TeamRule
-from eelgrassweir.shares.holder import Part, ShareHolder, split_parts
+from eelgrassweir.shares.credit import (
+    BucketPart,
+    CreditAccounts,
+    CreditHolder,
+    lent_rate,
+)
+
+BORROW_LIMIT_MS = 150.0
+# A holder that did not answer is left out for this long.
+HOLDER_PAUSE_MS = 1_000.0
+# Part of the allowed overage that is lent; the rest covers tokens that two
+# holders lent while the daemons did not yet agree on one of them.
+OVERAGE_SHARE = 0.6
+
 
-GRANT_LIFE_MS = 1_000
-BORROW_LIMIT_MS = 200.0
-# Part of the allowed overage that is lent; the rest covers grants that two
-# holders made while the daemons did not yet agree on one of them.
-OVERAGE_SHARE = 0.7
-# A new holder lends this share of its burst at once, within the overage.
-START_SHARE = 0.4
-# The rate of a team without a limit; no daemon reaches it.
-UNLIMITED_PER_S = 10_000_000.0
+@attrs.frozen(kw_only=True)
+class QuotaTerms:
+    """Say how the rate of a team is judged."""
+
+    window_s: float
+    overage: float
 
 
 class Lending:
-    """Lend the tokens of the own domain and find who lends those of others."""
+    """Give requests tokens of their team, and lend those of the own domain."""
 
     def __init__(
         self,
@@ -40,7 +50,7 @@
         incarnation: str,
         failure_domain: str,
         failure_domains: Sequence[str],
-        overage: float,
+        terms: QuotaTerms,
         clock: Clock,
         members: MemberTable,
         links: LinkPool,
@@ -48,39 +58,102 @@
         self._vm = vm
         self._incarnation = incarnation
         self._failure_domain = failure_domain
-        self._failure_domains = tuple(failure_domains)
-        self._factor = 1.0 + overage * OVERAGE_SHARE
+        self._domain_count = max(1, len(failure_domains))
+        self._terms = terms
         self._clock = clock
         self._members = members
         self._links = links
-        self._teams: tuple[TeamRule, ...] = ()
-        self._holder: ShareHolder | None = None
-        self._holders: dict[str, Member] | None = None
+        self._teams: dict[str, TeamRule] = {}
+        self._accounts = CreditAccounts()
+        self._holder: CreditHolder | None = None
+        self._fallback: CreditHolder | None = None
+        self._holders: tuple[Member, ...] | None = None
+        self._down_until_ms: dict[str, float] = {}
+        self._asking: asyncio.Task[None] | None = None
+        self.asked_calls = 0
         members.subscribe(self._forget_holders)
 
     def take_config(self, config: RoutingConfig) -> None:
         """Lend by the rates of a new configuration."""
-        self._teams = tuple(config.teams.values())
+        self._teams = dict(config.teams)
+        now_ms = self._clock.now_ms()
         if self._holder is not None:
-            self._holder.set_parts(self._parts(), self._clock.now_ms())
+            self._holder.set_parts(self._parts(self._domain_count), now_ms)
+        if self._fallback is not None:
+            self._set_fallback(now_ms)
 
-    def holders(self) -> Sequence[tuple[str, str]]:
-        """Return (failure domain, VM) of the holders, own domain first."""
-        own = self._failure_domain
-        return sorted(
-            ((domain, member.vm) for domain, member in self._chosen().items()),
-            key=lambda holder: (holder[0] != own, holder[0]),
-        )
+    def follow_directory(self) -> None:
+        """Begin to lend before the first request, so that buckets fill."""
+        if self._teams:
+            self._own_holder(self._clock.now_ms())
+
+    # Entry side
+
+    async def take(self, team: TeamRule) -> int:
+        """Take one token of the team.
 
-    async def borrow(
-        self, vm: str, request: BorrowRequest
-    ) -> Result[BorrowReply, StepError]:
-        """Ask the holder on ``vm`` for tokens."""
-        if vm == self._vm:
-            return Success(self.lend(request))
-        member = self._members.get(vm)
-        if member is None:
-            return Failure(StepError("borrow", vm, "the holder is gone"))
+        Return 0 if there was one, else the ms after which to try again.
+        """
+        now_ms = self._clock.now_ms()
+        accounts = self._accounts
+        accounts.note_demand(team.name, now_ms)
+        if accounts.take(team.name):
+            if accounts.is_low(team.name, now_ms):
+                self._ask(team.name)
+            return 0
+        # One call may be under way that did not ask for this team.
+        for _ in range(2):
+            refused_ms = accounts.refused_ms(team.name, self._clock.now_ms())
+            if refused_ms:
+                return refused_ms
+            await asyncio.shield(self._ask(team.name))
+            if accounts.take(team.name):
+                return 0
+        return max(1, accounts.refused_ms(team.name, self._clock.now_ms()))
+
+    def give_back(self, team: TeamRule) -> None:
+        """Put back the token of a request that did not run."""
+        self._accounts.add(team.name, 1.0)
+
+    def _ask(self, needed: str) -> "asyncio.Task[None]":
+        if self._asking is None or self._asking.done():
+            wanted = self._accounts.wanted(self._clock.now_ms(), needed)
+            self._asking = asyncio.create_task(self._borrow(wanted))
+        return self._asking
+
+    async def _borrow(self, wanted: dict[str, int]) -> None:
+        """Ask holders, the own domain's first, until all teams have tokens."""
+        pauses_ms: dict[str, int] = {}
+        was_answered = False
+        for member in self._usable_holders():
+            reply = await self._ask_holder(member, wanted)
+            if reply is None:
+                continue
+            was_answered = True
+            for grant in reply.grants:
+                if grant.tokens:
+                    self._accounts.add(grant.team, grant.tokens)
+                    wanted.pop(grant.team, None)
+                else:
+                    pauses_ms[grant.team] = grant.retry_after_ms
+            if not wanted:
+                return
+        if not was_answered:
+            self._take_fallback(wanted, pauses_ms)
+        now_ms = self._clock.now_ms()
+        for team in wanted:
+            self._accounts.note_empty(team, pauses_ms.get(team, 1), now_ms)
+
+    async def _ask_holder(
+        self, member: Member, wanted: dict[str, int]
+    ) -> BorrowReply | None:
+        request = BorrowRequest(vm=self._vm, incarnation=self._incarnation)
+        for team, tokens in wanted.items():
+            request.requests.add(team=team, wanted=tokens)
+        if member.incarnation == self._incarnation:
+            reply = self.lend(request)
+            return reply if reply.is_holder else None
+        self.asked_calls += 1
         try:
             payload = await self._links.borrow(
                 member.link_address,
@@ -89,8 +162,33 @@
                 limit_ms=BORROW_LIMIT_MS,
             )
         except LinkError as error:
-            return Failure(error)
-        return Success(BorrowReply.FromString(payload))
+            log_message(message_type="lending:unanswered", reason=str(error))
+            until_ms = self._clock.now_ms() + HOLDER_PAUSE_MS
+            self._down_until_ms[member.vm] = until_ms
+            return None
+        reply = BorrowReply.FromString(payload)
+        return reply if reply.is_holder else None
+
+    def _take_fallback(self, wanted: dict[str, int], pauses_ms: dict[str, int]) -> None:
+        """Use an even part of the rates while no holder answers."""
+        now_ms = self._clock.now_ms()
+        if self._fallback is None:
+            self._fallback = CreditHolder()
+            self._set_fallback(now_ms)
+        for team, tokens in list(wanted.items()):
+            credit = self._fallback.lend(team, tokens, now_ms)
+            if credit.tokens:
+                self._accounts.add(team, credit.tokens)
+                del wanted[team]
+            else:
+                pauses_ms[team] = credit.retry_after_ms
+
+    def _set_fallback(self, now_ms: float) -> None:
+        assert self._fallback is not None
+        daemons = max(1, self._members.live_count())
+        self._fallback.set_parts(self._parts(daemons), now_ms)
+
+    # Holder side
 
     def lend_serialized(self, payload: bytes) -> bytes:
         """Answer a serialized request for tokens."""
@@ -99,75 +197,68 @@
     def lend(self, request: BorrowRequest) -> BorrowReply:
         """Answer a request for tokens."""
         now_ms = self._clock.now_ms()
-        reply = BorrowReply(
-            is_holder=False, holder_incarnation=self._incarnation, current_holder=""
-        )
         holder = self._own_holder(now_ms)
+        reply = BorrowReply(is_holder=holder is not None)
         if holder is None:
             return reply
-        reply.is_holder = True
-        borrower = f"{request.vm}/{request.incarnation}"
-        for report in request.reports:
-            holder.report(
-                borrower, report.grant_id, report.spent, report.returned, now_ms
-            )
-            holder.refund(borrower, report.grant_id, report.refunded, now_ms)
         for wanted in request.requests:
-            grant = holder.grant(borrower, wanted.team, wanted.wanted, now_ms)
+            credit = holder.lend(wanted.team, wanted.wanted, now_ms)
             reply.grants.add(
-                team=grant.team,
-                grant_id=grant.grant_id,
-                tokens=grant.tokens,
-                life_ms=grant.life_ms,
-                retry_after_ms=grant.retry_after_ms,
+                team=wanted.team,
+                tokens=credit.tokens,
+                retry_after_ms=credit.retry_after_ms,
             )
         return reply
 
-    def state(self) -> dict[str, object]:
-        """Return holders and levels for the dump."""
-        now_ms = self._clock.now_ms()
-        return {
-            "holders": dict(self.holders()),
-            "lent": self._holder.state(now_ms) if self._holder else None,
-        }
-
-    def _own_holder(self, now_ms: float) -> ShareHolder | None:
+    def _own_holder(self, now_ms: float) -> CreditHolder | None:
         """Return the holder of this daemon while the daemon is chosen."""
-        chosen = self._chosen().get(self._failure_domain)
-        if chosen is None or chosen.incarnation != self._incarnation:
+        is_chosen = any(
+            member.incarnation == self._incarnation for member in self._chosen()
+        )
+        if not is_chosen:
             if self._holder is not None:
                 log_message(message_type="lending:ended", vm=self._vm)
             self._holder = None
             return None
         if self._holder is None:
             log_message(message_type="lending:began", vm=self._vm)
-            self._holder = ShareHolder(
-                epoch=f"{self._incarnation}/{now_ms}",
-                grant_life_ms=GRANT_LIFE_MS,
-                now_ms=now_ms,
-                parts=self._parts(),
-                start_share=START_SHARE,
-            )
+            self._holder = CreditHolder()
+            self._holder.set_parts(self._parts(self._domain_count), now_ms)
         return self._holder
 
-    def _parts(self) -> dict[str, Part]:
-        """Return the own domain's part of every team's rate and burst."""
+    def _parts(self, count: int) -> dict[str, BucketPart]:
+        """Return an even part of every team's bucket."""
         parts = {}
-        for team in self._teams:
-            rate_per_s = team.rate_per_s or UNLIMITED_PER_S
-            split = split_parts(
-                rate_per_s * self._factor,
-                int(max(1.0, team.burst_calls or rate_per_s)),
-                self._failure_domains,
-                team.name,
+        for team in self._teams.values():
+            whole = lent_rate(
+                rate_per_s=team.rate_per_s,
+                burst_calls=team.burst_calls,
+                window_s=self._terms.window_s,
+                factor=1.0 + self._terms.overage * OVERAGE_SHARE,
+            )
+            parts[team.name] = BucketPart(
+                rate_per_s=whole.rate_per_s / count,
+                depth_calls=max(1.0, whole.depth_calls / count),
             )
-            parts[team.name] = split[self._failure_domain]
         return parts
 
+    # Choice of the holders
+
     def _forget_holders(self, _member: Member) -> None:
         self._holders = None
 
-    def _chosen(self) -> dict[str, Member]:
+    def _usable_holders(self) -> list[Member]:
+        """Return the holders that answer, own domain first."""
+        now_ms = self._clock.now_ms()
+        usable = [
+            member
+            for member in self._chosen()
+            if self._down_until_ms.get(member.vm, 0.0) <= now_ms
+        ]
+        own = self._failure_domain
+        return sorted(usable, key=lambda member: member.failure_domain != own)
+
+    def _chosen(self) -> Sequence[Member]:
         """Return the daemon that lends in each domain.
 
         All daemons see the same entries of the store and choose alike; one
@@ -181,9 +272,19 @@
                     known is None or _rank(member) < _rank(known)
                 ):
                     chosen[member.failure_domain] = member
-            self._holders = chosen
+            self._holders = tuple(chosen.values())
         return self._holders
 
+    def state(self) -> dict[str, object]:
+        """Return tokens, demand and what is lent for the dump."""
+        now_ms = self._clock.now_ms()
+        return {
+            "accounts": self._accounts.state(now_ms),
+            "holders": [member.vm for member in self._chosen()],
+            "lent": self._holder.state(now_ms) if self._holder else None,
+            "asked_calls": self.asked_calls,
+        }
+
 
 def _rank(member: Member) -> tuple[bool, str]:
     return member.state != READY, member.vm
--- a/src/eelgrassweir/mesh/main.py
+++ b/src/eelgrassweir/mesh/main.py
@@ -1,11 +1,11 @@
 """Command of the daemon on the platform."""
 
 import argparse
+import asyncio
 import os
 import pathlib
 import sys
 
-import uvloop
 from eliot import to_file
 from returns.result import Failure, Result
 
@@ -37,7 +37,7 @@
         print(f"{path}: valid")
         return
     to_file(sys.stdout)
-    uvloop.run(serve(result.unwrap()))
+    asyncio.run(serve(result.unwrap()))
 
 
 def read_settings(path: pathlib.Path) -> Result[MeshSettings, SettingsError]:
--- a/src/eelgrassweir/platform/store.py
+++ b/src/eelgrassweir/platform/store.py
@@ -24,6 +24,9 @@
 # A page of a range has at most 1 MB of values, in base64 within JSON.
 ANSWER_LIMIT_BYTES = 4_194_304
 CONNECT_LIMIT_MS = 500
+# A watch that is answered later than this after its wait is silent. A silent
+# connection must show before a new configuration has to be in force.
+WATCH_MARGIN_MS = 600
 
 
 class PlatformStore:
@@ -71,7 +74,7 @@
         :raises StepError: without an answer.
         """
         path = f"/-/kv-watch?prefix=&after={after_revision}&waitMs={wait_ms}"
-        answer = await self._call("GET", path, extra_ms=wait_ms)
+        answer = await self._call("GET", path, limit_ms=wait_ms + WATCH_MARGIN_MS)
         return Changes(
             changes=tuple(_change(entry) for entry in answer["events"]),
             revision=int(answer["storeRevision"]),
@@ -119,7 +122,7 @@
         path: str,
         body: Mapping[str, Any] | None = None,
         *,
-        extra_ms: int = 0,
+        limit_ms: int = 0,
     ) -> dict[str, Any]:
         self.calls += 1
         headers: tuple[tuple[str, str], ...] = ()
@@ -130,7 +133,7 @@
         request = HttpRequest(method, path, headers, payload)
         step = path.partition("?")[0]
         response = await self._client.exchange(
-            request, limit_ms=self._timeout_ms + extra_ms
+            request, limit_ms=limit_ms or self._timeout_ms
         )
         if response.status == 410:
             raise HistoryGone
--- a/src/eelgrassweir/routing/picker.py
+++ b/src/eelgrassweir/routing/picker.py
@@ -42,8 +42,11 @@
 class TargetPicker:
     """Pick the less loaded of two random targets, own domain first."""
 
-    def __init__(self, random: random.Random) -> None:
+    def __init__(
+        self, random: random.Random, *, own_domain_margin: float = OWN_DOMAIN_MARGIN
+    ) -> None:
         self._random = random
+        self._own_domain_margin = own_domain_margin
         self._targets: dict[str, _Target] = {}
         self._chosen_ms = 0.0
         self._forget_at = FORGET_FROM_TARGETS
@@ -67,7 +70,7 @@
         if best_near is None or best_far is None:
             return best_near or best_far
         near_load = self._load(best_near, now_ms)
-        if near_load <= self._load(best_far, now_ms) + OWN_DOMAIN_MARGIN:
+        if near_load <= self._load(best_far, now_ms) + self._own_domain_margin:
             return best_near
         return best_far
 
--- a/src/eelgrassweir/shares/holder.py
+++ b/src/eelgrassweir/shares/holder.py
@@ -178,8 +178,7 @@
     For each team the level of the bucket plus the tokens outstanding never
     exceeds the burst, so at most ``rate * t + burst`` calls are admitted in
     any window of t. A new holder cannot know what its predecessor lent; it
-    starts with empty buckets that refill only after one grant life. Where the
-    bound has slack for it, ``start_share`` of the burst is lent at once.
+    starts with empty buckets that refill only after one grant life.
     ``epoch`` must differ between all holders, so that grant ids do.
     """
 
@@ -190,14 +189,11 @@
         grant_life_ms: int,
         now_ms: float,
         parts: Mapping[str, Part] | None = None,
-        start_share: float = 0.0,
     ) -> None:
-        self._start_share = start_share
         digest = hashlib.sha256(epoch.encode()).digest()
         self._next_id = (int.from_bytes(digest[:4], "big") << 32) + 1
         self._life_ms = grant_life_ms
-        wait_ms = 0 if start_share else grant_life_ms
-        self._start_ns = _to_ns(now_ms + wait_ms)
+        self._start_ns = _to_ns(now_ms + grant_life_ms)
         self._buckets: dict[str, _Bucket] = {}
         self._removed_ns: dict[str, int] = {}
         self._lent: dict[int, _Lent] = {}
@@ -223,12 +219,8 @@
             # the start of this holder, but not before it.
             removed_ns = self._removed_ns.pop(team, self._start_ns)
             start_ns = max(self._start_ns, removed_ns)
-            start_calls = int(part.burst_calls * self._start_share)
             self._buckets[team] = _Bucket(
-                rate=rate,
-                burst_calls=part.burst_calls,
-                updated_ns=start_ns,
-                level=start_calls * _UNITS_PER_TOKEN,
+                rate=rate, burst_calls=part.burst_calls, updated_ns=start_ns
             )
             return
         bucket.settle(now_ns)
