--- a/src/eelgrassweir/daemon/app.py
+++ b/src/eelgrassweir/daemon/app.py
@@ -18,13 +18,13 @@
 from eelgrassweir.daemon.control import ControlPlane
 from eelgrassweir.daemon.control_client import Connect, open_channel, secure_connect
 from eelgrassweir.daemon.drain import DrainState
-from eelgrassweir.daemon.identity import make_identity
+from eelgrassweir.daemon.identity import FLEET_NAME, make_identity
 from eelgrassweir.daemon.logs import open_log
 from eelgrassweir.daemon.metrics import Metrics
 from eelgrassweir.daemon.request_path import RequestPath, Surroundings
 from eelgrassweir.daemon.share_ports import Successor
 from eelgrassweir.daemon.share_service import ShareService
-from eelgrassweir.daemon.tls import FLEET_NAME, FleetTls
+from eelgrassweir.daemon.tls import FleetTls
 from eelgrassweir.daemon.tokens import TokenService
 from eelgrassweir.daemon.usage import UsageMeter
 from eelgrassweir.errors import StepError
--- a/src/eelgrassweir/daemon/http_server.py
+++ b/src/eelgrassweir/daemon/http_server.py
@@ -57,7 +57,8 @@
 
     request: HttpRequest
     keep_alive: bool
-    task: "asyncio.Task[HttpResponse] | None" = None
+    task: "asyncio.Task[None] | None" = None
+    response: HttpResponse | None = None
 
 
 class HttpServer:
@@ -151,12 +152,11 @@
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
         self._pending: collections.deque[_Exchange] = collections.deque()
-        self._task: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._peer = ""
         self._is_ended = False
-        self._can_write = asyncio.Event()
-        self._can_write.set()
+        self._can_write = True
+        self._is_read_paused = False
         self._reset()
 
     def _reset(self) -> None:
@@ -183,19 +183,23 @@
         self._server.closed(self)
         self._transport = None
         self._clear_timer()
-        if self._task is not None:
-            self._task.cancel()
         for exchange in self._pending:
             if exchange.task is not None:
                 exchange.task.cancel()
 
     def pause_writing(self) -> None:
         """Wait with further answers until the caller takes what was sent."""
-        self._can_write.clear()
+        self._can_write = False
+        if not self._is_ended:
+            # A caller that takes no bytes is given up.
+            self._set_timer(self._server.write_limit_s)
 
     def resume_writing(self) -> None:
         """Go on with further answers."""
-        self._can_write.set()
+        self._can_write = True
+        if not self._is_ended:
+            self._clear_timer()
+            self._write_answers()
 
     def data_received(self, data: bytes) -> None:
         """Feed the parser."""
@@ -244,7 +248,8 @@
         if self._refused:
             return
         self._is_receiving = False
-        self._clear_timer()
+        if self._can_write:
+            self._clear_timer()
         request = HttpRequest(
             method=self._parser.get_method().decode("ascii"),
             path=self._path.decode("latin-1"),
@@ -254,52 +259,60 @@
         )
         exchange = _Exchange(request, self._parser.should_keep_alive())
         self._pending.append(exchange)
-        if all(e.request.method in CONCURRENT_METHODS for e in self._pending):
-            self._begin(exchange)
+        self._begin_allowed()
         if len(self._pending) >= PIPELINE_LIMIT and self._transport is not None:
+            self._is_read_paused = True
             self._transport.pause_reading()
-        if self._task is None:
-            self._task = asyncio.get_running_loop().create_task(self._serve())
 
     # Answers
 
-    async def _serve(self) -> None:
-        """Write the answers in the order of their requests."""
-        try:
-            while self._pending:
-                exchange = self._pending[0]
-                response = await self._begin(exchange)
-                self._pending.popleft()
-                close = not exchange.keep_alive or self._server.is_closing
-                is_head = exchange.request.method == "HEAD"
-                self._write(encode_response(response, is_head=is_head, close=close))
-                if close or (self._refused and not self._pending):
-                    self._drop_pending()
-                    self.close()
-                    return
-                await self._wait_for_room()
-                if self._transport is not None:
-                    self._transport.resume_reading()
+    def _begin_allowed(self) -> None:
+        """Start to work on the first request, and on safe ones behind it.
+
+        Their number is bounded, since their answers are held until the caller
+        has taken the first one.
+        """
+        for number, exchange in enumerate(self._pending):
+            if number >= PIPELINE_LIMIT or not self._can_write:
+                return
+            if number and exchange.request.method not in CONCURRENT_METHODS:
+                return
+            if exchange.task is None:
+                loop = asyncio.get_running_loop()
+                exchange.task = loop.create_task(self._answer(exchange))
+            if exchange.request.method not in CONCURRENT_METHODS:
+                return
+
+    async def _answer(self, exchange: _Exchange) -> None:
+        exchange.response = await self._handle(exchange.request)
+        self._write_answers()
+
+    def _write_answers(self) -> None:
+        """Write the answers that are due, in the order of their requests."""
+        while self._pending and self._can_write:
+            response = self._pending[0].response
+            if response is None:
+                self._begin_allowed()
+                return
+            exchange = self._pending.popleft()
+            close = not exchange.keep_alive or (
+                self._server.is_closing and not self._has_begun()
+            )
+            is_head = exchange.request.method == "HEAD"
+            self._write(encode_response(response, is_head=is_head, close=close))
+            if close or (self._refused and not self._pending):
+                self._drop_pending()
+                self.close()
+                return
+            if self._is_read_paused and self._transport is not None:
+                self._is_read_paused = False
+                self._transport.resume_reading()
+        if not self._pending and self._can_write:
             self._set_timer(self._server.idle_limit_s)
-        finally:
-            self._task = None
-
-    def _begin(self, exchange: _Exchange) -> "asyncio.Task[HttpResponse]":
-        """Start to work on a request unless that has happened."""
-        if exchange.task is None:
-            loop = asyncio.get_running_loop()
-            exchange.task = loop.create_task(self._handle(exchange.request))
-        return exchange.task
-
-    async def _wait_for_room(self) -> None:
-        """Give up a connection whose caller takes no bytes."""
-        if self._can_write.is_set():
-            return
-        try:
-            async with asyncio.timeout(self._server.write_limit_s):
-                await self._can_write.wait()
-        except TimeoutError:
-            self.abort()
+
+    def _has_begun(self) -> bool:
+        """Return whether a target may already work on a pending request."""
+        return any(exchange.task is not None for exchange in self._pending)
 
     async def _handle(self, request: HttpRequest) -> HttpResponse:
         """Answer one request, also if the handler has a fault."""
@@ -322,7 +335,7 @@
         refusal = Refusal(
             code=code, not_run=True, reason=reason, step="receive", peer=self._peer
         )
-        if self._task is not None:
+        if self._pending:
             # The requests before this one still get their answers.
             return
         response = self._server.render(unless_ticketed(refusal, self._headers))
@@ -342,12 +355,7 @@
     @property
     def is_busy(self) -> bool:
         """Return whether a request or an answer is under way."""
-        return (
-            self._task is not None
-            or bool(self._pending)
-            or self._is_receiving
-            or not self._is_flushed
-        )
+        return bool(self._pending) or self._is_receiving or not self._is_flushed
 
     @property
     def _is_flushed(self) -> bool:
--- a/src/eelgrassweir/daemon/identity.py
+++ b/src/eelgrassweir/daemon/identity.py
@@ -6,6 +6,9 @@
 
 from eelgrassweir.clock import Clock
 
+# The name in the certificates of all daemons.
+FLEET_NAME = "daemon.eelgrassweir"
+
 
 @attrs.frozen(kw_only=True)
 class Identity:
--- a/src/eelgrassweir/daemon/link_client.py
+++ b/src/eelgrassweir/daemon/link_client.py
@@ -6,8 +6,8 @@
 import attrs
 
 from eelgrassweir.clock import Clock
+from eelgrassweir.daemon.identity import FLEET_NAME
 from eelgrassweir.daemon.link_frames import FrameProtocol
-from eelgrassweir.daemon.tls import FLEET_NAME
 from eelgrassweir.errors import StepError
 from eelgrassweir.proto import link_pb2
 
@@ -128,23 +128,29 @@
         if not self.send(frame):
             raise LinkError("link send", self._address, "connection closed", False)
         self._streams[stream_id] = future
+        loop = asyncio.get_running_loop()
+        timer = loop.call_later(limit_ms / 1e3, self._expire, stream_id, limit_ms)
         is_answered = False
         try:
-            async with asyncio.timeout(limit_ms / 1e3):
-                reply = await future
+            reply = await future
             is_answered = True
             return reply
-        except TimeoutError:
-            reason = f"no reply in {limit_ms:.0f} ms"
-            raise LinkError(
-                "link call", self._address, reason, is_timeout=True
-            ) from None
         finally:
+            timer.cancel()
             self._streams.pop(stream_id, None)
             if not is_answered:
                 cancel = link_pb2.Cancel(stream_id=stream_id)
                 self.send(link_pb2.Frame(cancel=cancel))
 
+    def _expire(self, stream_id: int, limit_ms: float) -> None:
+        """Fail a call whose reply did not come in time."""
+        future = self._streams.get(stream_id)
+        if future is None or future.done():
+            return
+        reason = f"no reply in {limit_ms:.0f} ms"
+        error = LinkError("link call", self._address, reason, is_timeout=True)
+        future.set_exception(error)
+
     @property
     def in_flight(self) -> int:
         """Return the number of requests without a reply."""
--- a/src/eelgrassweir/daemon/tls.py
+++ b/src/eelgrassweir/daemon/tls.py
@@ -11,7 +11,6 @@
 
 # Daemons are addressed by IP number and replaced often, so their certificates
 # carry this name instead of addresses.
-FLEET_NAME = "daemon.eelgrassweir"
 
 
 @attrs.frozen
--- a/src/eelgrassweir/mesh/entry.py
+++ b/src/eelgrassweir/mesh/entry.py
@@ -146,7 +146,9 @@
             caller_service=self._service,
         )
         return Call(
-            request=attrs.evolve(request, headers=asked.headers),
+            request=HttpRequest(
+                request.method, request.path, asked.headers, request.body
+            ),
             context=context,
             deadline_ms=started_ms + limit_ms,
             attempts=route.attempts,
--- a/src/eelgrassweir/mesh/main.py
+++ b/src/eelgrassweir/mesh/main.py
@@ -1,11 +1,11 @@
 """Command of the daemon on the platform."""
 
 import argparse
-import asyncio
 import os
 import pathlib
 import sys
 
+import uvloop
 from eliot import add_destinations
 from returns.result import Failure, Result
 
@@ -40,7 +40,7 @@
     os.set_blocking(sys.stdout.fileno(), False)
     log_output = LogOutput(sys.stdout.fileno())
     add_destinations(log_output.write)
-    asyncio.run(serve(result.unwrap(), log_output))
+    uvloop.run(serve(result.unwrap(), log_output))
 
 
 def read_settings(path: pathlib.Path) -> Result[MeshSettings, SettingsError]:
--- a/src/eelgrassweir/mesh/target.py
+++ b/src/eelgrassweir/mesh/target.py
@@ -141,7 +141,7 @@
             expected_instance=announcement.instance,
         )
         headers = self._wire.backend_headers(request.headers, fields)
-        outbound = attrs.evolve(request, headers=headers)
+        outbound = HttpRequest(request.method, request.path, headers, request.body)
         try:
             response = await client.exchange(outbound, limit_ms=remaining_ms)
         except ExchangeError as error:
--- a/testing/promises/test_tls.py
+++ b/testing/promises/test_tls.py
@@ -10,7 +10,7 @@
 import trustme
 import urllib3
 
-from eelgrassweir.daemon.tls import FLEET_NAME
+from eelgrassweir.daemon.identity import FLEET_NAME
 from testing.fleet import Fleet, Vm, wait_until
 from testing.promises.shapes import CHAIN
 
