Refuse what comes late in a planned stop

Cause: a daemon took requests until its connections closed. Ruled out: the close of idle connections; the requests had been passed on. Change: requests of callers are refused as not run 3 s after SIGTERM, calls of running requests 4.2 s after it, each at once and with a Retry-After. The test failed before with a connection closed without an answer.

--- a/src/eelgrassweir/mesh/app.py
+++ b/src/eelgrassweir/mesh/app.py
@@ -55,6 +55,10 @@
 # Callers take up to two missed questions, a second apart, to learn that the
 # daemon leaves, and may send for a while after that.
 STOP_SERVE_MS = 3_500
+# Requests of callers that come later than this could still run at the end of
+# the grace time. Calls of requests in flight are taken a little longer.
+REFUSE_ROOTS_MS = 3_000
+REFUSE_ALL_MS = 4_200
 STOP_MARGIN_MS = 1_000
 STOP_POLL_MS = 20
 CLOSE_LIMIT_MS = 300
@@ -225,6 +229,8 @@
                 break
             if waited_ms >= STOP_SERVE_MS and not self.in_flight_calls():
                 break
+            self.entry.refuses_roots = waited_ms >= REFUSE_ROOTS_MS
+            self.entry.refuses_all = waited_ms >= REFUSE_ALL_MS
             if waited_ms >= self.settings.drain_ms / 2:
                 self.target.is_stopping = True
             await asyncio.sleep(STOP_POLL_MS / 1e3)
--- a/src/eelgrassweir/mesh/entry.py
+++ b/src/eelgrassweir/mesh/entry.py
@@ -24,6 +24,7 @@
 CHILD_PRIORITY = link_pb2.CRITICAL
 NO_CONFIG_RETRY_MS = 500
 STALE_RETRY_MS = 500
+DRAINING_RETRY_MS = 50
 
 
 @attrs.frozen
@@ -64,6 +65,9 @@
         self._dispatcher = dispatcher
         self._metrics = metrics
         self.in_flight_calls = 0
+        # Set late in a planned stop: what comes now could not be finished.
+        self.refuses_roots = False
+        self.refuses_all = False
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Answer one request."""
@@ -81,6 +85,11 @@
         if config is None:
             refusal = self._refuse("config_missing", "no configuration received yet")
             return self._refused(asked, refusal)
+        if self.refuses_all or (self.refuses_roots and asked.key is not None):
+            refusal = self._refuse("draining", "this VM is leaving")
+            return self._refused(
+                asked, attrs.evolve(refusal, retry_after_ms=DRAINING_RETRY_MS)
+            )
         grant = await self._check(config, asked, request)
         if isinstance(grant, Refusal):
             return self._refused(asked, grant)
--- a/testing/mesh/test_whole_path.py
+++ b/testing/mesh/test_whole_path.py
@@ -275,3 +275,31 @@
             await leave
 
     asyncio.run(scenario())
+
+
+def test_request_taken_late_in_a_stop_is_refused_at_once() -> None:
+    """Guard against a request taken long after SIGTERM and then given up.
+
+    A hunt day (trouble-3 of urquiola-fichero) lost ten requests this way.
+    """
+
+    async def scenario() -> None:
+        async with mesh_fleet() as fleet:
+            entry = await fleet.add(BackendStandIn("lists", "i-0"))
+            await fleet.add(BackendStandIn("notes", "i-1", delay_s=4.0))
+            rules = route("/a/", "notes", timeout=9_000, public=False)
+            fleet.configure(rules)
+            await fleet.settled()
+            held = asyncio.create_task(fleet.call(entry, "/a/", KEYED))
+            await eventually(lambda: fleet.backends[1].runs)
+            leave = asyncio.create_task(entry.leave())
+            await asyncio.sleep(3.2)
+            async with asyncio.timeout(0.5):
+                late = await fleet.call(entry, "/a/", KEYED)
+            assert late.status == 503
+            assert find_header(late.headers, "retry-after") is not None
+            assert len(fleet.backends[1].runs) == 1
+            assert (await held).status == 200
+            await leave
+
+    asyncio.run(scenario())
