Find the backend server at a restart; gather changes of the store

Causes: (1) a restarted daemon waited up to 1.5 s for the next heartbeat before its target served; after a kill of all daemons nothing runs until then. Change: a daemon whose VM has an entry asks the health path who stands beside it; any announcement replaces the answer. The first entry is written when the backend server is known, and changes within 100 ms are read in one call.

--- a/src/eelgrassweir/mesh/app.py
+++ b/src/eelgrassweir/mesh/app.py
@@ -20,6 +20,7 @@
 from eelgrassweir.mesh.config_state import ConfigState
 from eelgrassweir.mesh.control import ControlService
 from eelgrassweir.mesh.directory import Directory, entry_key
+from eelgrassweir.mesh.discovery import find_backend
 from eelgrassweir.mesh.dispatch import Dispatcher
 from eelgrassweir.mesh.entry import EntryService
 from eelgrassweir.mesh.feed import StoreFeed
@@ -180,6 +181,7 @@
             AdminService(self.metrics.registry, self.state).handle
         )
         self.is_stopping = False
+        self._has_looked = False
         self._stop_requested = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -328,11 +330,33 @@
         if change.key == self._own_key and isinstance(change, Removal):
             self.registration.note_lapse(change.revision)
 
+    async def _find_backend(self, config: RoutingConfig) -> None:
+        """Serve before the next announcement if the VM has served before."""
+        earlier = self.directory.members.get(self.settings.vm)
+        health_path = config.health_paths.get(self.settings.service)
+        if earlier is None or earlier.service != self.settings.service:
+            return
+        if health_path is None or self.backend.announcement is not None:
+            return
+        client = self._connect_backend(self.settings.backend_address)
+        found = await find_backend(
+            client,
+            health_path=health_path,
+            earlier=earlier,
+            read_instance=self._wire.read_instance,
+        )
+        client.close()
+        if found is not None and self.backend.announcement is None:
+            self._take_backend(self.backend.take(found))
+
     def _take_config(self, config: RoutingConfig) -> None:
         self.metrics.config_version.set(config.version)
         self.lending.take_config(config)
         self.callers.idle_limit_s = config.limits.idle_timeout_ms / 1e3
         self.callers.body_limit_bytes = config.limits.body_bytes
+        if not self._has_looked:
+            self._has_looked = True
+            self._tasks.append(asyncio.create_task(self._find_backend(config)))
 
     def _take_backend(self, taken: Taken) -> None:
         announcement = self.backend.announcement
@@ -343,6 +367,9 @@
     def _announce(self) -> None:
         """Write what stands beside this daemon into its entry."""
         announcement = self.backend.announcement
+        if announcement is None:
+            # Nobody sends requests here yet, and each write wakes all daemons.
+            return
         is_leaving = self.is_stopping or self.backend.is_leaving
         entry = control_pb2.Member(
             vm=self.settings.vm,
@@ -350,10 +377,9 @@
             state=control_pb2.DRAINING if is_leaving else control_pb2.READY,
             failure_domain=self.settings.failure_domain,
             link_address=self.settings.link_address,
+            service=announcement.service,
+            slots=announcement.slots,
         )
-        if announcement is not None:
-            entry.service = announcement.service
-            entry.slots = announcement.slots
         self.registration.set_value(entry.SerializeToString(deterministic=True))
 
     async def _run_linked(self, message: link_pb2.Request, _peer: str) -> Reply:
--- a/src/eelgrassweir/mesh/feed.py
+++ b/src/eelgrassweir/mesh/feed.py
@@ -16,6 +16,9 @@
 # Configurations must be in force soon after the store is back.
 LONGEST_PAUSE_MS = 500.0
 SHORTEST_WAIT_PART = 5
+# Changes that come together, as in a restart of many daemons, are read in one
+# call; every call is priced.
+GATHER_MS = 100.0
 
 
 class StoreFeed:
@@ -64,6 +67,7 @@
 
     async def _step(self) -> None:
         sent_ms = self._clock.now_ms()
+        has_changes = False
         if self._revision is None:
             snapshot = await self._store.read_all()
             self._on_snapshot(snapshot)
@@ -76,10 +80,13 @@
             for change in changes.changes:
                 self._on_change(change)
             self._revision = max(self._revision, changes.revision)
+            has_changes = bool(changes.changes)
         if self._failures:
             log_message(message_type="store:regained", failures=self._failures)
         self._failures = 0
         self.freshness.record(sent_ms)
+        if has_changes:
+            await asyncio.sleep(GATHER_MS / 1e3)
 
     def _wait_ms(self, now_ms: float) -> int:
         """Return a shorter wait if the last word of the store is old."""
--- a/src/eelgrassweir/mesh/main.py
+++ b/src/eelgrassweir/mesh/main.py
@@ -59,6 +59,7 @@
         is_own_answer=messages.is_own_answer,
         was_not_executed=messages.was_not_executed,
         is_genuine=messages.is_genuine,
+        read_instance=messages.read_instance,
         refusal_answer=messages.refusal_answer,
     )
 
--- a/src/eelgrassweir/mesh/wire.py
+++ b/src/eelgrassweir/mesh/wire.py
@@ -63,4 +63,5 @@
     is_own_answer: Callable[[HttpRequest, Headers], bool]
     was_not_executed: Callable[[HttpResponse], bool]
     is_genuine: Callable[[HttpResponse], bool]
+    read_instance: Callable[[HttpResponse], str]
     refusal_answer: Callable[[Refusal], HttpResponse]
--- a/src/eelgrassweir/platform/configuration.py
+++ b/src/eelgrassweir/platform/configuration.py
@@ -50,6 +50,9 @@
         routes_by_host=order_routes([_route(entry) for entry in document["routes"]]),
         teams_by_key_hash=teams_by_key_hash,
         teams=teams,
+        health_paths={
+            entry["name"]: entry["healthPath"] for entry in document["services"]
+        },
         limits=CallerLimits(
             head_bytes=int(limits["headerBytes"]),
             body_bytes=int(limits["bodyBytes"]),
--- a/src/eelgrassweir/platform/messages.py
+++ b/src/eelgrassweir/platform/messages.py
@@ -28,6 +28,7 @@
 EXPECTED_INSTANCE = "x-expected-instance"
 SIGNATURE = "x-response-signature"
 NOT_EXECUTED = "x-not-executed"
+INSTANCE = "x-instance-id"
 
 READINESS_PATH = "/-/readiness"
 HEARTBEAT_PATH = "/-/Instances.Heartbeat/"
@@ -37,6 +38,7 @@
 OWN_FIELDS = frozenset(
     (REQUEST_ID, DEADLINE, KEY, TEAM, CALLER_SERVICE, EXPECTED_INSTANCE)
 )
+OK = 200
 MISDIRECTED = 421
 # The platform's answer to these codes differs from that of our own interface:
 # it reads 408, 421, 429 and 503 as "not run", and all other statuses not.
@@ -83,7 +85,8 @@
 def is_own_answer(request: HttpRequest, headers: Headers) -> bool:
     """Tell whether an answer is to the request, as one without an id is."""
     answered = find_header(headers, REQUEST_ID)
-    return answered is None or answered == find_header(request.headers, REQUEST_ID)
+    asked = find_header(request.headers, REQUEST_ID)
+    return answered is None or asked is None or answered == asked
 
 
 def was_not_executed(response: HttpResponse) -> bool:
@@ -100,6 +103,13 @@
     return find_header(response.headers, SIGNATURE) is not None
 
 
+def read_instance(response: HttpResponse) -> str:
+    """Return who answered a health check; empty for an unhealthy one."""
+    if response.status != OK:
+        return ""
+    return find_header(response.headers, INSTANCE) or ""
+
+
 def refusal_answer(refusal: Refusal) -> HttpResponse:
     """Return the answer to a caller whose request got none.
 
--- a/src/eelgrassweir/routing/rules.py
+++ b/src/eelgrassweir/routing/rules.py
@@ -64,6 +64,8 @@
     teams_by_key_hash: Mapping[bytes, TeamRule]
     teams: Mapping[str, TeamRule]
     limits: CallerLimits
+    # Path of the health check of each service.
+    health_paths: Mapping[str, str] = attrs.field(factory=dict)
 
     def match(self, host: str, path: str) -> RouteRule | None:
         """Return the route with the longest prefix that begins ``path``."""
--- a/testing/mesh/fleet.py
+++ b/testing/mesh/fleet.py
@@ -22,6 +22,7 @@
 HOST = "notes.example"
 KEY = "key-of-t"
 LIMIT_S = 10.0
+HEALTH_PATH = "/health"
 
 
 @attrs.define(eq=False)
@@ -50,6 +51,8 @@
         request_id = find_header(request.headers, "x-request-id") or ""
         own = (("X-Request-Id", request_id), ("X-Instance-Id", self.instance))
         expected = find_header(request.headers, "x-expected-instance")
+        if request.path == HEALTH_PATH:
+            return HttpResponse(200, own, b"")
         if expected not in (None, self.instance):
             return HttpResponse(421, own, b"")
         if self.not_executed:
@@ -99,7 +102,9 @@
     body = {
         "version": version,
         "routes": list(routes),
-        "services": [],
+        "services": [
+            {"name": name, "healthPath": HEALTH_PATH} for name in ("notes", "lists")
+        ],
         "tenants": [holder | team],
         "limits": {
             "headerBytes": 16_384,
@@ -133,16 +138,30 @@
             f"vm-{len(self.daemons)}", backend.service, backend.address
         )
         settings = attrs.evolve(settings, store_address=self.store_address, **changes)
-        store = PlatformStore(
-            self.store_address, clock=Clock(), timeout_ms=settings.store_timeout_ms
-        )
-        daemon = Application(settings, make_wire(), store)
+        daemon = self.start_daemon(settings)
         await daemon.start()
         await daemon.control.handle(backend.beat())
         self.daemons.append(daemon)
         self.backends.append(backend)
         return daemon
 
+    def start_daemon(self, settings: MeshSettings) -> Application:
+        """Return a daemon that is still to be started."""
+        store = PlatformStore(
+            self.store_address, clock=Clock(), timeout_ms=settings.store_timeout_ms
+        )
+        return Application(settings, make_wire(), store)
+
+    async def kill(self, daemon: Application) -> None:
+        """End a daemon without a word to the store."""
+
+        async def end() -> None:
+            pass
+
+        daemon.registration.end = end  # type: ignore[method-assign]
+        self.daemons.remove(daemon)
+        await daemon.stop()
+
     async def settled(self) -> None:
         """Wait until all daemons know each other and the configuration."""
 
--- a/testing/mesh/test_whole_path.py
+++ b/testing/mesh/test_whole_path.py
@@ -303,3 +303,49 @@
             await leave
 
     asyncio.run(scenario())
+
+
+def test_restarted_daemon_serves_before_the_next_announcement() -> None:
+    """Guard against a target that is idle for a heartbeat after each kill."""
+
+    async def scenario() -> None:
+        async with mesh_fleet() as fleet:
+            backend = BackendStandIn("notes", "i-0")
+            daemon = await fleet.add(backend)
+            fleet.configure(route("/a/", "notes"))
+            await fleet.settled()
+            await fleet.kill(daemon)
+            again = fleet.start_daemon(daemon.settings)
+            await again.start()
+            fleet.daemons.append(again)
+            await eventually(lambda: again.backend.announcement, 2.0)
+            await fleet.settled()
+            assert (await fleet.call(again, "/a/")).status == 200
+            run = backend.runs[-1]
+            assert find_header(run.headers, "x-expected-instance") == "i-0"
+            # The announcement of the same start takes over.
+            await again.control.handle(backend.beat(9, "draining"))
+            assert again.backend.is_leaving
+
+    asyncio.run(scenario())
+
+
+def test_other_backend_server_at_the_address_gets_nothing() -> None:
+    """Guard against requests for a service that is no longer there."""
+
+    async def scenario() -> None:
+        async with mesh_fleet() as fleet:
+            daemon = await fleet.add(BackendStandIn("notes", "i-0"))
+            other = BackendStandIn("lists", "i-9")
+            await other.start()
+            fleet.configure(route("/a/", "notes"))
+            await fleet.settled()
+            other.started_wall_ms = 2_000
+            await daemon.control.handle(other.beat())
+            response = await fleet.call(daemon, "/a/")
+            assert response.status == 503
+            assert other.runs == []
+            assert other.server is not None
+            await other.server.stop()
+
+    asyncio.run(scenario())
