--- a/testing/mesh/test_whole_path.py
+++ b/testing/mesh/test_whole_path.py
@@ -5,11 +5,23 @@
 import pytest
 
 from eelgrassweir.daemon.http_message import find_header
+from eelgrassweir.mesh.app import Application
 from testing.mesh.fleet import KEY, BackendStandIn, eventually, mesh_fleet, route
 
 KEYED = ("X-Credential", KEY)
 
 
+def incarnation(daemon: Application) -> str:
+    """Return the incarnation of a daemon."""
+    return daemon.identity.incarnation
+
+
+def entry_incarnation(daemon: Application) -> str:
+    """Return the incarnation in the entry that a daemon sees for its VM."""
+    member = daemon.directory.members.get(daemon.settings.vm)
+    return member.incarnation if member is not None else ""
+
+
 def test_request_reaches_a_target_beside_another_daemon() -> None:
     """Guard against a path that breaks between the two daemons."""
 
@@ -318,8 +330,8 @@
             again = fleet.start_daemon(daemon.settings)
             await again.start()
             fleet.daemons.append(again)
-            await eventually(lambda: again.backend.announcement, 2.0)
-            await fleet.settled()
+            await eventually(lambda: again.backend.announcement, 1.0)
+            await eventually(lambda: entry_incarnation(again) == incarnation(again))
             assert (await fleet.call(again, "/a/")).status == 200
             run = backend.runs[-1]
             assert find_header(run.headers, "x-expected-instance") == "i-0"
