--- a/src/eelgrassweir/mesh/discovery.py
+++ b/src/eelgrassweir/mesh/discovery.py
@@ -43,5 +43,4 @@
         is_draining=False,
         started_wall_ms=0,
         sequence=0,
-        cold_ms=0,
     )
--- a/src/eelgrassweir/platform/messages.py
+++ b/src/eelgrassweir/platform/messages.py
@@ -163,7 +163,6 @@
         is_draining=state == "draining",
         started_wall_ms=_whole(body.get("born", 0)),
         sequence=_whole(body["sequence"]),
-        cold_ms=int(body.get("coldRemaining") or 0),
     )
 
 
--- a/src/eelgrassweir/requests/calls.py
+++ b/src/eelgrassweir/requests/calls.py
@@ -45,8 +45,6 @@
     started_wall_ms: int
     # Increases with each announcement of one start.
     sequence: int
-    # How much longer the backend server stays slow after its start.
-    cold_ms: int
 
 
 @attrs.frozen(kw_only=True)
--- a/src/eelgrassweir/shares/credit.py
+++ b/src/eelgrassweir/shares/credit.py
@@ -6,7 +6,7 @@
 """
 
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 
 import attrs
 
@@ -172,10 +172,6 @@
             wanted[team] = max(1, math.ceil(ahead_calls - account.level_calls))
         return wanted
 
-    def teams(self) -> Iterable[str]:
-        """Return the teams that have asked for something."""
-        return tuple(self._accounts)
-
     def state(self, now_ms: float) -> dict[str, dict[str, float]]:
         """Return tokens and demand for the dump."""
         return {
--- a/testing/daemon/test_http.py
+++ b/testing/daemon/test_http.py
@@ -1,12 +1,19 @@
 """Guard against answers that are cut short, crossed or late."""
 
 import asyncio
+import socket
+import struct
 from collections.abc import Awaitable, Callable
 
 import pytest
 
 from eelgrassweir.clock import Clock
-from eelgrassweir.daemon.http_client import BackendClient, ExchangeError, Sent
+from eelgrassweir.daemon.http_client import (
+    BackendClient,
+    ClientOptions,
+    ExchangeError,
+    Sent,
+)
 from eelgrassweir.daemon.http_message import HttpRequest, HttpResponse
 from eelgrassweir.daemon.http_server import HttpServer
 
@@ -212,3 +219,131 @@
     assert b" 502 " in answer.split(b"\r\n")[0]
     assert b'"not_run": false' in answer
     assert b"secret" not in answer
+
+
+def test_safe_pipelined_requests_run_together() -> None:
+    """Guard against a request that waits for the one in front of it."""
+
+    async def scenario() -> list[str]:
+        running: list[str] = []
+        both = asyncio.Event()
+
+        async def handler(request: HttpRequest) -> HttpResponse:
+            running.append(request.path)
+            if len(running) == 2:
+                both.set()
+            await asyncio.wait_for(both.wait(), 5)
+            return HttpResponse(200, (), request.path.encode())
+
+        server = HttpServer(handler, body_limit_bytes=1_000)
+        await server.start("127.0.0.1", 0)
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        writer.write(b"GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n")
+        writer.write(b"Connection: close\r\n\r\n")
+        answer = await asyncio.wait_for(reader.read(), 5)
+        await server.stop()
+        return [part[-2:].decode() for part in answer.split(b"HTTP/1.1 ")[1:]]
+
+    assert asyncio.run(scenario()) == ["/1", "/2"]
+
+
+def test_unsafe_pipelined_request_waits_for_the_one_in_front() -> None:
+    """Guard against a filing that runs though the connection then closes."""
+
+    async def scenario() -> int:
+        most = 0
+        running = 0
+
+        async def handler(request: HttpRequest) -> HttpResponse:
+            nonlocal most, running
+            running += 1
+            most = max(most, running)
+            await asyncio.sleep(0.02)
+            running -= 1
+            return HttpResponse(200, (), b"")
+
+        server = HttpServer(handler, body_limit_bytes=1_000)
+        await server.start("127.0.0.1", 0)
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        writer.write(b"GET /1 HTTP/1.1\r\n\r\nPOST /2 HTTP/1.1\r\n")
+        writer.write(b"Content-Length: 0\r\n\r\n")
+        writer.write(b"GET /3 HTTP/1.1\r\nConnection: close\r\n\r\n")
+        answer = await asyncio.wait_for(reader.read(), 5)
+        await server.stop()
+        assert answer.count(b" 200 ") == 3
+        return most
+
+    assert asyncio.run(scenario()) == 1
+
+
+PLATFORM_OPTIONS = ClientOptions(
+    rest_ms=0,
+    distrust_ms=0,
+    reads_to_end=True,
+    is_own=lambda request, headers: ("X-Id", "own") in headers,
+)
+OWN_OF_2 = b"HTTP/1.1 200 OK\r\nX-Id: own\r\nContent-Length: 2\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 2\r\n\r\nno" + OWN_OF_2,
+        b"HTTP/1.1 200 OK\r\nX-Id: own\r\n\r\n",
+    ],
+)
+def test_own_answer_is_found(answer: bytes) -> None:
+    """Guard against an answer to another request, and one without length."""
+
+    async def scenario() -> bytes:
+        async def script(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(answer)
+            await asyncio.sleep(0.02)
+            writer.write(b"ok")
+            writer.close()
+
+        server = await asyncio.start_server(script, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        client = BackendClient(
+            f"{host}:{port}",
+            clock=Clock(),
+            body_limit_bytes=1_000,
+            options=PLATFORM_OPTIONS,
+        )
+        async with server:
+            return (await client.exchange(GET, limit_ms=2_000)).body
+
+    assert asyncio.run(scenario()) == b"ok"
+
+
+def test_answer_without_length_that_is_reset_is_not_whole() -> None:
+    """Guard against a cut answer that looks complete."""
+
+    async def scenario() -> None:
+        async def script(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\nX-Id: own\r\n\r\nhalf")
+            await asyncio.sleep(0.02)
+            writer.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+            )
+            writer.close()
+
+        server = await asyncio.start_server(script, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        client = BackendClient(
+            f"{host}:{port}",
+            clock=Clock(),
+            body_limit_bytes=1_000,
+            options=PLATFORM_OPTIONS,
+        )
+        async with server:
+            with pytest.raises(ExchangeError):
+                await client.exchange(GET, limit_ms=2_000)
+
+    asyncio.run(scenario())
--- a/testing/mesh/test_backend.py
+++ b/testing/mesh/test_backend.py
@@ -15,7 +15,6 @@
     is_draining=False,
     started_wall_ms=1_000,
     sequence=5,
-    cold_ms=0,
 )
 DRAIN_MS = 2_000.0
 
--- a/testing/platform/test_messages.py
+++ b/testing/platform/test_messages.py
@@ -87,7 +87,6 @@
         is_draining=False,
         started_wall_ms=17,
         sequence=4,
-        cold_ms=0,
     )
 
 
