--- /dev/null
+++ b/testing/mesh/test_process.py
@@ -0,0 +1,82 @@
+"""Guard against a process that starts without its parts or does not end."""
+
+import asyncio
+import json
+import os
+import pathlib
+import signal
+import sys
+import time
+
+import attrs
+import pytest
+
+from testing.mesh.fleet import (
+    BackendStandIn,
+    document,
+    eventually,
+    mesh_settings,
+    route,
+)
+from testing.stand_ins.platform_store import PlatformStoreStandIn
+
+# The grace time of the settings less what the machine may need to end it.
+END_LIMIT_S = 5.7
+
+
+@pytest.mark.processes
+@pytest.mark.parametrize("fault", ["", "silent", "busy"])
+def test_process_ends_within_the_grace_time(tmp_path: pathlib.Path, fault: str) -> None:
+    """Guard against SIGKILL in a planned stop, with requests under way."""
+
+    async def scenario() -> None:
+        store = PlatformStoreStandIn()
+        backend = BackendStandIn("notes", "i-0", delay_s=60.0)
+        await backend.start()
+        settings = mesh_settings("vm-0", "notes", backend.address)
+        settings = attrs.evolve(settings, store_address=await store.start())
+        path = tmp_path / "settings.json"
+        path.write_text(json.dumps(attrs.asdict(settings)))
+        store.put("op/config", document(1, [route("/a/", "notes", timeout=30_000)]))
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "eelgrassweir.mesh.main",
+            env=os.environ | {"EELGRASSWEIR_BOOT": str(path), "PYTHONPATH": "src"},
+            stdout=asyncio.subprocess.PIPE,
+        )
+        host, port = settings.control_address.split(":")
+        await eventually(lambda: store.calls)
+        beat = backend.beat()
+        for _ in range(100):
+            try:
+                reader, writer = await asyncio.open_connection(host, int(port))
+                break
+            except OSError:
+                await asyncio.sleep(0.05)
+        writer.write(
+            f"{beat.method} {beat.path} HTTP/1.1\r\n"
+            f"Content-Length: {len(beat.body)}\r\n\r\n".encode()
+            + beat.body
+        )
+        assert b" 200 " in await reader.readline()
+        await eventually(lambda: "members/vm-0" in store.items)
+        callers = []
+        for _ in range(4):
+            host, port = settings.callers_address.split(":")
+            _, caller = await asyncio.open_connection(host, int(port))
+            caller.write(b"GET /a/ HTTP/1.1\r\nHost: notes.example\r\n\r\n")
+            callers.append(caller)
+        await eventually(lambda: len(backend.runs) == 4)
+        store.fault = fault
+        process.send_signal(signal.SIGTERM)
+        started_s = time.monotonic()
+        async with asyncio.timeout(20):
+            await process.communicate()
+        assert time.monotonic() - started_s < END_LIMIT_S
+        assert process.returncode == 0
+        await store.stop()
+        assert backend.server is not None
+        await backend.server.stop()
+
+    asyncio.run(scenario())
