Say "not run" of requests that waited in vain; ask a restarted holder at once

When the entry's own timer fired first, it could not tell the queue from a run. Change: the adapter answers 503 to every refusal that is certainly not run; the queue gives up 25 ms before the entry does; a changed entry ends the pause of a holder.

--- a/src/eelgrassweir/mesh/lending.py
+++ b/src/eelgrassweir/mesh/lending.py
@@ -125,7 +125,7 @@
         """Ask holders, the own domain's first, until all teams have tokens."""
         pauses_ms: dict[str, int] = {}
         was_answered = False
-        for member in self._usable_holders():
+        for member in self.usable_holders():
             reply = await self._ask_holder(member, wanted)
             if reply is None:
                 continue
@@ -244,10 +244,12 @@
 
     # Choice of the holders
 
-    def _forget_holders(self, _member: Member) -> None:
+    def _forget_holders(self, member: Member) -> None:
         self._holders = None
+        # The entry of a restarted holder names another process.
+        self._down_until_ms.pop(member.vm, None)
 
-    def _usable_holders(self) -> list[Member]:
+    def usable_holders(self) -> list[Member]:
         """Return the holders that answer, own domain first."""
         now_ms = self._clock.now_ms()
         usable = [
--- a/src/eelgrassweir/mesh/target.py
+++ b/src/eelgrassweir/mesh/target.py
@@ -20,6 +20,9 @@
 # Some backend servers slow down when nearly all slots are taken.
 USED_SLOTS_SHARE = 0.95
 DRAINING_RETRY_MS = 50
+# A refusal must be back at the entry before its own timer gives the request
+# up, since the entry cannot tell a queue from a run.
+QUEUE_MARGIN_MS = 25.0
 NO_BACKEND_RETRY_MS = 500
 
 
@@ -95,7 +98,7 @@
             admission = await self.gate.enter(
                 priority=context.priority,
                 depth=context.depth,
-                remaining_ms=context.remaining_ms,
+                remaining_ms=context.remaining_ms - QUEUE_MARGIN_MS,
             )
             if isinstance(admission, Refusal):
                 return TargetResult(admission, False)
--- a/src/eelgrassweir/platform/messages.py
+++ b/src/eelgrassweir/platform/messages.py
@@ -117,7 +117,10 @@
     a promise that it has not.
     """
     status = STATUS_BY_CODE.get(refusal.code) or http_status(refusal.code)
-    if status in (429, 503) and not refusal.not_run:
+    if status == 504 and refusal.not_run:
+        # The route's time is over, but the caller may have time to retry.
+        status = 503
+    elif status in (429, 503) and not refusal.not_run:
         status = 502
     if status in (409, 428, 499):
         status = 502
--- /dev/null
+++ b/testing/mesh/test_lending.py
@@ -0,0 +1,110 @@
+"""Guard against tokens that nobody lends, or that two daemons lend."""
+
+import asyncio
+
+from eelgrassweir.clock import ManualClock
+from eelgrassweir.daemon.link_client import LinkOptions, LinkPool
+from eelgrassweir.membership.table import MemberTable
+from eelgrassweir.mesh.lending import Lending, QuotaTerms
+from eelgrassweir.proto.control_pb2 import DRAINING, READY, BorrowRequest, Member
+from eelgrassweir.routing.rules import CallerLimits, RoutingConfig, TeamRule
+
+TEAM = TeamRule(name="t", priority=1, rate_per_s=100.0, burst_calls=100.0)
+LIMITS = CallerLimits(head_bytes=1, body_bytes=1, head_timeout_ms=1, idle_timeout_ms=1)
+CONFIG = RoutingConfig(
+    version=1,
+    routes_by_host={},
+    teams_by_key_hash={},
+    teams={"t": TEAM},
+    limits=LIMITS,
+)
+REQUEST = BorrowRequest(requests=[{"team": "t", "wanted": 3}])  # type: ignore[list-item]
+
+
+def member(vm: str, revision: int, **changes: object) -> Member:
+    """Return the entry of a daemon that nobody answers for."""
+    fields: dict[str, object] = {
+        "vm": vm,
+        "incarnation": f"{vm}/{revision}",
+        "started_ms": revision,
+        "state": READY,
+        "failure_domain": "a",
+        "link_address": "127.0.0.1:1",
+    }
+    return Member(**(fields | changes))  # type: ignore[arg-type]
+
+
+def lending(vm: str, members: MemberTable, clock: ManualClock) -> Lending:
+    """Return the lending of one daemon; must run in an event loop."""
+    options = LinkOptions(
+        vm=vm,
+        incarnation="1",
+        ping_ms=100,
+        silence_ms=300,
+        body_limit_bytes=1_000,
+        connect_limit_ms=100,
+    )
+    return Lending(
+        vm=vm,
+        incarnation=f"{vm}/1",
+        failure_domain="a",
+        failure_domains=("a",),
+        terms=QuotaTerms(window_s=5.0, overage=0.1),
+        clock=clock,
+        members=members,
+        links=LinkPool(options, clock),
+    )
+
+
+def test_one_daemon_of_a_domain_lends() -> None:
+    """Guard against a rate that two holders of a domain lend twice."""
+
+    async def scenario() -> None:
+        members = MemberTable()
+        clock = ManualClock()
+        first, second = (lending(vm, members, clock) for vm in ("v1", "v2"))
+        for part in (first, second):
+            part.take_config(CONFIG)
+        members.merge(member("v1", 1))
+        members.merge(member("v2", 1))
+        assert first.lend(REQUEST).is_holder
+        assert not second.lend(REQUEST).is_holder
+        # A holder that leaves hands over at once.
+        members.merge(member("v1", 2, incarnation="v1/1", state=DRAINING))
+        assert not first.lend(REQUEST).is_holder
+        assert second.lend(REQUEST).grants[0].tokens == 3
+
+    asyncio.run(scenario())
+
+
+def test_entry_without_a_holder_spends_an_even_part() -> None:
+    """Guard against a team refused whole while holders are out of reach."""
+
+    async def scenario() -> None:
+        members = MemberTable()
+        members.merge(member("v0", 1))
+        entry = lending("v9", members, ManualClock())
+        entry.take_config(CONFIG)
+        assert await entry.take(TEAM) == 0
+
+    asyncio.run(scenario())
+
+
+def test_restarted_holder_is_asked_again_at_once() -> None:
+    """Guard against a second without a holder after its restart.
+
+    In the incident of urquiola-fichero every restart cost the domain's
+    holder a second.
+    """
+
+    async def scenario() -> None:
+        members = MemberTable()
+        members.merge(member("v0", 1))
+        entry = lending("v9", members, ManualClock())
+        entry.take_config(CONFIG)
+        await entry.take(TEAM)
+        assert entry.usable_holders() == []
+        members.merge(member("v0", 2))
+        assert [holder.vm for holder in entry.usable_holders()] == ["v0"]
+
+    asyncio.run(scenario())
--- a/testing/mesh/test_whole_path.py
+++ b/testing/mesh/test_whole_path.py
@@ -361,3 +361,28 @@
             await other.server.stop()
 
     asyncio.run(scenario())
+
+
+def test_request_that_waited_in_vain_is_refused_as_not_run() -> None:
+    """Guard against a 504 for a request that reached no backend server.
+
+    Its caller could not send a filing again (1,569 such answers in the
+    incident of umgeni-rota).
+    """
+
+    async def scenario() -> None:
+        async with mesh_fleet() as fleet:
+            backend = BackendStandIn("notes", "i-0", slots=1, delay_s=1.5)
+            entry = await fleet.add(backend)
+            fleet.configure(route("/a/", "notes", kind="unsafe", timeout=2_000))
+            await fleet.settled()
+            first = asyncio.create_task(fleet.call(entry, "/a/", method="POST"))
+            await eventually(lambda: backend.runs)
+            short = ("X-Deadline-Milliseconds", "300")
+            second = await fleet.call(entry, "/a/", short, method="POST")
+            assert second.status == 503
+            assert find_header(second.headers, "retry-after") is not None
+            assert (await first).status == 200
+            assert len(backend.runs) == 1
+
+    asyncio.run(scenario())
