Reuse the test server of test_http for answers of the platform

Two tests started a server and a client again that serve() already makes; serve() takes the client's options now.

--- a/testing/daemon/test_http.py
+++ b/testing/daemon/test_http.py
@@ -22,11 +22,15 @@
 HEAD_OF_10 = b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n"
 
 
-async def serve(script: Script) -> tuple[asyncio.Server, BackendClient]:
+async def serve(
+    script: Script, options: ClientOptions | None = None
+) -> tuple[asyncio.Server, BackendClient]:
     """Start a server that runs ``script`` on each connection."""
     server = await asyncio.start_server(script, "127.0.0.1", 0)
     host, port = server.sockets[0].getsockname()
-    client = BackendClient(f"{host}:{port}", clock=Clock(), body_limit_bytes=1_000)
+    client = BackendClient(
+        f"{host}:{port}", clock=Clock(), body_limit_bytes=1_000, options=options
+    )
     return server, client
 
 
@@ -305,14 +309,7 @@
             writer.write(b"ok")
             writer.close()
 
-        server = await asyncio.start_server(script, "127.0.0.1", 0)
-        host, port = server.sockets[0].getsockname()
-        client = BackendClient(
-            f"{host}:{port}",
-            clock=Clock(),
-            body_limit_bytes=1_000,
-            options=PLATFORM_OPTIONS,
-        )
+        server, client = await serve(script, PLATFORM_OPTIONS)
         async with server:
             return (await client.exchange(GET, limit_ms=2_000)).body
 
@@ -334,14 +331,7 @@
             )
             writer.close()
 
-        server = await asyncio.start_server(script, "127.0.0.1", 0)
-        host, port = server.sockets[0].getsockname()
-        client = BackendClient(
-            f"{host}:{port}",
-            clock=Clock(),
-            body_limit_bytes=1_000,
-            options=PLATFORM_OPTIONS,
-        )
+        server, client = await serve(script, PLATFORM_OPTIONS)
         async with server:
             with pytest.raises(ExchangeError):
                 await client.exchange(GET, limit_ms=2_000)
