Do not distrust a backend server for the answer to a cancelled request

Cause: a cancelled exchange marks its future as done at once, but closes the connection only in the next turn of the loop. An answer that is read in the same turn was taken for bytes that nobody asked for, and connections to that server were not reused for 60 s (DISTRUST_MS). Links that end while answers arrive, as in the tests of silent links, make both events meet in one turn.

Ruled out: a backend server replaced by its announcement (the address stays), idle limits (60 requests a second), misbehaviour of the stand-in (not set in that file), uvloop (only the daemon of the platform uses it).

Change: bytes that come after an exchange was given up are ignored; the exchange closes the connection. The new test drives both events in one turn and failed before.

--- a/src/eelgrassweir/daemon/http_client.py
+++ b/src/eelgrassweir/daemon/http_client.py
@@ -344,6 +344,10 @@
 
     def data_received(self, data: bytes) -> None:
         """Feed the parser."""
+        if self._is_given_up():
+            # The answer to a request that was cancelled in this turn of the
+            # loop; its exchange closes the connection in the next.
+            return
         if self._done is None or self._done.done():
             # Bytes that nobody asked for: the connection is out of step.
             self.is_reusable = False
@@ -364,6 +368,13 @@
             if self._response is not None and not self._done.done():
                 self._done.set_result(self._response)
 
+    def _is_given_up(self) -> bool:
+        """Return whether the last request ended without an answer."""
+        done = self._done
+        if done is None or not done.done():
+            return False
+        return done.cancelled() or done.exception() is not None
+
     # httptools callbacks
 
     def on_message_begin(self) -> None:
--- a/testing/daemon/test_http.py
+++ b/testing/daemon/test_http.py
@@ -4,12 +4,14 @@
 import socket
 import struct
 from collections.abc import Awaitable, Callable
+from unittest import mock
 
 import pytest
 
 from eelgrassweir.clock import Clock
 from eelgrassweir.daemon.http_client import (
     BackendClient,
+    BackendConnection,
     ClientOptions,
     ExchangeError,
     Sent,
@@ -120,6 +122,32 @@
     asyncio.run(scenario())
 
 
+def test_answer_to_a_cancelled_request_does_not_end_reuse() -> None:
+    """It can be read in the turn of the loop in which the request is cancelled.
+
+    It was asked for, so the server is not out of step.
+    """
+    unasked: list[BackendConnection] = []
+
+    async def scenario() -> None:
+        connection = BackendConnection(
+            "127.0.0.1:1", 1_000, unasked.append, ClientOptions()
+        )
+        transport = mock.create_autospec(asyncio.Transport, instance=True)
+        transport.is_closing.return_value = False
+        connection.connection_made(transport)
+        exchange = asyncio.ensure_future(connection.exchange(GET))
+        await asyncio.sleep(0)
+        exchange.cancel()
+        connection.data_received(HEAD_OF_10 + b"0123456789")
+        await asyncio.wait([exchange])
+        assert exchange.cancelled()
+        assert not connection.is_reusable
+
+    asyncio.run(scenario())
+    assert unasked == []
+
+
 def test_connection_refused_is_certainly_not_sent() -> None:
     async def scenario() -> None:
         async def script(
