--- a/testing/daemon/test_http.py
+++ b/testing/daemon/test_http.py
@@ -123,7 +123,7 @@
 
 
 def test_answer_to_a_cancelled_request_does_not_end_reuse() -> None:
-    """It can be read in the turn of the loop in which the request is cancelled.
+    """Both can come in one turn of the loop.
 
     It was asked for, so the server is not out of step.
     """
