Avoid connections as old as one that seems silent

Cause: with answers from the backend server silenced, each of about ten pooled connections held one call for half of its attempt (750 ms). The adaptive limit was about ten, so the calls after them waited in the queue, and a call that has waited for 0.4 of its time (600 ms) is refused as 'queue is too long'. The test test_silent_connections_to_a_backend_server[directions2] saw 7 of 231 views refused, more easily on a busy machine, where the pool holds more connections.

Change: while a watched exchange over a pooled connection takes much longer than answers usually do, connections that have proved nothing since it began are passed over, so new calls get new connections. Links and the platform's daemon have no watched exchanges and keep their behaviour.

The new test timed out before.

--- a/src/eelgrassweir/daemon/http_client.py
+++ b/src/eelgrassweir/daemon/http_client.py
@@ -30,6 +30,12 @@
 # A backend server that sent bytes that nobody asked for gets one request a
 # connection for this long.
 DISTRUST_MS = 60_000
+# A pooled connection is suspected of silence once its answer takes this much
+# longer than answers usually do, and at least this long.
+SUSPECT_FACTOR = 8.0
+SUSPECT_FROM_MS = 40.0
+# Weight of the newest answer in the usual time.
+USUAL_WEIGHT = 0.1
 
 
 class Sent(enum.Enum):
@@ -89,6 +95,9 @@
         self._idle: list[BackendConnection] = []
         self._is_closed = False
         self._reuse_from_ms = -math.inf
+        # Watched exchanges over pooled connections, and when they began.
+        self._watched: dict[BackendConnection, float] = {}
+        self._usual_ms = 0.0
 
     async def exchange(
         self,
@@ -117,10 +126,13 @@
         is_complete = False
         if is_pooled and 0 < silence_ms < limit_ms:
             connection.watch(silence_ms, is_alive)
+            self._watched[connection] = started_ms
         try:
             async with asyncio.timeout(limit_ms / 1e3):
                 response = await connection.exchange(request)
             is_complete = True
+            took_ms = self._clock.now_ms() - started_ms
+            self._usual_ms += USUAL_WEIGHT * (took_ms - self._usual_ms)
         except ExchangeError as error:
             if error.is_silent:
                 self._distrust(started_ms)
@@ -135,6 +147,7 @@
                 is_timeout=True,
             ) from None
         finally:
+            self._watched.pop(connection, None)
             # After anything but a complete exchange a late answer could be
             # taken for that of the next request.
             if is_complete and self._may_reuse(connection):
@@ -179,9 +192,26 @@
                 connection.close()
         self._idle = [idle for idle in self._idle if idle.is_open]
 
+    def _suspected_ms(self, now_ms: float) -> float:
+        """Return when the newest exchange began that seems to be silent.
+
+        Connections that proved nothing since then are not used meanwhile:
+        each would hold its request until the silence is certain.
+        """
+        limit_ms = max(SUSPECT_FROM_MS, SUSPECT_FACTOR * self._usual_ms)
+        return max(
+            (
+                started_ms
+                for connection, started_ms in self._watched.items()
+                if now_ms - started_ms > limit_ms and not connection.has_received
+            ),
+            default=-math.inf,
+        )
+
     def _take_idle(self) -> "BackendConnection | None":
         """Return the connection that became idle last and has rested."""
         now_ms = self._clock.now_ms()
+        suspected_ms = self._suspected_ms(now_ms)
         if self._idle and now_ms - self._idle[0].idle_since_ms > REUSE_IDLE_MS:
             self._idle.pop(0).close()
         for index in range(len(self._idle) - 1, -1, -1):
@@ -191,6 +221,8 @@
                 del self._idle[index]
             elif idle_ms > REUSE_IDLE_MS:
                 break
+            elif connection.idle_since_ms <= suspected_ms:
+                return None
             elif idle_ms >= self._options.rest_ms:
                 del self._idle[index]
                 return connection
--- a/testing/daemon/test_http.py
+++ b/testing/daemon/test_http.py
@@ -148,6 +148,38 @@
     assert unasked == []
 
 
+def test_requests_avoid_connections_as_old_as_a_silent_one() -> None:
+    """Else each waits for its own silence limit and holds a slot meanwhile."""
+    silent: set[asyncio.StreamWriter] = set()
+    accepted: set[asyncio.StreamWriter] = set()
+
+    async def script(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        accepted.add(writer)
+        while await reader.readuntil(b"\r\n\r\n"):
+            await asyncio.sleep(0.005)
+            if writer not in silent:
+                writer.write(HEAD_OF_10 + b"0123456789")
+
+    async def scenario() -> None:
+        server, client = await serve(script, ClientOptions(rest_ms=0))
+
+        async def ask(limit_ms: float) -> HttpResponse:
+            return await client.exchange(GET, limit_ms=limit_ms, silence_ms=1_500)
+
+        async with server:
+            await asyncio.gather(*(ask(2_000) for _ in range(5)))
+            silent.update(accepted)
+            first = asyncio.ensure_future(ask(2_000))
+            await asyncio.sleep(0.2)
+            await asyncio.gather(*(ask(1_000) for _ in range(4)))
+            first.cancel()
+            await asyncio.wait([first])
+
+    asyncio.run(scenario())
+
+
 def test_connection_refused_is_certainly_not_sent() -> None:
     async def scenario() -> None:
         async def script(
