Deliver a target's answer before a refusal of a later try

Cause: a safe request whose first run was answered with 500 was tried again; when the second target refused it, the entry answered 503, which says that the request has not run.

Ruled out: a request that ran without an answer; may_have_run covers it.

Change: the dispatcher keeps the answer and returns it when no later try brings one. The new test failed before with 503 after a run.

--- a/src/eelgrassweir/mesh/dispatch.py
+++ b/src/eelgrassweir/mesh/dispatch.py
@@ -37,6 +37,8 @@
     attempts: int
     arrivals: int = 0
     may_have_run: bool = False
+    # What a target answered before a further try.
+    answer: HttpResponse | None = None
     tried: set[str] = attrs.field(factory=set)
 
 
@@ -94,6 +96,8 @@
                 now_ms = self._clock.now_ms()
                 self._ratio.record_success(call.context.service, now_ms)
             return result
+        if call.answer is not None:
+            return call.answer
         if call.may_have_run and result.not_run:
             return attrs.evolve(result, not_run=False)
         return result
@@ -104,6 +108,7 @@
             return False
         result = last.result
         if isinstance(result, HttpResponse):
+            call.answer = result
             return call.context.idempotent and result.status >= SERVER_ERROR
         if result.not_run:
             return result.code != "deadline_exceeded"
--- a/testing/mesh/test_whole_path.py
+++ b/testing/mesh/test_whole_path.py
@@ -108,6 +108,32 @@
     asyncio.run(scenario())
 
 
+def test_answer_of_a_target_goes_before_a_later_refusal() -> None:
+    """Guard against "not run" for a request that a target has run.
+
+    The first target fails, the second is full.
+    """
+
+    async def scenario() -> None:
+        async with mesh_fleet() as fleet:
+            entry = await fleet.add(BackendStandIn("lists", "i-0"))
+            first = BackendStandIn("notes", "i-1", status=500)
+            second = BackendStandIn("notes", "i-2", not_executed=True)
+            await fleet.add(first)
+            await fleet.add(second)
+            fleet.configure(route("/a/", "notes"))
+            await fleet.settled()
+            statuses = []
+            for _ in range(8):
+                before = len(first.runs)
+                response = await fleet.call(entry, "/a/")
+                assert (response.status == 500) == (len(first.runs) > before)
+                statuses.append(response.status)
+            assert 500 in statuses
+
+    asyncio.run(scenario())
+
+
 def test_answer_is_cut_off_at_the_timeout_of_the_route() -> None:
     """Guard against a caller that waits longer than the operator allows."""
 
