Avoid targets that lose or refuse part of their runs

The daemon beside such a target saw each failure, but the load that answers carry did not say so, and a target that fails early even looks less loaded.

Change: the target's daemon averages the outcomes of its runs and reports the failing share with its load; the picker counts it as load times three. Shares below 6% are taken for chance, so that the own failure domain is not left.

--- a/src/eelgrassweir/mesh/target.py
+++ b/src/eelgrassweir/mesh/target.py
@@ -5,6 +5,7 @@
 import attrs
 from eliot import log_message
 
+from eelgrassweir.admission.failures import FailureShare
 from eelgrassweir.admission.limit import ConcurrencyLimit, Outcome
 from eelgrassweir.clock import Clock
 from eelgrassweir.daemon.gate import Admission, Gate
@@ -74,6 +75,7 @@
         self._clock = clock
         self._backend = backend
         self._wire = wire
+        self._failures = FailureShare()
         self.gate = Gate(clock, vm, queue_limit_calls, rng, limit=SlotLimit())
         self.is_stopping = False
         self.running_calls = 0
@@ -82,6 +84,8 @@
         """Return the load for a reply."""
         load = self.gate.load()
         load.draining = self.is_stopping or self._backend.is_leaving
+        share = self._failures.share(self._clock.now_ms())
+        load.failing_percent = round(100 * share)
         return load
 
     async def handle(
@@ -148,8 +152,14 @@
         try:
             response = await client.exchange(outbound, limit_ms=remaining_ms)
         except ExchangeError as error:
+            if not error.is_timeout or error.sent is Sent.NOT_SENT:
+                # A run can also time out in its calls.
+                self._failures.record(failed=True, now_ms=self._clock.now_ms())
             return self._failed(context, error)
-        return self._answered(context, response)
+        result = self._answered(context, response)
+        is_refusal = isinstance(result.result, Refusal)
+        self._failures.record(failed=is_refusal, now_ms=self._clock.now_ms())
+        return result
 
     def _answered(
         self, context: link_pb2.CallContext, response: HttpResponse
--- a/src/eelgrassweir/routing/picker.py
+++ b/src/eelgrassweir/routing/picker.py
@@ -16,6 +16,12 @@
 # The own domain is kept until its load is this much higher, as a share of the
 # limit: a call to another domain costs latency, not capacity.
 OWN_DOMAIN_MARGIN = 0.25
+# A target that fails part of its calls counts as loaded by this times the
+# part, so that it is chosen only when others are much fuller. Smaller parts
+# are chance.
+FAILING_WEIGHT = 3.0
+FAILING_FROM = 0.06
+FAILING_HALF_LIFE_MS = 1_000.0
 FIRST_SKIP_MS = 250.0
 LONGEST_SKIP_MS = 8_000.0
 DRAINING_SKIP_MS = 2_000.0
@@ -31,6 +37,7 @@
     reported_calls: float = 0.0
     limit_calls: int = 0
     reported_ms: float = 0.0
+    failing_share: float = 0.0
     failures: int = 0
     skip_until_ms: float = 0.0
     trial_until_ms: float = 0.0
@@ -93,6 +100,7 @@
         target.reported_calls = float(load.in_flight + load.queued)
         target.limit_calls = load.limit
         target.reported_ms = now_ms
+        target.failing_share = load.failing_percent / 100.0
         target.failures = 0
         target.skip_until_ms = now_ms + DRAINING_SKIP_MS if load.draining else 0.0
 
@@ -168,4 +176,6 @@
         age_ms = max(0.0, now_ms - target.reported_ms)
         reported_calls = target.reported_calls * math.exp2(-age_ms / LOAD_HALF_LIFE_MS)
         limit_calls = target.limit_calls or member.slots or DEFAULT_LIMIT_CALLS
-        return (target.in_flight_calls + reported_calls) / limit_calls
+        load = (target.in_flight_calls + reported_calls) / limit_calls
+        failing_share = target.failing_share * math.exp2(-age_ms / FAILING_HALF_LIFE_MS)
+        return load + FAILING_WEIGHT * max(0.0, failing_share - FAILING_FROM)
--- a/testing/mesh/fleet.py
+++ b/testing/mesh/fleet.py
@@ -38,6 +38,7 @@
     not_executed: bool = False
     hold: asyncio.Event | None = None
     runs: list[HttpRequest] = attrs.field(factory=list)
+    refused_calls: int = 0
     address: str = ""
     server: HttpServer | None = None
 
@@ -56,6 +57,7 @@
         if expected not in (None, self.instance):
             return HttpResponse(421, own, b"")
         if self.not_executed:
+            self.refused_calls += 1
             return HttpResponse(503, (*own, ("X-Not-Executed", "1")), b"")
         self.runs.append(request)
         if self.hold is not None:
--- a/testing/mesh/test_whole_path.py
+++ b/testing/mesh/test_whole_path.py
@@ -134,6 +134,25 @@
     asyncio.run(scenario())
 
 
+def test_target_that_refuses_with_free_slots_gets_little() -> None:
+    """Guard against retries spent on a backend server that keeps failing."""
+
+    async def scenario() -> None:
+        async with mesh_fleet() as fleet:
+            entry = await fleet.add(BackendStandIn("lists", "i-0"))
+            failing = BackendStandIn("notes", "i-1", not_executed=True)
+            await fleet.add(failing)
+            await fleet.add(BackendStandIn("notes", "i-2"))
+            fleet.configure(route("/a/", "notes"))
+            await fleet.settled()
+            for _ in range(100):
+                await fleet.call(entry, "/a/")
+            # Half of them without regard to failures.
+            assert failing.refused_calls < 25
+
+    asyncio.run(scenario())
+
+
 def test_answer_is_cut_off_at_the_timeout_of_the_route() -> None:
     """Guard against a caller that waits longer than the operator allows."""
 
--- a/testing/routing/test_picker.py
+++ b/testing/routing/test_picker.py
@@ -43,6 +43,25 @@
     assert set(pick(picker)) == {"bilbao-2"}
 
 
+def test_target_that_loses_answers_is_avoided_for_a_while() -> None:
+    """Its load alone looks better than that of sound targets."""
+    picker = TargetPicker(random.Random(1))
+    failing = link_pb2.Load(in_flight=1, limit=10, failing_percent=40)
+    for vm in ("bilbao-1", "bilbao-2"):
+        picker.record_load(vm, failing, 0.0)
+    for vm in ("oviedo-1", "oviedo-2"):
+        picker.record_load(vm, link_pb2.Load(in_flight=6, limit=10), 0.0)
+    assert set(pick(picker)) == {"oviedo-1", "oviedo-2"}
+    assert set(pick(picker, now_ms=5_000.0)) == {"bilbao-1", "bilbao-2"}
+
+
+def test_a_few_failures_do_not_leave_the_own_domain() -> None:
+    picker = TargetPicker(random.Random(1))
+    for vm in ("bilbao-1", "bilbao-2"):
+        picker.record_load(vm, link_pb2.Load(limit=10, failing_percent=5), 0.0)
+    assert set(pick(picker)) == {"bilbao-1", "bilbao-2"}
+
+
 def test_failed_target_is_skipped_then_tried_once() -> None:
     picker = TargetPicker(random.Random(1))
     picker.record_failure("bilbao-1", 0.0)
