--- a/src/eelgrassweir/daemon/link_client.py
+++ b/src/eelgrassweir/daemon/link_client.py
@@ -16,11 +16,6 @@
 # that an entry seldom calls would otherwise stay open for good.
 IDLE_LIMIT_MS = 60_000
 FRAME_OVERHEAD_BYTES = 131_072
-# A peer that has left a ping unanswered for this many ping intervals, its own
-# included, stands still or is cut off; it may only be slow.
-QUIET_PINGS = 2.5
-# A link is normally open after a few round trips.
-CONNECT_QUIET_MS = 100
 
 Reply = link_pb2.Response | link_pb2.Refusal
 Question = link_pb2.Request | link_pb2.Borrow
@@ -156,11 +151,6 @@
         error = LinkError("link call", self._address, reason, is_timeout=True)
         future.set_exception(error)
 
-    def is_quiet(self, now_ms: float) -> bool:
-        """Return whether requests wait and the peer answers no ping."""
-        limit_ms = QUIET_PINGS * self._options.ping_ms
-        return bool(self._streams) and now_ms - self._last_received_ms > limit_ms
-
     @property
     def in_flight(self) -> int:
         """Return the number of requests without a reply."""
@@ -203,7 +193,6 @@
         self._clock = clock
         self._links: dict[tuple[str, str], LinkConnection] = {}
         self._connecting: dict[tuple[str, str], asyncio.Task[LinkConnection]] = {}
-        self._connecting_since_ms: dict[tuple[str, str], float] = {}
         # One timer serves all links: a timer for each of several hundred idle
         # links costs more than their requests.
         self._timer: asyncio.TimerHandle | None = None
@@ -236,19 +225,6 @@
         link = await self._get(address, incarnation, limit_ms)
         return await link.borrow(request, limit_ms=limit_ms)
 
-    def is_quiet(self, address: str, incarnation: str) -> bool:
-        """Return whether a peer is suspected to stand still or be cut off.
-
-        Nothing is given up for that; the suspicion ends with its next byte.
-        """
-        key = (address, incarnation)
-        now_ms = self._clock.now_ms()
-        link = self._links.get(key)
-        if link is not None and link.is_open:
-            return link.is_quiet(now_ms)
-        since_ms = self._connecting_since_ms.get(key, now_ms)
-        return now_ms - since_ms > CONNECT_QUIET_MS
-
     def close(self) -> None:
         """Close all links."""
         if self._timer is not None:
@@ -278,8 +254,7 @@
         if task is None:
             task = asyncio.create_task(self._connect(address, incarnation))
             self._connecting[key] = task
-            self._connecting_since_ms[key] = self._clock.now_ms()
-            task.add_done_callback(lambda _: self._end_connecting(key))
+            task.add_done_callback(lambda _: self._connecting.pop(key, None))
         try:
             async with asyncio.timeout(limit_ms / 1e3):
                 link = await asyncio.shield(task)
@@ -296,10 +271,6 @@
         self._links[key] = link
         return link
 
-    def _end_connecting(self, key: tuple[str, str]) -> None:
-        self._connecting.pop(key, None)
-        self._connecting_since_ms.pop(key, None)
-
     def _schedule_check(self) -> None:
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(self._options.ping_ms / 1e3, self._check)
--- a/src/eelgrassweir/mesh/dispatch.py
+++ b/src/eelgrassweir/mesh/dispatch.py
@@ -128,15 +128,8 @@
         return True
 
     def _choose(self, call: Call) -> Member | None:
-        """Return a target; one whose link is quiet only if all are."""
-        members = self._members.ready(call.context.service)
-        lively = [
-            member
-            for member in members
-            if not self._links.is_quiet(member.link_address, member.incarnation)
-        ]
         return self._picker.choose(
-            lively or members,
+            self._members.ready(call.context.service),
             own_domain=self._failure_domain,
             excluded=call.tried,
             now_ms=self._clock.now_ms(),
--- a/src/eelgrassweir/settings/mesh_generated.py
+++ b/src/eelgrassweir/settings/mesh_generated.py
@@ -32,7 +32,7 @@
     budget_ratio: float
     budget_slack_calls: int
     quota_window_s: int
-    link_ping_ms: int = 150
+    link_ping_ms: int = 250
     link_silence_ms: int = 750
     store_timeout_ms: int = 1000
     store_watch_ms: int = 2000
--- a/testing/daemon/test_link.py
+++ b/testing/daemon/test_link.py
@@ -4,7 +4,6 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 
-import attrs
 import pytest
 
 from eelgrassweir.clock import Clock
@@ -148,47 +147,6 @@
     asyncio.run(scenario())
 
 
-def test_peer_that_stands_still_is_quiet_before_its_link_is_given_up() -> None:
-    """Requests would wait for its silence limit, longer than some may take."""
-
-    async def scenario() -> None:
-        options = attrs.evolve(OPTIONS, silence_ms=5_000)
-        writers: list[asyncio.StreamWriter] = []
-
-        async def greet(
-            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-        ) -> None:
-            writers.append(writer)
-            hello = link_pb2.Frame(hello=link_pb2.Hello(vm="b", incarnation="1"))
-            payload = hello.SerializeToString()
-            writer.write(len(payload).to_bytes(4, "big") + payload)
-            await reader.read(-1)
-
-        server = await asyncio.start_server(greet, "127.0.0.1", 0)
-        host, port = server.sockets[0].getsockname()
-        address = f"{host}:{port}"
-        pool = LinkPool(options, Clock())
-        assert not pool.is_quiet(address, "1")
-        call = asyncio.ensure_future(
-            pool.call(address, "1", link_pb2.Request(), limit_ms=5_000)
-        )
-        async with asyncio.timeout(2.0):
-            while not pool.is_quiet(address, "1"):
-                await asyncio.sleep(0.005)
-        assert not call.done()
-        pong = link_pb2.Frame(pong=link_pb2.Pong()).SerializeToString()
-        writers[0].write(len(pong).to_bytes(4, "big") + pong)
-        async with asyncio.timeout(2.0):
-            while pool.is_quiet(address, "1"):
-                await asyncio.sleep(0.005)
-        call.cancel()
-        await asyncio.wait([call])
-        pool.close()
-        server.close()
-
-    asyncio.run(scenario())
-
-
 def test_fault_of_the_handler_is_a_reply() -> None:
     async def handler(request: link_pb2.Request, peer: str) -> Reply:
         raise KeyError(request.path)
