Begin a lower rate later, and ask for tokens until a holder says no

Ruled out: empty buckets at the start (they fill in the ten seconds before), the choice of holders (no lending:unanswered line).

Change: up to ten asks while no holder has refused; a lower limit begins after 0.7 of the time in which a configuration comes into force.

--- a/src/eelgrassweir/mesh/app.py
+++ b/src/eelgrassweir/mesh/app.py
@@ -49,6 +49,9 @@
 # A watch can miss changes for about a second before the store says that its
 # history is gone; the rest covers timers and the way of the request.
 KEY_MARGIN_MS = 1_300
+# A lower rate begins after this share of the time in which a configuration
+# comes into force; the rest covers its way to this daemon.
+LOWER_AFTER_SHARE = 0.7
 # Shares of the budget for repeated arrivals. Repeats of a run repeat its calls
 # as well, so one daemon uses less than its part.
 RATIO_SHARE = 0.35
@@ -134,6 +137,7 @@
             clock=self.clock,
             members=self.directory.members,
             links=self.links,
+            lower_after_ms=settings.config_apply_ms * LOWER_AFTER_SHARE,
         )
         self.link_server = LinkServer(
             link_options,
--- a/src/eelgrassweir/mesh/lending.py
+++ b/src/eelgrassweir/mesh/lending.py
@@ -30,6 +30,9 @@
 # Part of the allowed overage that is lent; the rest covers tokens that two
 # holders lent while the daemons did not yet agree on one of them.
 OVERAGE_SHARE = 0.6
+# Requests that come together ask for few tokens each while the demand is not
+# known yet, and wait for one another.
+MAX_ASKS = 10
 
 
 @attrs.frozen(kw_only=True)
@@ -54,6 +57,7 @@
         clock: Clock,
         members: MemberTable,
         links: LinkPool,
+        lower_after_ms: float,
     ) -> None:
         self._vm = vm
         self._incarnation = incarnation
@@ -63,7 +67,11 @@
         self._clock = clock
         self._members = members
         self._links = links
+        self._lower_after_ms = lower_after_ms
         self._teams: dict[str, TeamRule] = {}
+        # Lower limits that are not applied yet, and when they will be.
+        self._lowered: dict[str, TeamRule] = {}
+        self._lower_at_ms: dict[str, float] = {}
         self._accounts = CreditAccounts()
         self._holder: CreditHolder | None = None
         self._fallback: CreditHolder | None = None
@@ -74,19 +82,45 @@
         members.subscribe(self._forget_holders)
 
     def take_config(self, config: RoutingConfig) -> None:
-        """Lend by the rates of a new configuration."""
-        self._teams = dict(config.teams)
+        """Lend by the rates of a new configuration.
+
+        A lower limit begins once every daemon has the configuration, so that
+        no daemon refuses what another still serves.
+        """
+        now_ms = self._clock.now_ms()
+        teams = dict(config.teams)
+        due_ms = dict(self._lower_at_ms)
+        self._lowered.clear()
+        self._lower_at_ms.clear()
+        for name, team in config.teams.items():
+            known = self._teams.get(name)
+            if known is not None and _is_lower(team, known):
+                teams[name] = known
+                self._lowered[name] = team
+                at_ms = due_ms.get(name, now_ms + self._lower_after_ms)
+                self._lower_at_ms[name] = at_ms
+        self._set_teams(teams, now_ms)
+
+    def follow_directory(self) -> None:
+        """Follow who lends, and what becomes due with time."""
         now_ms = self._clock.now_ms()
+        due = [name for name, at_ms in self._lower_at_ms.items() if at_ms <= now_ms]
+        if due:
+            for name in due:
+                del self._lower_at_ms[name]
+            lower = {name: self._lowered.pop(name) for name in due}
+            self._set_teams(self._teams | lower, now_ms)
+        if self._teams:
+            # Lend before the first request, so that buckets fill.
+            self._own_holder(now_ms)
+
+    def _set_teams(self, teams: dict[str, TeamRule], now_ms: float) -> None:
+        self._teams = teams
         if self._holder is not None:
             self._holder.set_parts(self._parts(self._domain_count), now_ms)
         if self._fallback is not None:
             self._set_fallback(now_ms)
 
-    def follow_directory(self) -> None:
-        """Begin to lend before the first request, so that buckets fill."""
-        if self._teams:
-            self._own_holder(self._clock.now_ms())
-
     # Entry side
 
     async def take(self, team: TeamRule) -> int:
@@ -101,8 +135,7 @@
             if accounts.is_low(team.name, now_ms):
                 self._ask(team.name)
             return 0
-        # One call may be under way that did not ask for this team.
-        for _ in range(2):
+        for _ in range(MAX_ASKS):
             refused_ms = accounts.refused_ms(team.name, self._clock.now_ms())
             if refused_ms:
                 return refused_ms
@@ -288,5 +321,14 @@
         }
 
 
+def _is_lower(team: TeamRule, known: TeamRule) -> bool:
+    """Tell whether a limit falls; a rate of 0 is no limit."""
+    if known.rate_per_s <= 0:
+        return False
+    return 0 < team.rate_per_s < known.rate_per_s or (
+        team.burst_calls < known.burst_calls and team.rate_per_s > 0
+    )
+
+
 def _rank(member: Member) -> tuple[bool, str]:
     return member.state != READY, member.vm
--- a/testing/mesh/test_lending.py
+++ b/testing/mesh/test_lending.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import attrs
+
 from eelgrassweir.clock import ManualClock
 from eelgrassweir.daemon.link_client import LinkOptions, LinkPool
 from eelgrassweir.membership.table import MemberTable
@@ -18,6 +20,7 @@
     teams={"t": TEAM},
     limits=LIMITS,
 )
+LOWER_AFTER_MS = 1_500.0
 REQUEST = BorrowRequest(requests=[{"team": "t", "wanted": 3}])  # type: ignore[list-item]
 
 
@@ -53,6 +56,7 @@
         clock=clock,
         members=members,
         links=LinkPool(options, clock),
+        lower_after_ms=LOWER_AFTER_MS,
     )
 
 
@@ -108,3 +112,66 @@
         assert [holder.vm for holder in entry.usable_holders()] == ["v0"]
 
     asyncio.run(scenario())
+
+
+def test_first_requests_that_come_together_all_get_tokens() -> None:
+    """Guard against 429 while the holder has tokens.
+
+    A demand that is not known yet asks for one token at a time.
+    """
+
+    async def scenario() -> None:
+        members = MemberTable()
+        members.merge(member("v0", 1))
+        entry = lending("v0", members, ManualClock())
+        entry.take_config(CONFIG)
+        waits = await asyncio.gather(*(entry.take(TEAM) for _ in range(10)))
+        assert waits == [0] * 10
+
+    asyncio.run(scenario())
+
+
+def lent_calls(holder: Lending, clock: ManualClock, span_ms: int) -> int:
+    """Return the tokens lent in a span to a demand above any rate."""
+    tokens = 0
+    greedy = BorrowRequest(requests=[{"team": "t", "wanted": 50}])  # type: ignore[list-item]
+    for _ in range(span_ms // 100):
+        clock.advance(100.0)
+        holder.follow_directory()
+        tokens += holder.lend(greedy).grants[0].tokens
+    return tokens
+
+
+def test_lower_rate_begins_when_all_daemons_know_it() -> None:
+    """Guard against refusals at one daemon of what another still serves."""
+
+    async def scenario() -> None:
+        members = MemberTable()
+        members.merge(member("v0", 1))
+        clock = ManualClock()
+        holder = lending("v0", members, clock)
+        holder.take_config(CONFIG)
+        lent_calls(holder, clock, 5_000)
+        low = attrs.evolve(TEAM, rate_per_s=10.0, burst_calls=10.0)
+        holder.take_config(attrs.evolve(CONFIG, version=2, teams={"t": low}))
+        assert lent_calls(holder, clock, int(LOWER_AFTER_MS)) > 100
+        lent_calls(holder, clock, 1_000)
+        assert lent_calls(holder, clock, 5_000) < 80
+
+    asyncio.run(scenario())
+
+
+def test_rate_that_falls_and_rises_again_is_the_newest() -> None:
+    async def scenario() -> None:
+        members = MemberTable()
+        members.merge(member("v0", 1))
+        clock = ManualClock()
+        holder = lending("v0", members, clock)
+        holder.take_config(CONFIG)
+        low = attrs.evolve(TEAM, rate_per_s=10.0, burst_calls=10.0)
+        holder.take_config(attrs.evolve(CONFIG, version=2, teams={"t": low}))
+        holder.take_config(attrs.evolve(CONFIG, version=3))
+        lent_calls(holder, clock, 5_000)
+        assert lent_calls(holder, clock, 5_000) > 400
+
+    asyncio.run(scenario())
