Deepen the buckets of teams by part of the allowed slack

A team of ten requests a second has a bucket of one or two tokens in each of four domains, and half of it is lent at most.

Change: the settings carry the slack of the platform's quota, and 0.4 of it is spread over the domains' buckets; the rest stays for tokens that two holders lent.

The new test failed before.

--- a/src/eelgrassweir/mesh/app.py
+++ b/src/eelgrassweir/mesh/app.py
@@ -132,7 +132,9 @@
             failure_domain=settings.failure_domain,
             failure_domains=settings.failure_domains,
             terms=QuotaTerms(
-                window_s=settings.quota_window_s, overage=settings.quota_overage
+                window_s=settings.quota_window_s,
+                overage=settings.quota_overage,
+                slack_calls=settings.quota_slack_calls,
             ),
             clock=self.clock,
             members=self.directory.members,
--- a/src/eelgrassweir/mesh/lending.py
+++ b/src/eelgrassweir/mesh/lending.py
@@ -30,6 +30,9 @@
 # Part of the allowed overage that is lent; the rest covers tokens that two
 # holders lent while the daemons did not yet agree on one of them.
 OVERAGE_SHARE = 0.6
+# Part of the allowed slack that deepens the buckets. The buckets of a small
+# team would otherwise hold one or two tokens in each domain.
+SLACK_SHARE = 0.4
 # Requests that come together ask for few tokens each while the demand is not
 # known yet, and wait for one another.
 MAX_ASKS = 10
@@ -41,6 +44,7 @@
 
     window_s: float
     overage: float
+    slack_calls: float
 
 
 class Lending:
@@ -262,6 +266,7 @@
     def _parts(self, count: int) -> dict[str, BucketPart]:
         """Return an even part of every team's bucket."""
         parts = {}
+        slack_calls = self._terms.slack_calls * SLACK_SHARE
         for team in self._teams.values():
             whole = lent_rate(
                 rate_per_s=team.rate_per_s,
@@ -271,7 +276,7 @@
             )
             parts[team.name] = BucketPart(
                 rate_per_s=whole.rate_per_s / count,
-                depth_calls=max(1.0, whole.depth_calls / count),
+                depth_calls=max(1.0, (whole.depth_calls + slack_calls) / count),
             )
         return parts
 
--- a/src/eelgrassweir/settings/mesh_generated.py
+++ b/src/eelgrassweir/settings/mesh_generated.py
@@ -32,6 +32,7 @@
     budget_ratio: float
     budget_slack_calls: int
     quota_window_s: int
+    quota_slack_calls: int = 0
     link_ping_ms: int = 250
     link_silence_ms: int = 750
     store_timeout_ms: int = 1000
@@ -169,6 +170,13 @@
         minimum=1,
         maximum=3600,
     ),
+    Field(
+        name="quota_slack_calls",
+        kind="integer",
+        required=False,
+        minimum=0,
+        maximum=1000000,
+    ),
     Field(
         name="link_ping_ms",
         kind="integer",
--- a/testing/mesh/test_lending.py
+++ b/testing/mesh/test_lending.py
@@ -52,7 +52,7 @@
         incarnation=f"{vm}/1",
         failure_domain="a",
         failure_domains=("a",),
-        terms=QuotaTerms(window_s=5.0, overage=0.1),
+        terms=QuotaTerms(window_s=5.0, overage=0.1, slack_calls=20.0),
         clock=clock,
         members=members,
         links=LinkPool(options, clock),
@@ -175,3 +175,21 @@
         assert lent_calls(holder, clock, 5_000) > 400
 
     asyncio.run(scenario())
+
+
+def test_small_team_can_send_a_few_requests_at_once() -> None:
+    """Guard against 429 far below the rate: an even part was one token."""
+
+    async def scenario() -> None:
+        members = MemberTable()
+        members.merge(member("v0", 1))
+        small = attrs.evolve(TEAM, rate_per_s=4.0, burst_calls=4.0)
+        clock = ManualClock()
+        entry = lending("v0", members, clock)
+        entry.take_config(attrs.evolve(CONFIG, teams={"t": small}))
+        entry.follow_directory()
+        clock.advance(10_000.0)
+        waits = await asyncio.gather(*(entry.take(small) for _ in range(6)))
+        assert waits == [0] * 6
+
+    asyncio.run(scenario())
