Probe connections to the backend server while they are open

Cause: an open connection can go silent for good. The daemon of the platform learned of that only at the deadline of each request on it, up to 5 s later.

Ruled out: giving requests up after a silence of the answer, as the product's own interface does; a run may take seconds without a byte.

Change: connections to the backend server set TCP_USER_TIMEOUT (1 s) and keep-alive probes, so that the system ends a connection whose host does not acknowledge.

--- a/src/eelgrassweir/daemon/http_client.py
+++ b/src/eelgrassweir/daemon/http_client.py
@@ -4,6 +4,7 @@
 import contextlib
 import enum
 import math
+import socket
 from collections.abc import Callable
 from typing import cast
 
@@ -30,6 +31,9 @@
 # A backend server that sent bytes that nobody asked for gets one request a
 # connection for this long.
 DISTRUST_MS = 60_000
+# Interval of keep-alive probes, the shortest that the system offers.
+KEEP_ALIVE_S = 1
+KEEP_ALIVE_PROBES = 2
 # A pooled connection is suspected of silence once its answer takes this much
 # longer than answers usually do, and at least this long.
 SUSPECT_FACTOR = 8.0
@@ -65,6 +69,9 @@
     """Hold how a server is spoken to."""
 
     connect_limit_ms: int = CONNECT_LIMIT_MS
+    # How long the server's host may leave bytes or probes unacknowledged; 0
+    # leaves this to the system. The server itself may take longer to answer.
+    unacknowledged_limit_ms: int = 0
     rest_ms: int = REST_MS
     distrust_ms: int = DISTRUST_MS
     # Whether the server is sent the host that the request names.
@@ -264,6 +271,8 @@
                 error.strerror or type(error).__name__,
                 Sent.NOT_SENT,
             ) from None
+        if self._options.unacknowledged_limit_ms:
+            connection.detect_silence(self._options.unacknowledged_limit_ms)
         return connection
 
 
@@ -326,6 +335,20 @@
                 self._timer.cancel()
                 self._timer = None
 
+    def detect_silence(self, limit_ms: int) -> None:
+        """Let the system end the connection when its peer's host is silent."""
+        if self._transport is None:
+            return
+        connected = self._transport.get_extra_info("socket")
+        for option, value in (
+            (socket.TCP_USER_TIMEOUT, limit_ms),
+            (socket.TCP_KEEPIDLE, KEEP_ALIVE_S),
+            (socket.TCP_KEEPINTVL, KEEP_ALIVE_S),
+            (socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES),
+        ):
+            connected.setsockopt(socket.IPPROTO_TCP, option, value)
+        connected.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+
     def watch(self, silence_ms: float, is_alive: Callable[[], bool]) -> None:
         """Fail the next exchange when no byte arrives for ``silence_ms``."""
         loop = asyncio.get_running_loop()
--- a/src/eelgrassweir/mesh/app.py
+++ b/src/eelgrassweir/mesh/app.py
@@ -42,6 +42,8 @@
 BODY_LIMIT_BYTES = 67_108_864
 LINK_CONNECT_LIMIT_MS = 300
 BACKEND_CONNECT_LIMIT_MS = 300
+# The backend server's host is this VM, which acknowledges in microseconds.
+BACKEND_SILENCE_MS = 1_000
 QUEUE_LIMIT_CALLS = 400
 # Bytes between failure domains are dear, and the slots are exact, so the own
 # domain is left only when its targets are much fuller than others.
@@ -428,6 +430,7 @@
             body_limit_bytes=BODY_LIMIT_BYTES,
             options=ClientOptions(
                 connect_limit_ms=BACKEND_CONNECT_LIMIT_MS,
+                unacknowledged_limit_ms=BACKEND_SILENCE_MS,
                 rest_ms=0,
                 distrust_ms=0,
                 keeps_host=True,
--- a/testing/daemon/test_http.py
+++ b/testing/daemon/test_http.py
@@ -180,6 +180,31 @@
     asyncio.run(scenario())
 
 
+def test_connection_is_probed_while_an_answer_is_awaited() -> None:
+    """A connection can go silent for good; only probes show it."""
+    probed: list[tuple[int, int]] = []
+
+    async def scenario() -> None:
+        connection = BackendConnection(
+            "127.0.0.1:1", 1_000, lambda _: None, ClientOptions()
+        )
+        with socket.socket() as connected:
+            transport = mock.create_autospec(asyncio.Transport, instance=True)
+            transport.get_extra_info.return_value = connected
+            connection.connection_made(transport)
+            connection.detect_silence(700)
+            tcp = socket.IPPROTO_TCP
+            probed.append(
+                (
+                    connected.getsockopt(tcp, socket.TCP_USER_TIMEOUT),
+                    connected.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE),
+                )
+            )
+
+    asyncio.run(scenario())
+    assert probed == [(700, 1)]
+
+
 def test_connection_refused_is_certainly_not_sent() -> None:
     async def scenario() -> None:
         async def script(
