Add explain: from a request's id and the logs to what decided

The command reads the logs of several daemons, puts the lines of a request in order and adds what the daemons on its path believed: the configuration in force and the changes that a refusal with its code can rest on. Cut lines and seconds in which lines were left out are told.

The daemon is unchanged.

--- a/src/eelgrassweir/cli/commands.py
+++ b/src/eelgrassweir/cli/commands.py
@@ -11,6 +11,12 @@
 from fire.decorators import SetParseFn
 
 from eelgrassweir.cli.admin_client import AdminClient
+from eelgrassweir.cli.explain import (
+    explain,
+    explanation_json,
+    explanation_text,
+    read_log,
+)
 from eelgrassweir.cli.failure import CommandError, ExitStatus
 from eelgrassweir.cli.files import read_json, read_token, write_plan
 from eelgrassweir.cli.progress import Progress, follow, old_version_note
@@ -204,6 +210,19 @@
             "Nothing of this plan has taken effect.",
         )
 
+    @SetParseFn(str)  # type: ignore[untyped-decorator]
+    def explain(self, request_id: str, *files: str) -> Action:
+        """Show from the log files of daemons why a request failed."""
+        return Action(lambda: self._explain(request_id, files))
+
+    def _explain(self, request_id: str, files: tuple[str, ...]) -> None:
+        if not files:
+            raise CommandError(ExitStatus.USAGE, "no log file", "Name log files.")
+        logs = [read_log(path) for path in files]
+        found = explain(request_id, logs)
+        shown = explanation_json(found, logs)
+        self._show(shown, lambda: explanation_text(found, logs))
+
     def status(self) -> Action:
         """Show the daemon's state and which versions the fleet has."""
         return Action(self._status)
