--- a/testing/mesh/test_lending.py
+++ b/testing/mesh/test_lending.py
@@ -20,6 +20,11 @@
     teams={"t": TEAM},
     limits=LIMITS,
 )
+LOWER_CONFIG = attrs.evolve(
+    CONFIG,
+    version=2,
+    teams={"t": attrs.evolve(TEAM, rate_per_s=10.0, burst_calls=10.0)},
+)
 LOWER_AFTER_MS = 1_500.0
 REQUEST = BorrowRequest(requests=[{"team": "t", "wanted": 3}])  # type: ignore[list-item]
 
@@ -121,16 +126,22 @@
     """
 
     async def scenario() -> None:
-        members = MemberTable()
-        members.merge(member("v0", 1))
-        entry = lending("v0", members, ManualClock())
-        entry.take_config(CONFIG)
+        entry = only_holder(ManualClock())
         waits = await asyncio.gather(*(entry.take(TEAM) for _ in range(10)))
         assert waits == [0] * 10
 
     asyncio.run(scenario())
 
 
+def only_holder(clock: ManualClock) -> Lending:
+    """Return the lending of the only daemon of its domain."""
+    members = MemberTable()
+    members.merge(member("v0", 1))
+    holder = lending("v0", members, clock)
+    holder.take_config(CONFIG)
+    return holder
+
+
 def lent_calls(holder: Lending, clock: ManualClock, span_ms: int) -> int:
     """Return the tokens lent in a span to a demand above any rate."""
     tokens = 0
@@ -146,14 +157,10 @@
     """Guard against refusals at one daemon of what another still serves."""
 
     async def scenario() -> None:
-        members = MemberTable()
-        members.merge(member("v0", 1))
         clock = ManualClock()
-        holder = lending("v0", members, clock)
-        holder.take_config(CONFIG)
+        holder = only_holder(clock)
         lent_calls(holder, clock, 5_000)
-        low = attrs.evolve(TEAM, rate_per_s=10.0, burst_calls=10.0)
-        holder.take_config(attrs.evolve(CONFIG, version=2, teams={"t": low}))
+        holder.take_config(LOWER_CONFIG)
         assert lent_calls(holder, clock, int(LOWER_AFTER_MS)) > 100
         lent_calls(holder, clock, 1_000)
         assert lent_calls(holder, clock, 5_000) < 80
@@ -163,13 +170,9 @@
 
 def test_rate_that_falls_and_rises_again_is_the_newest() -> None:
     async def scenario() -> None:
-        members = MemberTable()
-        members.merge(member("v0", 1))
         clock = ManualClock()
-        holder = lending("v0", members, clock)
-        holder.take_config(CONFIG)
-        low = attrs.evolve(TEAM, rate_per_s=10.0, burst_calls=10.0)
-        holder.take_config(attrs.evolve(CONFIG, version=2, teams={"t": low}))
+        holder = only_holder(clock)
+        holder.take_config(LOWER_CONFIG)
         holder.take_config(attrs.evolve(CONFIG, version=3))
         lent_calls(holder, clock, 5_000)
         assert lent_calls(holder, clock, 5_000) > 400
