Order requests by the priority of the route where teams are equal

Cause: the daemon of the platform ranked requests by their team alone. Where all teams have the same number, lookups and filings were equal in the queue of a full target, against the promise that important requests are shed last.

Change: the entry sends a rank (the team's number first, then the route's), and the queue orders the calls of one priority by it. The product's own interface goes on ranking by depth.

The new test failed before (a lookup ran before a filing).

--- a/src/eelgrassweir/mesh/entry.py
+++ b/src/eelgrassweir/mesh/entry.py
@@ -22,6 +22,8 @@
 # Urgency within the mesh; a call of a running request comes before any root
 # request, since its parent's work is lost with it.
 CHILD_PRIORITY = link_pb2.CRITICAL
+# Numbers of teams and routes beyond this one are alike.
+LAST_RANK = 15
 NO_CONFIG_RETRY_MS = 500
 STALE_RETRY_MS = 500
 DRAINING_RETRY_MS = 50
@@ -149,7 +151,7 @@
             request_id=asked.request_id,
             team=team.name if team else "",
             priority=_urgency(route, team),
-            depth=0 if team else 1,
+            rank=_rank(route, team),
             idempotent=route.idempotent,
             service=pick_service(route, self._rng),
             caller_service=self._service,
@@ -188,10 +190,17 @@
 
 
 def _urgency(route: RouteRule, team: TeamRule | None) -> link_pb2.Priority.ValueType:
-    """Return the priority of a request at its target.
-
-    A team's rank goes before the route's; rank 0 is the most urgent.
-    """
+    """Return the priority of a request at its target."""
     if team is None:
         return CHILD_PRIORITY
     return link_pb2.NORMAL if team.priority <= 0 else link_pb2.BACKGROUND
+
+
+def _rank(route: RouteRule, team: TeamRule | None) -> int:
+    """Return the order of a request among those of its priority.
+
+    The team's number goes before the route's; in both 0 is the most urgent.
+    """
+    of_team = team.priority if team is not None else 0
+    parts = [min(max(number, 0), LAST_RANK) for number in (of_team, route.priority)]
+    return (LAST_RANK - parts[0]) * (LAST_RANK + 1) + LAST_RANK - parts[1]
--- a/src/eelgrassweir/mesh/target.py
+++ b/src/eelgrassweir/mesh/target.py
@@ -101,7 +101,7 @@
         try:
             admission = await self.gate.enter(
                 priority=context.priority,
-                depth=context.depth,
+                rank=context.rank,
                 remaining_ms=context.remaining_ms - QUEUE_MARGIN_MS,
             )
             if isinstance(admission, Refusal):
--- a/testing/mesh/test_whole_path.py
+++ b/testing/mesh/test_whole_path.py
@@ -153,6 +153,34 @@
     asyncio.run(scenario())
 
 
+def test_urgent_route_goes_first_at_a_full_target() -> None:
+    """Guard against filings shed before lookups of teams with equal rank."""
+
+    async def scenario() -> None:
+        async with mesh_fleet() as fleet:
+            hold = asyncio.Event()
+            backend = BackendStandIn("notes", "i-0", slots=1, hold=hold)
+            entry = await fleet.add(backend)
+            fleet.configure(
+                route("/view/", "notes", public=False, priority=2),
+                route("/file/", "notes", public=False, priority=0),
+            )
+            await fleet.settled()
+            calls = []
+            for number, path in enumerate(("/view/1", "/view/2", "/file/3"), start=1):
+                calls.append(asyncio.ensure_future(fleet.call(entry, path, KEYED)))
+                await eventually(lambda n=number: entry.target.running_calls == n)
+            hold.set()
+            await asyncio.gather(*calls)
+            assert [run.path for run in backend.runs] == [
+                "/view/1",
+                "/file/3",
+                "/view/2",
+            ]
+
+    asyncio.run(scenario())
+
+
 def test_answer_is_cut_off_at_the_timeout_of_the_route() -> None:
     """Guard against a caller that waits longer than the operator allows."""
 
