--- a/src/eelgrassweir/admission/queue.py
+++ b/src/eelgrassweir/admission/queue.py
@@ -28,8 +28,7 @@
     """One waiting call; the token belongs to whoever pushed it."""
 
     priority: int
-    # Orders the calls of one priority, the highest first.
-    rank: int
+    depth: int
     deadline_ms: float
     arrived_ms: float
     token: object
@@ -56,9 +55,9 @@
 
 
 class CallQueue:
-    """Order waiting calls by priority, rank and age, and drop hopeless ones.
+    """Order waiting calls by priority, depth and age, and drop hopeless ones.
 
-    Within a priority higher ranks go first. Equal ones go newest first while
+    Within a priority deeper calls go first. Equal ones go newest first while
     the queue is overloaded, since the oldest are about to miss their
     deadlines, and oldest first otherwise.
     """
@@ -119,7 +118,7 @@
 
     def remove(self, call: QueuedCall) -> bool:
         """Take out a call whose caller has gone; False if it is not queued."""
-        key = (call.priority, call.rank)
+        key = (call.priority, call.depth)
         calls = self._calls.get(key)
         if calls is None or call not in calls:
             return False
@@ -153,7 +152,7 @@
             self._below_target_ms = now_ms
 
     def _insert(self, call: QueuedCall) -> None:
-        key = (call.priority, call.rank)
+        key = (call.priority, call.depth)
         self._calls.setdefault(key, collections.deque()).append(call)
         self._size_calls += 1
 
--- a/src/eelgrassweir/daemon/gate.py
+++ b/src/eelgrassweir/daemon/gate.py
@@ -82,7 +82,7 @@
         self._tallies = [_Tally() for _ in range(PRIORITIES)]
 
     async def enter(
-        self, *, priority: int, rank: int, remaining_ms: float
+        self, *, priority: int, depth: int, remaining_ms: float
     ) -> Admission | Refusal:
         """Wait for a turn; a refused call was not run."""
         now_ms = self._clock.now_ms()
@@ -94,7 +94,7 @@
         future = asyncio.get_running_loop().create_future()
         call = QueuedCall(
             priority=priority,
-            rank=rank,
+            depth=depth,
             deadline_ms=now_ms + remaining_ms,
             arrived_ms=now_ms,
             token=future,
--- a/src/eelgrassweir/daemon/target.py
+++ b/src/eelgrassweir/daemon/target.py
@@ -246,7 +246,7 @@
         deadline_ms = self._clock.now_ms() + context.remaining_ms
         admission = await self._gate.enter(
             priority=context.priority,
-            rank=context.depth,
+            depth=context.depth,
             remaining_ms=context.remaining_ms,
         )
         if isinstance(admission, Refusal):
--- a/src/eelgrassweir/mesh/target.py
+++ b/src/eelgrassweir/mesh/target.py
@@ -101,7 +101,8 @@
         try:
             admission = await self.gate.enter(
                 priority=context.priority,
-                rank=context.rank,
+                # The queue's order within a priority; roots have no depth.
+                depth=context.rank,
                 remaining_ms=context.remaining_ms - QUEUE_MARGIN_MS,
             )
             if isinstance(admission, Refusal):
--- a/testing/admission/test_queue.py
+++ b/testing/admission/test_queue.py
@@ -7,13 +7,13 @@
 
 def make_call(
     priority: int = 1,
-    rank: int = 0,
+    depth: int = 0,
     deadline_ms: float = 1_000.0,
     arrived_ms: float = 0.0,
 ) -> QueuedCall:
     return QueuedCall(
         priority=priority,
-        rank=rank,
+        depth=depth,
         deadline_ms=deadline_ms,
         arrived_ms=arrived_ms,
         token=None,
@@ -32,10 +32,10 @@
     keys: list[tuple[int, int]],
 ) -> None:
     queue = CallQueue(10)
-    calls = [make_call(priority, rank) for priority, rank in keys]
+    calls = [make_call(priority, depth) for priority, depth in keys]
     dropped = [call for each in calls for call in queue.push(each, 0.0)]
     popped = pop_all(queue, 1.0)
-    order = [(call.priority, call.rank) for call in popped]
+    order = [(call.priority, call.depth) for call in popped]
     assert order == sorted(keys, reverse=True)[:10]
     assert len(popped) + len(dropped) == len(calls)
 
--- a/testing/daemon/overload_run.py
+++ b/testing/daemon/overload_run.py
@@ -126,7 +126,7 @@
             await self._serve()
             return True
         admission = await self.gate.enter(
-            priority=priority, rank=0, remaining_ms=ATTEMPT_MS
+            priority=priority, depth=0, remaining_ms=ATTEMPT_MS
         )
         if isinstance(admission, Refusal):
             return False
--- a/testing/daemon/test_gate.py
+++ b/testing/daemon/test_gate.py
@@ -28,7 +28,7 @@
 async def enter(
     gate: Gate, priority: int = 1, remaining_ms: float = 1_000.0
 ) -> Admission | Refusal:
-    return await gate.enter(priority=priority, rank=0, remaining_ms=remaining_ms)
+    return await gate.enter(priority=priority, depth=0, remaining_ms=remaining_ms)
 
 
 def admitted(result: Admission | Refusal) -> Admission:
