Tidy the last changes: one record of lowered rates, one address parser

Nothing behaves differently. The two maps of lowered rates become one of a small record; follow_directory, which applies due rates as well, is called refresh; the dispatcher notes a target's answer where it counts arrivals and no longer in a predicate; http_client and link_client call split_address in place of copies of it; a parameter that nothing read is gone; the slack of the quota and that of the retry budget no longer share a name.

--- a/src/eelgrassweir/daemon/http_client.py
+++ b/src/eelgrassweir/daemon/http_client.py
@@ -12,6 +12,7 @@
 import httptools
 
 from eelgrassweir.clock import Clock
+from eelgrassweir.daemon.address import split_address
 from eelgrassweir.daemon.http_message import (
     Headers,
     HttpRequest,
@@ -242,7 +243,7 @@
         return None
 
     async def _connect(self, limit_ms: float) -> "BackendConnection":
-        host, _, port = self.address.rpartition(":")
+        host, port = split_address(self.address)
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(limit_ms / 1e3):
@@ -253,8 +254,8 @@
                         self._note_unasked,
                         self._options,
                     ),
-                    host.strip("[]"),
-                    int(port),
+                    host,
+                    port,
                 )
         except TimeoutError:
             raise ExchangeError(
--- a/src/eelgrassweir/daemon/link_client.py
+++ b/src/eelgrassweir/daemon/link_client.py
@@ -6,6 +6,7 @@
 import attrs
 
 from eelgrassweir.clock import Clock
+from eelgrassweir.daemon.address import split_address
 from eelgrassweir.daemon.identity import FLEET_NAME
 from eelgrassweir.daemon.link_frames import FrameProtocol
 from eelgrassweir.errors import StepError
@@ -288,15 +289,15 @@
 
     async def _connect(self, address: str, incarnation: str) -> LinkConnection:
         """Open a link and check who answers."""
-        host, _, port = address.rpartition(":")
+        host, port = split_address(address)
         loop = asyncio.get_running_loop()
         link = LinkConnection(address, self._options, self._clock)
         try:
             async with asyncio.timeout(self._options.connect_limit_ms / 1e3):
                 await loop.create_connection(
                     lambda: link,
-                    host.strip("[]"),
-                    int(port),
+                    host,
+                    port,
                     ssl=self._options.tls,
                     server_hostname=FLEET_NAME if self._options.tls else None,
                 )
--- a/src/eelgrassweir/mesh/app.py
+++ b/src/eelgrassweir/mesh/app.py
@@ -403,7 +403,7 @@
             if self._log_output is not None:
                 self._log_output.flush(self.clock.now_ms())
             self.directory.drop_missing()
-            self.lending.follow_directory()
+            self.lending.refresh()
             age_ms = self.feed.freshness.age_ms(self.clock.now_ms())
             self.metrics.config_age.set(-1 if age_ms is None else age_ms / 1e3)
             daemons = max(1, self.directory.members.live_count())
--- a/src/eelgrassweir/mesh/dispatch.py
+++ b/src/eelgrassweir/mesh/dispatch.py
@@ -82,6 +82,8 @@
             call.tried.add(member.vm)
             last = await self._attempt(call, member)
             call.arrivals += last.reached_backend
+            if isinstance(last.result, HttpResponse):
+                call.answer = last.result
             if not self._is_repeatable(call, last):
                 break
         if last is None:
@@ -108,7 +110,6 @@
             return False
         result = last.result
         if isinstance(result, HttpResponse):
-            call.answer = result
             return call.context.idempotent and result.status >= SERVER_ERROR
         if result.not_run:
             return result.code != "deadline_exceeded"
--- a/src/eelgrassweir/mesh/entry.py
+++ b/src/eelgrassweir/mesh/entry.py
@@ -150,7 +150,7 @@
         context = link_pb2.CallContext(
             request_id=asked.request_id,
             team=team.name if team else "",
-            priority=_urgency(route, team),
+            priority=_urgency(team),
             rank=_rank(route, team),
             idempotent=route.idempotent,
             service=pick_service(route, self._rng),
@@ -189,7 +189,7 @@
         return self._wire.refusal_answer(refusal)
 
 
-def _urgency(route: RouteRule, team: TeamRule | None) -> link_pb2.Priority.ValueType:
+def _urgency(team: TeamRule | None) -> link_pb2.Priority.ValueType:
     """Return the priority of a request at its target."""
     if team is None:
         return CHILD_PRIORITY
--- a/src/eelgrassweir/mesh/lending.py
+++ b/src/eelgrassweir/mesh/lending.py
@@ -32,7 +32,7 @@
 OVERAGE_SHARE = 0.6
 # Part of the allowed slack that deepens the buckets. The buckets of a small
 # team would otherwise hold one or two tokens in each domain.
-SLACK_SHARE = 0.4
+QUOTA_SLACK_SHARE = 0.4
 # Requests that come together ask for few tokens each while the demand is not
 # known yet, and wait for one another.
 MAX_ASKS = 10
@@ -47,6 +47,14 @@
     slack_calls: float
 
 
+@attrs.frozen
+class _Lowered:
+    """Hold a lower limit that is not applied yet, and when it will be."""
+
+    team: TeamRule
+    at_ms: float
+
+
 class Lending:
     """Give requests tokens of their team, and lend those of the own domain."""
 
@@ -73,9 +81,7 @@
         self._links = links
         self._lower_after_ms = lower_after_ms
         self._teams: dict[str, TeamRule] = {}
-        # Lower limits that are not applied yet, and when they will be.
-        self._lowered: dict[str, TeamRule] = {}
-        self._lower_at_ms: dict[str, float] = {}
+        self._lowered: dict[str, _Lowered] = {}
         self._accounts = CreditAccounts()
         self._holder: CreditHolder | None = None
         self._fallback: CreditHolder | None = None
@@ -93,26 +99,24 @@
         """
         now_ms = self._clock.now_ms()
         teams = dict(config.teams)
-        due_ms = dict(self._lower_at_ms)
-        self._lowered.clear()
-        self._lower_at_ms.clear()
+        earlier, self._lowered = self._lowered, {}
         for name, team in config.teams.items():
             known = self._teams.get(name)
-            if known is not None and _is_lower(team, known):
-                teams[name] = known
-                self._lowered[name] = team
-                at_ms = due_ms.get(name, now_ms + self._lower_after_ms)
-                self._lower_at_ms[name] = at_ms
+            if known is None or not _is_lower(team, known):
+                continue
+            teams[name] = known
+            at_ms = now_ms + self._lower_after_ms
+            if name in earlier:
+                at_ms = earlier[name].at_ms
+            self._lowered[name] = _Lowered(team, at_ms)
         self._set_teams(teams, now_ms)
 
-    def follow_directory(self) -> None:
+    def refresh(self) -> None:
         """Follow who lends, and what becomes due with time."""
         now_ms = self._clock.now_ms()
-        due = [name for name, at_ms in self._lower_at_ms.items() if at_ms <= now_ms]
+        due = [name for name, low in self._lowered.items() if low.at_ms <= now_ms]
         if due:
-            for name in due:
-                del self._lower_at_ms[name]
-            lower = {name: self._lowered.pop(name) for name in due}
+            lower = {name: self._lowered.pop(name).team for name in due}
             self._set_teams(self._teams | lower, now_ms)
         if self._teams:
             # Lend before the first request, so that buckets fill.
@@ -266,7 +270,7 @@
     def _parts(self, count: int) -> dict[str, BucketPart]:
         """Return an even part of every team's bucket."""
         parts = {}
-        slack_calls = self._terms.slack_calls * SLACK_SHARE
+        slack_calls = self._terms.slack_calls * QUOTA_SLACK_SHARE
         for team in self._teams.values():
             whole = lent_rate(
                 rate_per_s=team.rate_per_s,
@@ -328,11 +332,10 @@
 
 def _is_lower(team: TeamRule, known: TeamRule) -> bool:
     """Tell whether a limit falls; a rate of 0 is no limit."""
-    if known.rate_per_s <= 0:
+    if known.rate_per_s <= 0 or team.rate_per_s <= 0:
         return False
-    return 0 < team.rate_per_s < known.rate_per_s or (
-        team.burst_calls < known.burst_calls and team.rate_per_s > 0
-    )
+    is_slower = team.rate_per_s < known.rate_per_s
+    return is_slower or team.burst_calls < known.burst_calls
 
 
 def _rank(member: Member) -> tuple[bool, str]:
--- a/testing/mesh/test_lending.py
+++ b/testing/mesh/test_lending.py
@@ -148,7 +148,7 @@
     greedy = BorrowRequest(requests=[{"team": "t", "wanted": 50}])  # type: ignore[list-item]
     for _ in range(span_ms // 100):
         clock.advance(100.0)
-        holder.follow_directory()
+        holder.refresh()
         tokens += holder.lend(greedy).grants[0].tokens
     return tokens
 
@@ -190,7 +190,7 @@
         clock = ManualClock()
         entry = lending("v0", members, clock)
         entry.take_config(attrs.evolve(CONFIG, teams={"t": small}))
-        entry.follow_directory()
+        entry.refresh()
         clock.advance(10_000.0)
         waits = await asyncio.gather(*(entry.take(small) for _ in range(6)))
         assert waits == [0] * 6
