Wait longer for the other relays; tell connections of one local port apart

Cause of "minority" ([paused]): a relay asked the others in two rounds of one beat, which is 200 ms in this test, and a busy machine can take longer. A third round of three beats follows. The time within which the write may begin is as before, so a late round does not weaken the rule for it. Cause of the silence of other connections ([cut]): the test's proxy looked the owner of a connection up by its local port only. Both ports are compared now.

Ruled out: a cut that is still incomplete when the change is confirmed; the cut returns after the last listener was told.

Tests: testing/daemon/test_commit.py (the case of 2.5 beats failed before), testing/promises/test_partition.py.

--- a/src/eelgrassweir/daemon/commit.py
+++ b/src/eelgrassweir/daemon/commit.py
@@ -15,8 +15,10 @@
 from eelgrassweir.membership.freshness import is_majority
 from eelgrassweir.proto.control_pb2 import CommitReply, CommitRequest, RelayBeat
 
-# The first round may use a connection that has become silent; it is replaced.
-ROUNDS = 2
+# Limits of the rounds of questions, in beats. The first round may use a
+# connection that has become silent; it is replaced. The last one is longer,
+# since a relay on a busy machine can take more than a beat to answer.
+ROUND_BEATS = (1, 1, 3)
 
 
 async def hears_majority(node: Node, client: ControlClient) -> bool:
@@ -30,20 +32,24 @@
     document = node.log.document
     domains = () if document is None else document.failure_domains
     heard = {node.own.failure_domain}
-    for _ in range(ROUNDS):
+    for beats in ROUND_BEATS:
         if is_majority(heard, domains):
             return True
-        await _ask_relays(node, client, heard, domains)
+        limit_ms = float(beats * node.settings.beat_ms)
+        await _ask_relays(node, client, heard, domains, limit_ms)
     return is_majority(heard, domains)
 
 
 async def _ask_relays(
-    node: Node, client: ControlClient, heard: set[str], domains: Sequence[str]
+    node: Node,
+    client: ControlClient,
+    heard: set[str],
+    domains: Sequence[str],
+    limit_ms: float,
 ) -> None:
     """Add the domains that answer to ``heard`` until they are enough."""
 
     async def ask(beat: RelayBeat) -> str:
-        limit_ms = float(node.settings.beat_ms)
         reply = await client.subtree(beat.control_address, limit_ms)
         return beat.failure_domain if isinstance(reply, Success) else ""
 
--- a/src/eelgrassweir/daemon/control.py
+++ b/src/eelgrassweir/daemon/control.py
@@ -14,7 +14,7 @@
 from eelgrassweir.config.document import ConfigDocument, parse_document
 from eelgrassweir.daemon.children import ChildLinks
 from eelgrassweir.daemon.commit import (
-    ROUNDS,
+    ROUND_BEATS,
     commit_at_store,
     hears_majority,
     reply_from_version,
@@ -64,6 +64,10 @@
 COMPARE_EVERY_TICKS = 30
 # A confirm waits for its answer, and so does the admin listener for 10 s.
 COMMIT_LIMIT_MS = 8_000.0
+# For so long after the question the answers of a majority show that it has
+# not taken a cut for an outage yet. A third round of questions does not
+# lengthen it, since the answers of the first may be as old.
+ANSWER_BEATS = 2 + SILENT_BEATS
 # Requests without a token ask for the holders, so the list is kept a moment.
 HOLDERS_CACHE_MS = 50.0
 STOP_POLLS = 50
@@ -292,7 +296,7 @@
         deadline_ms = self.node.clock.now_ms() + COMMIT_LIMIT_MS
         # A relay reads, writes and reads back.
         limit_ms = 4.0 * self._settings.store_timeout_ms
-        limit_ms += ROUNDS * self._settings.beat_ms
+        limit_ms += sum(ROUND_BEATS) * self._settings.beat_ms
         for beat in relays:
             left_ms = min(limit_ms, deadline_ms - self.node.clock.now_ms())
             if left_ms <= 0:
@@ -437,7 +441,7 @@
         if not await hears_majority(node, self._client):
             return CommitReply(result="minority", version=node.log.version)
         # The answers of the majority say nothing after a pause or slow reads.
-        until_ms = asked_ms + (ROUNDS + SILENT_BEATS) * self._settings.beat_ms
+        until_ms = asked_ms + ANSWER_BEATS * self._settings.beat_ms
         reply = await commit_at_store(
             self._store, request, lambda: node.clock.now_ms() < until_ms
         )
--- a/testing/promises/partition.py
+++ b/testing/promises/partition.py
@@ -30,28 +30,30 @@
     cut_off(fleet, set())
 
 
-def _is_across(fleet: Fleet, vms: set[str], name: str, port: int) -> bool:
+def _is_across(
+    fleet: Fleet, vms: set[str], name: str, client_port: int, proxy_port: int
+) -> bool:
     """Tell whether a connection to ``name`` crosses the cut."""
     if not vms:
         return False
     for _ in range(LOOKUPS):
-        owner = _owner(fleet, port)
+        owner = _owner(fleet, client_port, proxy_port)
         if owner:
             return (owner in vms) != (name in vms)
     # The client has closed it, or will open another one.
     return True
 
 
-def _is_store_cut(is_cut: bool, _port: int) -> bool:
+def _is_store_cut(is_cut: bool, _client_port: int, _proxy_port: int) -> bool:
     return is_cut
 
 
-def _owner(fleet: Fleet, port: int) -> str:
+def _owner(fleet: Fleet, client_port: int, proxy_port: int) -> str:
     """Return the VM whose daemon has the client side of a connection.
 
-    The proxy sees only the port of the client.
+    The proxy sees only the two ports.
     """
-    socket = f"socket:[{_inode(port)}]"
+    socket = f"socket:[{socket_inode(client_port, proxy_port)}]"
     for vm in fleet.vms.values():
         if vm.daemon is None or vm.daemon.poll() is not None:
             continue
@@ -64,12 +66,17 @@
     return ""
 
 
-def _inode(port: int) -> str:
-    """Return the inode of the socket that is bound to ``port``."""
-    local = f"0100007F:{port:04X}"
+def socket_inode(local_port: int, remote_port: int) -> str:
+    """Return the inode of one end of a connection on the loopback address.
+
+    Both ports are needed: connections to different ports can have the same
+    local one.
+    """
+    ends = (f"0100007F:{local_port:04X}", f"0100007F:{remote_port:04X}")
     for path in ("/proc/net/tcp", "/proc/net/tcp6"):
         for line in pathlib.Path(path).read_text().splitlines()[1:]:
             fields = line.split()
-            if fields[1].endswith(local) and fields[9] != "0":
+            is_same = fields[1].endswith(ends[0]) and fields[2].endswith(ends[1])
+            if is_same and fields[9] != "0":
                 return fields[9]
     return ""
--- a/testing/stand_ins/tcp_proxy.py
+++ b/testing/stand_ins/tcp_proxy.py
@@ -17,6 +17,8 @@
 READ_BYTES = 65_536
 
 T = TypeVar("T")
+# Takes the client's port and the listener's.
+IsCutOff = Callable[[int, int], bool]
 
 
 @attrs.define(eq=False)
@@ -50,8 +52,8 @@
         self.delay_ms = 0.0
         self.refusing = False
         self.accepted = 0
-        # Tells by the client's port whether a connection is to be silent.
-        self.is_cut_off: Callable[[int], bool] = lambda port: False
+        # Tells whether a connection is to be silent.
+        self.is_cut_off: IsCutOff = lambda client_port, port: False
         self.forwarded_bytes = dict.fromkeys(DIRECTIONS, 0)
 
     @property
@@ -90,14 +92,14 @@
             pair.silent.update(directions)
         return len(self._pairs)
 
-    def separate(self, is_cut_off: Callable[[int], bool]) -> None:
+    def separate(self, is_cut_off: IsCutOff) -> None:
         """Silence the connections of some clients, later ones included.
 
         Those that were silent and are not any more are reset.
         """
         self.is_cut_off = is_cut_off
         for pair in list(self._pairs):
-            if is_cut_off(pair.client_port):
+            if is_cut_off(pair.client_port, self._port):
                 pair.silent.update(DIRECTIONS)
             elif pair.silent:
                 pair.cut()
@@ -121,7 +123,7 @@
             return
         self.accepted += 1
         pair = _Pair(writer, target_writer)
-        if self.is_cut_off(pair.client_port):
+        if self.is_cut_off(pair.client_port, self._port):
             pair.silent.update(DIRECTIONS)
         self._pairs.add(pair)
         try:
@@ -234,7 +236,7 @@
         """Silence the established connections; return their number."""
         return self._call(lambda: self._listeners[name].silence(directions))
 
-    def separate(self, name: str, is_cut_off: Callable[[int], bool]) -> None:
+    def separate(self, name: str, is_cut_off: IsCutOff) -> None:
         """Silence the connections from some client ports of one listener."""
         self._call(lambda: self._listeners[name].separate(is_cut_off))
 
