Keep listeners of the mesh's tests below the ports of outgoing connections

Its fleet took a port of the range of outgoing connections and opened the listener later; a connection of another process had taken it meanwhile. The fleet of processes has chosen lower ports for the same reason since long.

Ruled out: two fleets of one test run; the file ran alone. Change: one chooser of ports, testing/ports.py, for both.

--- a/testing/fleet.py
+++ b/testing/fleet.py
@@ -1,10 +1,8 @@
 """Start a fleet of daemons and stand-ins as processes, and break it."""
 
-import contextlib
 import json
 import os
 import pathlib
-import random
 import signal
 import socket
 import subprocess
@@ -16,6 +14,7 @@
 import attrs
 import urllib3
 
+from testing.ports import reserve_port
 from testing.shapes import ServiceShape, Shape
 from testing.stand_ins.tcp_proxy import TcpProxy
 
@@ -432,23 +431,9 @@
         return self._proxied(f"{name}/ingress", self.vms[name].ingress_address)
 
     def _free_port(self) -> int:
-        """Return a free port below the range of outgoing connections.
-
-        A port of that range could be taken by a connection while the process
-        that is to listen on it starts again.
-        """
-        choice = random.SystemRandom()
-        while True:
-            port = choice.randrange(12_000, 32_000)
-            reservation = socket.socket(type=socket.SOCK_DGRAM)
-            with socket.socket() as probe, contextlib.suppress(OSError):
-                # Holding the UDP port of the same number tells fleets of other
-                # test runs that this one will listen on the TCP port.
-                reservation.bind(("127.0.0.1", port))
-                probe.bind(("127.0.0.1", port))
-                self._reservations.append(reservation)
-                return port
-            reservation.close()
+        port, reservation = reserve_port()
+        self._reservations.append(reservation)
+        return port
 
     def _spawn(
         self, log_name: str, module: str, *arguments: str
--- a/testing/mesh/fleet.py
+++ b/testing/mesh/fleet.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import json
-import socket
 from collections.abc import AsyncIterator, Sequence
 from typing import Any
 
@@ -17,6 +16,7 @@
 from eelgrassweir.mesh.main import make_wire
 from eelgrassweir.platform.store import PlatformStore
 from eelgrassweir.settings.mesh_generated import MeshSettings
+from testing.ports import reserve_port
 from testing.stand_ins.platform_store import PlatformStoreStandIn
 
 HOST = "notes.example"
@@ -229,9 +229,9 @@
 
 def free_address() -> str:
     """Return a loopback address that nobody listens on."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    port, reservation = reserve_port()
+    reservation.close()
+    return f"127.0.0.1:{port}"
 
 
 def mesh_settings(vm: str, service: str, backend_address: str) -> MeshSettings:
