--- a/src/eelgrassweir/mesh/app.py
+++ b/src/eelgrassweir/mesh/app.py
@@ -27,6 +27,7 @@
 from eelgrassweir.mesh.lending import Lending, QuotaTerms
 from eelgrassweir.mesh.link_messages import decode_request, encode_result
 from eelgrassweir.mesh.log_output import LogOutput
+from eelgrassweir.mesh.planned_stop import finish_requests
 from eelgrassweir.mesh.registration import Registration
 from eelgrassweir.mesh.target import TargetService
 from eelgrassweir.mesh.wire import Store, Wire
@@ -58,17 +59,8 @@
 # as well, so one daemon uses less than its part.
 RATIO_SHARE = 0.35
 SLACK_SHARE = 0.4
-# Callers take up to two missed questions, a second apart, to learn that the
-# daemon leaves, and may send for a while after that.
-STOP_SERVE_MS = 3_500
-# Requests of callers that come later than this could still run at the end of
-# the grace time. Calls of requests in flight are taken a little longer.
-REFUSE_ROOTS_MS = 3_000
-REFUSE_ALL_MS = 4_200
-# Requests still at work are given up in the last sixth of the grace time.
-STOP_MARGIN_SHARE = 0.16
-STOP_POLL_MS = 20
-CLOSE_LIMIT_MS = 200
+# The entry in the store is withdrawn within this time, or lapses.
+END_LIMIT_MS = 100
 
 
 class Application:
@@ -228,40 +220,26 @@
 
     async def leave(self) -> None:
         """Say that the daemon leaves, then end what is in flight."""
-        started_ms = self.clock.now_ms()
         log_message(message_type="daemon:leave", in_flight=self.in_flight_calls())
         self.is_stopping = True
-        self.callers.announce_close()
         self._announce()
-        longest_ms = self.settings.grace_s * 1e3 * (1.0 - STOP_MARGIN_SHARE)
-        while True:
-            waited_ms = self.clock.now_ms() - started_ms
-            if waited_ms >= longest_ms:
-                break
-            if waited_ms >= STOP_SERVE_MS and not self.in_flight_calls():
-                break
-            self.entry.refuses_roots = waited_ms >= REFUSE_ROOTS_MS
-            self.entry.refuses_all = waited_ms >= REFUSE_ALL_MS
-            if waited_ms >= self.settings.drain_ms / 2:
-                self.target.is_stopping = True
-            await asyncio.sleep(STOP_POLL_MS / 1e3)
-        self.callers.give_up_requests()
-        await self._close_callers()
+        await finish_requests(
+            clock=self.clock,
+            callers=self.callers,
+            entry=self.entry,
+            target=self.target,
+            in_flight_calls=self.in_flight_calls,
+            grace_ms=self.settings.grace_s * 1e3,
+            drain_ms=self.settings.drain_ms,
+        )
         log_message(message_type="daemon:left", in_flight=self.in_flight_calls())
 
-    async def _close_callers(self) -> None:
-        """Close callers' connections; those with an answer under way last."""
-        end_ms = self.clock.now_ms() + CLOSE_LIMIT_MS
-        while self.callers.connection_count and self.clock.now_ms() < end_ms:
-            self.callers.close_idle()
-            await asyncio.sleep(STOP_POLL_MS / 1e3)
-
     async def stop(self) -> None:
         """Close everything."""
         for task in self._tasks:
             task.cancel()
         try:
-            async with asyncio.timeout(CLOSE_LIMIT_MS / 2e3):
+            async with asyncio.timeout(END_LIMIT_MS / 1e3):
                 await self.registration.end()
         except (TimeoutError, StepError, OSError, KeyError, ValueError) as error:
             log_message(message_type="registration:end_failed", reason=str(error))
