Bound requests of a route whose runs fail for lack of room below

Cause: rota-view and wage-settle call payroll and allocations, which call burn-planner. It turns part of the calls away; each fails a request whose other calls were made for nothing. 23,789 tries ended with 500. Nothing bounded new requests, since the entry sees only a target's own answer.

Change: a daemon counts the calls of its backend server that failed because a queue refused them, or one below them, and says the share in its load. The entry counts runs of a route that failed while that share is above 2%, and lets fewer requests of the route in while more than a tenth of the runs fails so, less urgent ones first, down to a tenth; the rest gets 503 at once.

--- a/src/eelgrassweir/mesh/app.py
+++ b/src/eelgrassweir/mesh/app.py
@@ -6,6 +6,8 @@
 
 from eliot import log_message
 
+from eelgrassweir.admission.failures import FailureShare
+from eelgrassweir.admission.throttle import OverloadThrottle
 from eelgrassweir.clock import Clock
 from eelgrassweir.daemon.address import split_address
 from eelgrassweir.daemon.http_client import BackendClient, ClientOptions
@@ -103,6 +105,9 @@
         self.backend = BackendBeside(
             clock=self.clock, drain_ms=settings.drain_ms, connect=self._connect_backend
         )
+        # Calls of the backend server beside this daemon.
+        refused_calls = FailureShare()
+        self.throttle = OverloadThrottle(rng)
         self.target = TargetService(
             vm=settings.vm,
             clock=self.clock,
@@ -110,6 +115,7 @@
             backend=self.backend,
             wire=wire,
             queue_limit_calls=QUEUE_LIMIT_CALLS,
+            refused_calls=refused_calls,
         )
         link_options = LinkOptions(
             vm=settings.vm,
@@ -167,6 +173,8 @@
             fresh_limit_ms=settings.revoke_ms - KEY_MARGIN_MS,
             lending=self.lending,
             dispatcher=self.dispatcher,
+            throttle=self.throttle,
+            refused_calls=refused_calls,
             metrics=self.metrics,
         )
         self.control = ControlService(
@@ -290,6 +298,7 @@
             "store_calls": self.store.calls,
             "backend": self.backend.state(),
             "gate": self.target.gate.state(),
+            "admitted_shares": self.throttle.state(),
             "lending": self.lending.state(),
             "links": self.links.state(),
             "members": {
--- a/src/eelgrassweir/mesh/dispatch.py
+++ b/src/eelgrassweir/mesh/dispatch.py
@@ -37,6 +37,8 @@
     attempts: int
     arrivals: int = 0
     may_have_run: bool = False
+    # Part of the calls of its last target's runs that found no room.
+    refused_calls_share: float = 0.0
     # What a target answered before a further try.
     answer: HttpResponse | None = None
     tried: set[str] = attrs.field(factory=set)
@@ -142,30 +144,36 @@
         self._picker.record_start(member.vm)
         try:
             if member.vm == self._vm and member.incarnation == self._incarnation:
-                return await self._run_here(call, limit_ms)
+                return await self._run_here(call, member, limit_ms)
             reply = await self._links.call(
                 member.link_address,
                 member.incarnation,
                 encode_request(call.request, call.context),
                 limit_ms=limit_ms,
             )
-            self._picker.record_load(member.vm, reply.load, self._clock.now_ms())
+            self._record_load(call, member, reply.load)
             return decode_result(reply)
         except LinkError as error:
             return self._link_failed(member, error)
         finally:
             self._picker.record_end(member.vm)
 
-    async def _run_here(self, call: Call, limit_ms: float) -> TargetResult:
+    async def _run_here(
+        self, call: Call, member: Member, limit_ms: float
+    ) -> TargetResult:
         try:
             async with asyncio.timeout(limit_ms / 1e3):
                 result = await self._target.handle(call.context, call.request)
         except TimeoutError:
             reason = f"no answer in {limit_ms:.0f} ms"
             raise LinkError("local call", self._vm, reason, is_timeout=True) from None
-        self._picker.record_load(self._vm, self._target.load(), self._clock.now_ms())
+        self._record_load(call, member, self._target.load())
         return result
 
+    def _record_load(self, call: Call, member: Member, load: link_pb2.Load) -> None:
+        self._picker.record_load(member.vm, load, self._clock.now_ms())
+        call.refused_calls_share = load.refused_calls_percent / 100.0
+
     def _link_failed(self, member: Member, error: LinkError) -> TargetResult:
         if not error.is_timeout or not error.maybe_sent:
             self._picker.record_failure(member.vm, self._clock.now_ms())
--- a/src/eelgrassweir/mesh/entry.py
+++ b/src/eelgrassweir/mesh/entry.py
@@ -6,6 +6,8 @@
 import attrs
 from eliot import log_message
 
+from eelgrassweir.admission.failures import FailureShare
+from eelgrassweir.admission.throttle import OverloadThrottle
 from eelgrassweir.clock import Clock
 from eelgrassweir.daemon.http_message import HttpRequest, HttpResponse
 from eelgrassweir.daemon.metrics import Metrics
@@ -24,9 +26,19 @@
 CHILD_PRIORITY = link_pb2.CRITICAL
 # Numbers of teams and routes beyond this one are alike.
 LAST_RANK = 15
-NO_CONFIG_RETRY_MS = 500
-STALE_RETRY_MS = 500
-DRAINING_RETRY_MS = 50
+RANKS = (LAST_RANK + 1) ** 2
+# Time after which a refused request may get in.
+RETRY_MS = {
+    "config_missing": 500,
+    "config_stale": 500,
+    "draining": 50,
+    "overloaded": 500,
+}
+# Refusals by the queues of targets, which end when fewer requests get in.
+FULL_CODES = ("overloaded", "deadline_exceeded")
+# Above this share of refused calls a failed run is taken for one of theirs.
+REFUSED_CALLS_SHARE = 0.02
+SERVER_ERROR = 500
 
 
 @attrs.frozen
@@ -53,6 +65,8 @@
         fresh_limit_ms: float,
         lending: Lending,
         dispatcher: Dispatcher,
+        throttle: OverloadThrottle,
+        refused_calls: FailureShare,
         metrics: Metrics,
     ) -> None:
         self._vm = vm
@@ -65,6 +79,8 @@
         self._fresh_limit_ms = fresh_limit_ms
         self._lending = lending
         self._dispatcher = dispatcher
+        self._throttle = throttle
+        self._refused_calls = refused_calls
         self._metrics = metrics
         self.in_flight_calls = 0
         # Set late in a planned stop: what comes now could not be finished.
@@ -89,14 +105,17 @@
             return self._refused(asked, refusal)
         if self.refuses_all or (self.refuses_roots and asked.key is not None):
             refusal = self._refuse("draining", "this VM is leaving")
-            return self._refused(
-                asked, attrs.evolve(refusal, retry_after_ms=DRAINING_RETRY_MS)
-            )
+            return self._refused(asked, refusal)
         grant = await self._check(config, asked, request)
         if isinstance(grant, Refusal):
             return self._refused(asked, grant)
         call = self._make_call(request, asked, grant, started_ms)
+        if self._is_throttled(call, grant):
+            if grant.team is not None:
+                self._lending.give_back(grant.team)
+            return self._refused(asked, self._refuse_throttled(grant.route))
         result = await self._dispatcher.send(call)
+        self._record_room(call, grant, result)
         if isinstance(result, Refusal):
             if result.not_run and grant.team is not None:
                 self._lending.give_back(grant.team)
@@ -125,8 +144,7 @@
             if route.is_open:
                 return Grant(route, None)
             reason = "cut off from the store; the key may have been withdrawn"
-            refusal = self._refuse("config_stale", reason)
-            return attrs.evolve(refusal, retry_after_ms=STALE_RETRY_MS)
+            return self._refuse("config_stale", reason)
         if team.rate_per_s <= 0:
             return Grant(route, team)
         wait_ms = await self._lending.take(team)
@@ -136,6 +154,31 @@
             return attrs.evolve(refusal, retry_after_ms=wait_ms)
         return Grant(route, team)
 
+    def _is_throttled(self, call: Call, grant: Grant) -> bool:
+        """Tell whether a new request would add to an overload below it."""
+        if grant.team is None:
+            return False
+        rank = RANKS * call.context.priority + call.context.rank
+        now_ms = self._clock.now_ms()
+        return not self._throttle.admits(grant.route.name, rank, now_ms)
+
+    def _refuse_throttled(self, route: RouteRule) -> Refusal:
+        share = self._throttle.admitted_share(route.name)
+        reason = f"calls below {route.name} find no room; {share:.0%} of requests go on"
+        return self._refuse("overloaded", reason)
+
+    def _record_room(
+        self, call: Call, grant: Grant, result: HttpResponse | Refusal
+    ) -> None:
+        """Count a run or a call by whether it failed for lack of room."""
+        now_ms = self._clock.now_ms()
+        if grant.team is None:
+            refused = has_found_no_room(call, result)
+            self._refused_calls.record(failed=refused, now_ms=now_ms)
+        elif isinstance(result, HttpResponse):
+            failed = has_found_no_room(call, result)
+            self._throttle.record(grant.route.name, failed=failed, now_ms=now_ms)
+
     def _make_call(
         self,
         request: HttpRequest,
@@ -172,7 +215,7 @@
             reason=reason,
             step=STEP,
             peer=self._vm,
-            retry_after_ms=NO_CONFIG_RETRY_MS if code == "config_missing" else 0,
+            retry_after_ms=RETRY_MS.get(code, 0),
         )
 
     def _refused(self, asked: CallerRequest, refusal: Refusal) -> HttpResponse:
@@ -189,6 +232,18 @@
         return self._wire.refusal_answer(refusal)
 
 
+def has_found_no_room(call: Call, result: HttpResponse | Refusal) -> bool:
+    """Tell whether a queue refused the call or one that it needed.
+
+    Backend servers can refuse whatever the load; such calls have arrived
+    there.
+    """
+    if isinstance(result, Refusal):
+        return result.code in FULL_CODES and not call.arrivals
+    is_failure = result.status >= SERVER_ERROR
+    return is_failure and call.refused_calls_share > REFUSED_CALLS_SHARE
+
+
 def _urgency(team: TeamRule | None) -> link_pb2.Priority.ValueType:
     """Return the priority of a request at its target."""
     if team is None:
--- a/src/eelgrassweir/mesh/target.py
+++ b/src/eelgrassweir/mesh/target.py
@@ -70,12 +70,14 @@
         backend: BackendBeside,
         wire: Wire,
         queue_limit_calls: int,
+        refused_calls: FailureShare,
     ) -> None:
         self._vm = vm
         self._clock = clock
         self._backend = backend
         self._wire = wire
         self._failures = FailureShare()
+        self._refused_calls = refused_calls
         self.gate = Gate(clock, vm, queue_limit_calls, rng, limit=SlotLimit())
         self.is_stopping = False
         self.running_calls = 0
@@ -84,8 +86,9 @@
         """Return the load for a reply."""
         load = self.gate.load()
         load.draining = self.is_stopping or self._backend.is_leaving
-        share = self._failures.share(self._clock.now_ms())
-        load.failing_percent = round(100 * share)
+        now_ms = self._clock.now_ms()
+        load.failing_percent = round(100 * self._failures.share(now_ms))
+        load.refused_calls_percent = round(100 * self._refused_calls.share(now_ms))
         return load
 
     async def handle(
