Begin a lower rate later, while the earlier one is still owed

Ruled out: tokens that lie unused at some entries (the team's accounts were empty everywhere), and the lent rate (21.8 a second of 20).

Test: testing/mesh/test_lending.py (lower_after_ms).

--- a/src/eelgrassweir/mesh/app.py
+++ b/src/eelgrassweir/mesh/app.py
@@ -26,7 +26,7 @@
 from eelgrassweir.mesh.dispatch import Dispatcher
 from eelgrassweir.mesh.entry import EntryService
 from eelgrassweir.mesh.feed import StoreFeed
-from eelgrassweir.mesh.lending import Lending, QuotaTerms
+from eelgrassweir.mesh.lending import Lending, QuotaTerms, lower_after_ms
 from eelgrassweir.mesh.link_messages import decode_request, encode_result
 from eelgrassweir.mesh.log_output import LogOutput
 from eelgrassweir.mesh.planned_stop import finish_requests
@@ -54,9 +54,6 @@
 # A watch can miss changes for about a second before the store says that its
 # history is gone; the rest covers timers and the way of the request.
 KEY_MARGIN_MS = 1_300
-# A lower rate begins after this share of the time in which a configuration
-# comes into force; the rest covers its way to this daemon.
-LOWER_AFTER_SHARE = 0.7
 # Shares of the budget for repeated arrivals. Repeats of a run repeat its calls
 # as well, so one daemon uses less than its part.
 RATIO_SHARE = 0.35
@@ -139,7 +136,9 @@
             clock=self.clock,
             members=self.directory.members,
             links=self.links,
-            lower_after_ms=settings.config_apply_ms * LOWER_AFTER_SHARE,
+            lower_after_ms=lower_after_ms(
+                apply_ms=settings.config_apply_ms, window_s=settings.quota_window_s
+            ),
         )
         self.link_server = LinkServer(
             link_options,
--- a/src/eelgrassweir/mesh/lending.py
+++ b/src/eelgrassweir/mesh/lending.py
@@ -33,6 +33,10 @@
 # Part of the allowed slack that deepens the buckets. The buckets of a small
 # team would otherwise hold one or two tokens in each domain.
 QUOTA_SLACK_SHARE = 0.4
+# A lower limit binds a whole window after all daemons have it; until then
+# requests within the higher one are owed. It begins after this part of the
+# window, and the rest covers daemons that get it late.
+LOWER_WINDOW_SHARE = 0.4
 # Requests that come together ask for few tokens each while the demand is not
 # known yet, and wait for one another.
 MAX_ASKS = 10
@@ -330,6 +334,11 @@
         }
 
 
+def lower_after_ms(*, apply_ms: float, window_s: float) -> float:
+    """Return the time from a lower limit's arrival to its begin."""
+    return apply_ms + LOWER_WINDOW_SHARE * window_s * 1e3
+
+
 def _is_lower(team: TeamRule, known: TeamRule) -> bool:
     """Tell whether a limit falls; a rate of 0 is no limit."""
     if known.rate_per_s <= 0 or team.rate_per_s <= 0:
--- a/testing/mesh/test_lending.py
+++ b/testing/mesh/test_lending.py
@@ -7,7 +7,7 @@
 from eelgrassweir.clock import ManualClock
 from eelgrassweir.daemon.link_client import LinkOptions, LinkPool
 from eelgrassweir.membership.table import MemberTable
-from eelgrassweir.mesh.lending import Lending, QuotaTerms
+from eelgrassweir.mesh.lending import Lending, QuotaTerms, lower_after_ms
 from eelgrassweir.proto.control_pb2 import DRAINING, READY, BorrowRequest, Member
 from eelgrassweir.routing.rules import CallerLimits, RoutingConfig, TeamRule
 
@@ -168,6 +168,12 @@
     asyncio.run(scenario())
 
 
+def test_lower_rate_begins_after_all_have_it_and_before_it_binds() -> None:
+    """Requests within the earlier rate were refused while still owed."""
+    begins_ms = lower_after_ms(apply_ms=2_000.0, window_s=5.0)
+    assert 2_000.0 + 1_000.0 < begins_ms < 2_000.0 + 5_000.0 - 1_000.0
+
+
 def test_rate_that_falls_and_rises_again_is_the_newest() -> None:
     async def scenario() -> None:
         clock = ManualClock()
