Apply the configuration's limits of request heads

Cause: headerBytes and headerTimeout were decoded and not used; heads were bounded by 32,768 bytes and 30 s whatever the configuration said. Where an operator allows larger heads, proper requests would get 400 (DENIED). Change: the callers' listener follows both limits, as it does the others; the time for a body counts from the end of the head. Tests: testing/daemon/test_http.py, two new ones that fail without it.

--- a/src/eelgrassweir/daemon/http_server.py
+++ b/src/eelgrassweir/daemon/http_server.py
@@ -91,6 +91,8 @@
         self.warns_idle = warns_idle
         self.idle_limit_s = idle_limit_s
         self.receive_limit_s = min(idle_limit_s, RECEIVE_LIMIT_S)
+        self.head_limit_s = self.receive_limit_s
+        self.head_limit_bytes = HEAD_LIMIT_BYTES
         self.write_limit_s = min(idle_limit_s, WRITE_LIMIT_S)
         self.body_limit_bytes = body_limit_bytes
         self.is_closing = False
@@ -233,7 +235,7 @@
         """Start a request."""
         self._reset()
         self._is_receiving = True
-        self._set_timer(self._server.receive_limit_s)
+        self._set_timer(self._server.head_limit_s)
 
     def on_url(self, url: bytes) -> None:
         """Collect the request target."""
@@ -246,7 +248,9 @@
         self._headers.append((name.decode("latin-1"), value.decode("latin-1")))
 
     def on_headers_complete(self) -> None:
-        """Answer ``Expect: 100-continue``."""
+        """Answer ``Expect: 100-continue`` and wait for the body."""
+        if not self._is_ended:
+            self._set_timer(self._server.receive_limit_s)
         for name, value in self._headers:
             if name.lower() == "expect" and value.lower() == "100-continue":
                 self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -371,8 +375,9 @@
 
     def _count_head(self, size_bytes: int) -> None:
         self._head_bytes += size_bytes
-        if self._head_bytes > HEAD_LIMIT_BYTES and not self._refused:
-            self._refuse("bad_request", f"head above {HEAD_LIMIT_BYTES} bytes")
+        limit_bytes = self._server.head_limit_bytes
+        if self._head_bytes > limit_bytes and not self._refused:
+            self._refuse("bad_request", f"head above {limit_bytes} bytes")
 
     def _write(self, data: bytes) -> None:
         if self._transport is None or self._is_ended or self._transport.is_closing():
--- a/src/eelgrassweir/mesh/app.py
+++ b/src/eelgrassweir/mesh/app.py
@@ -348,8 +348,11 @@
     def _take_config(self, config: RoutingConfig) -> None:
         self.metrics.config_version.set(config.version)
         self.lending.take_config(config)
-        self.callers.idle_limit_s = config.limits.idle_timeout_ms / 1e3
-        self.callers.body_limit_bytes = config.limits.body_bytes
+        limits = config.limits
+        self.callers.idle_limit_s = limits.idle_timeout_ms / 1e3
+        self.callers.body_limit_bytes = limits.body_bytes
+        self.callers.head_limit_bytes = limits.head_bytes
+        self.callers.head_limit_s = limits.head_timeout_ms / 1e3
         if not self._has_looked:
             self._has_looked = True
             self._tasks.append(asyncio.create_task(self._find_backend(config)))
--- a/testing/daemon/test_http.py
+++ b/testing/daemon/test_http.py
@@ -1,6 +1,7 @@
 """Guard against answers that are cut short, crossed or late."""
 
 import asyncio
+import contextlib
 import socket
 import struct
 from collections.abc import Awaitable, Callable
@@ -222,13 +223,14 @@
     asyncio.run(scenario())
 
 
-async def raw_exchange(data: bytes, body_limit_bytes: int = 1_000) -> bytes:
-    """Send ``data`` to a server that echoes bodies; return all its bytes."""
+async def echo(request: HttpRequest) -> HttpResponse:
+    """Answer with the path and the body."""
+    return HttpResponse(200, (), request.path.encode() + request.body)
 
-    async def handler(request: HttpRequest) -> HttpResponse:
-        return HttpResponse(200, (), request.path.encode() + request.body)
 
-    server = HttpServer(handler, body_limit_bytes=body_limit_bytes)
+async def raw_exchange(data: bytes, body_limit_bytes: int = 1_000) -> bytes:
+    """Send ``data`` to a server that echoes bodies; return all its bytes."""
+    server = HttpServer(echo, body_limit_bytes=body_limit_bytes)
     await server.start("127.0.0.1", 0)
     assert server.port
     reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
@@ -422,3 +424,45 @@
                 await client.exchange(GET, limit_ms=2_000)
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(("limit_bytes", "status"), [(2_000, b"200"), (500, b"400")])
+def test_head_is_bounded_by_the_limit_in_force(limit_bytes: int, status: bytes) -> None:
+    """The configuration's limit was read and not applied."""
+
+    async def scenario() -> None:
+        server = HttpServer(echo, body_limit_bytes=1_000)
+        server.head_limit_bytes = limit_bytes
+        await server.start("127.0.0.1", 0)
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        padding = b"x" * 1_000
+        writer.write(b"GET / HTTP/1.1\r\nPadding: " + padding + b"\r\n\r\n")
+        assert (await reader.readline()).split()[1] == status
+        writer.close()
+        await server.stop()
+
+    asyncio.run(scenario())
+
+
+def test_head_that_does_not_end_in_time_closes_the_connection() -> None:
+    """Guard against callers that hold connections with half a head."""
+
+    async def scenario() -> None:
+        server = HttpServer(echo, body_limit_bytes=1_000)
+        server.head_limit_s = 0.1
+        await server.start("127.0.0.1", 0)
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        writer.write(b"POST / HTTP/1.1\r\nHost: h\r\n")
+        with contextlib.suppress(ConnectionResetError):
+            assert await asyncio.wait_for(reader.read(), 2.0) == b""
+        writer.close()
+        # A body may take longer than the head.
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        writer.write(b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n")
+        await asyncio.sleep(0.2)
+        writer.write(b"ab")
+        assert (await reader.readline()).split()[1] == b"200"
+        writer.close()
+        await server.stop()
+
+    asyncio.run(scenario())
