Guard the rates against changes in quick succession

A seeded walk of configurations (hypothesis) over one holder: no window lends above the rates that may be in force in it.

--- a/src/eelgrassweir/admission/failures.py
+++ b/src/eelgrassweir/admission/failures.py
@@ -1,16 +1,16 @@
-"""Recent share of runs that a backend server lost or refused."""
+"""Recent share of failures among runs or calls."""
 
 import math
 
 # One failure among many good runs must not move traffic.
 SAMPLE_WEIGHT = 0.05
-# Without runs nothing shows that the backend server still fails, and only new
-# runs can show that it does not.
+# Without runs nothing shows that they still fail, and only new runs can show
+# that they do not.
 HALF_LIFE_MS = 2_000.0
 
 
 class FailureShare:
-    """Average the outcomes of runs, newer ones more."""
+    """Average outcomes, newer ones more."""
 
     def __init__(self) -> None:
         self._share = 0.0
--- a/testing/mesh/test_lending.py
+++ b/testing/mesh/test_lending.py
@@ -1,8 +1,10 @@
 """Guard against tokens that nobody lends, or that two daemons lend."""
 
 import asyncio
+import math
 
 import attrs
+from hypothesis import given, settings, strategies as st
 
 from eelgrassweir.clock import ManualClock
 from eelgrassweir.daemon.link_client import LinkOptions, LinkPool
@@ -26,6 +28,8 @@
     teams={"t": attrs.evolve(TEAM, rate_per_s=10.0, burst_calls=10.0)},
 )
 LOWER_AFTER_MS = 1_500.0
+WINDOW_MS = 5_000.0
+STEP_MS = 100
 REQUEST = BorrowRequest(requests=[{"team": "t", "wanted": 3}])  # type: ignore[list-item]
 
 
@@ -202,3 +206,48 @@
         assert waits == [0] * 6
 
     asyncio.run(scenario())
+
+
+@given(
+    changes=st.lists(
+        st.tuples(st.integers(1, 60), st.sampled_from([5, 20, 64, 200])),
+        min_size=1,
+        max_size=8,
+    )
+)
+@settings(max_examples=40, deadline=None)
+def test_no_window_exceeds_the_rates_that_may_bind(
+    changes: list[tuple[int, int]],
+) -> None:
+    """Guard against changes in quick succession that lend above all rates.
+
+    Each change comes some tenths of a second after the one before.
+    """
+    clock = ManualClock()
+    holder = only_holder(clock)
+    lent: list[tuple[float, int]] = []
+    rates = [(clock.now_ms(), TEAM.rate_per_s)]
+
+    def lend_for(steps: int) -> None:
+        for _ in range(steps):
+            lent.append((clock.now_ms(), lent_calls(holder, clock, STEP_MS)))
+
+    lend_for(60)
+    for version, (steps, rate_per_s) in enumerate(changes, start=2):
+        team = attrs.evolve(TEAM, rate_per_s=rate_per_s, burst_calls=rate_per_s)
+        config = attrs.evolve(CONFIG, version=version, teams={"t": team})
+        holder.take_config(config)
+        rates.append((clock.now_ms(), float(rate_per_s)))
+        lend_for(steps)
+    lend_for(150)
+    for start_ms, _ in lent:
+        in_window = [n for at, n in lent if start_ms <= at < start_ms + WINDOW_MS]
+        # A rate is in force until a lower one begins.
+        ends = [at for at, _ in rates[1:]] + [math.inf]
+        binding = [
+            rate
+            for (begin_ms, rate), end_ms in zip(rates, ends, strict=True)
+            if begin_ms < start_ms + WINDOW_MS and end_ms + LOWER_AFTER_MS > start_ms
+        ]
+        allowed = max(binding) * (WINDOW_MS / 1e3 + 1.0) * 1.1 + 20.0
+        assert sum(in_window) <= allowed
