--- /dev/null
+++ b/testing/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak of real daemons on the platform's stand-ins."""
--- /dev/null
+++ b/testing/soak/backend.py
@@ -0,0 +1,59 @@
+"""Backend server of the soak: it notes each run with its time."""
+
+import asyncio
+import time
+
+import attrs
+
+from eelgrassweir.daemon.http_message import HttpRequest, HttpResponse, find_header
+from testing.mesh.fleet import HEALTH_PATH, BackendStandIn
+
+
+@attrs.frozen
+class Run:
+    """One request that a backend server began to work on."""
+
+    request_id: str
+    team: str
+    instance: str
+    started_s: float
+
+
+@attrs.define(eq=False)
+class SoakBackend(BackendStandIn):
+    """Run requests and keep when; leave or come back as another instance."""
+
+    soak_runs: list[Run] = attrs.field(factory=list)
+    state: str = "ready"
+    sequence: int = 0
+    generation: int = 0
+
+    async def _handle(self, request: HttpRequest) -> HttpResponse:
+        expected = find_header(request.headers, "x-expected-instance")
+        is_run = request.path != HEALTH_PATH and not self.not_executed
+        if is_run and expected in (None, self.instance):
+            run = Run(
+                request_id=find_header(request.headers, "x-request-id") or "",
+                team=find_header(request.headers, "x-tenant") or "",
+                instance=self.instance,
+                started_s=time.monotonic(),
+            )
+            self.soak_runs.append(run)
+        return await super()._handle(request)
+
+    def next_beat(self) -> HttpRequest:
+        """Return the next heartbeat of this instance."""
+        self.sequence += 1
+        return self.beat(self.sequence, self.state)
+
+    async def replace(self) -> None:
+        """End all requests and start as another instance."""
+        assert self.server is not None
+        port = self.server.port
+        await self.server.stop()
+        await asyncio.sleep(0.1)
+        self.generation += 1
+        self.instance = f"{self.instance.partition('.')[0]}.{self.generation}"
+        self.started_wall_ms += 1
+        self.state, self.sequence = "ready", 0
+        await self.server.start("127.0.0.1", port)
