Let the soak find each promise that is switched off

The first form found only the drain: callers sent less than the rate, no daemon was cut off while a key was taken away, and runs of 20 ms met few faults.

The last requests wait for the bucket now.

--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from testing.soak.fleet import Node, SoakFleet
+from testing.soak.fleet import RUN_S, Node, SoakFleet
 from testing.stand_ins.tcp_proxy import DIRECTIONS
 
 PARTS = ("store", "link", "backend", "callers")
@@ -206,9 +206,9 @@
 
 async def _slow(context: FaultContext, fault: Fault) -> None:
     backend = context.node(fault).backend
-    backend.delay_s = 0.2
+    backend.delay_s = 10 * RUN_S
     await asyncio.sleep(fault.for_s)
-    backend.delay_s = 0.02
+    backend.delay_s = RUN_S
 
 
 ACTS: dict[str, Act] = {
--- a/testing/soak/fleet.py
+++ b/testing/soak/fleet.py
@@ -23,6 +23,8 @@
 from testing.stand_ins.tcp_proxy import TcpProxy
 
 BEAT_S = 0.5
+# Long enough that faults meet requests at work.
+RUN_S = 0.05
 BEAT_LIMIT_MS = 400.0
 MEMBERS = "members/"
 DOMAINS = ("a", "b")
@@ -115,7 +117,7 @@
         store_address = await self.store.start()
         for index, service in enumerate(services):
             vm = f"vm-{index}"
-            backend = SoakBackend(service, f"i-{index}", slots=20, delay_s=0.02)
+            backend = SoakBackend(service, f"i-{index}", slots=20, delay_s=RUN_S)
             await backend.start()
             backend.address = self.proxy.listen(f"{vm}/backend", backend.address)
             settings = attrs.evolve(
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -29,12 +29,17 @@
     "/lists/safe/": ("lists", "safe"),
     "/lists/unsafe/": ("lists", "unsafe"),
 }
-RATES = (20.0, 30.0, 60.0)
+# Below what the callers send, so that a rate that is not kept shows.
+RATES = (10.0, 15.0, 25.0)
 CALLERS_PER_NODE = 4
 REQUEST_LIMIT_MS = 4_000.0
 READY_LIMIT_S = 15.0
+# One daemon does not hear that a key is taken away for longer than it may use
+# the key.
+CUT_OFF_S = 8.0
 # After the last fault leases, pauses of holders and skips of targets pass.
 RECOVERY_S = 10.0
+REFILL_S = 1.5
 LAST_REQUESTS = 8
 
 
@@ -73,6 +78,8 @@
             await asyncio.sleep(RECOVERY_S)
             self.is_ending = True
             await asyncio.gather(*callers)
+            # The callers pressed above the rate until now.
+            await asyncio.sleep(REFILL_S)
             unserved = await self._unserved(fleet)
             return context.broken + self._broken(fleet) + unserved
         finally:
@@ -102,13 +109,17 @@
         """Change rates often and take one key away halfway."""
         rng = random.Random(f"{self.seed} configuration")
         steps = 6
-        for step in range(steps):
-            await asyncio.sleep(self.seconds / steps)
-            self.rate_per_s = rng.choice(RATES)
-            if step == steps // 2:
-                written_s = time.monotonic()
-                self.revocations.append(Revocation(team="gone", written_s=written_s))
-            self._configure(fleet)
+        async with asyncio.TaskGroup() as group:
+            for step in range(1, steps + 1):
+                await asyncio.sleep(self.seconds / steps)
+                self.rate_per_s = rng.choice(RATES) if step < steps else RATES[-1]
+                if step == steps // 2:
+                    node = rng.choice(fleet.nodes)
+                    group.create_task(_cut_off_from_store(fleet, node))
+                    await asyncio.sleep(0.1)
+                    revocation = Revocation(team="gone", written_s=time.monotonic())
+                    self.revocations.append(revocation)
+                self._configure(fleet)
 
     async def _wait_ready(self, fleet: SoakFleet) -> None:
         async with asyncio.timeout(READY_LIMIT_S):
@@ -216,6 +227,14 @@
         )
 
 
+async def _cut_off_from_store(fleet: SoakFleet, node: Node) -> None:
+    name = f"{node.name}/store"
+    await asyncio.to_thread(fleet.proxy.refuse, name)
+    await asyncio.to_thread(fleet.proxy.cut, name)
+    await asyncio.sleep(CUT_OFF_S)
+    await asyncio.to_thread(fleet.proxy.refuse, name, False)
+
+
 def _client(fleet: SoakFleet, node: Node) -> BackendClient:
     return BackendClient(
         fleet.addresses[node.name],
