--- a/testing/mesh/test_feed.py
+++ b/testing/mesh/test_feed.py
@@ -81,6 +81,44 @@
     asyncio.run(scenario())
 
 
+def test_watch_that_hears_nothing_after_an_outage_is_no_word_of_the_store() -> None:
+    """A withdrawn key worked for 9.5 s (soak, seed 311).
+
+    The key was taken away while the daemon was cut off, and the first watch
+    afterwards fell into a moment in which watches hear nothing.
+    """
+
+    async def scenario() -> None:
+        stand_in = PlatformStoreStandIn()
+        clock = Clock()
+        seen: list[Change] = []
+        store = PlatformStore(await stand_in.start(), clock=clock, timeout_ms=500)
+        feed = StoreFeed(
+            store,
+            clock=clock,
+            rng=random.Random(1),
+            watch_ms=WATCH_MS,
+            on_snapshot=lambda snapshot: None,
+            on_change=seen.append,
+        )
+        task = asyncio.create_task(feed.run())
+        await eventually(lambda: feed.freshness.age_ms(clock.now_ms()) is not None)
+        stand_in.fault = "busy"
+        await eventually(lambda: not feed.is_reached)
+        stand_in.put("k", b"v")
+        await asyncio.sleep(3 * WATCH_MS / 1e3)
+        stand_in.fault = "mute"
+        await eventually(lambda: feed.is_reached)
+        age_ms = feed.freshness.age_ms(clock.now_ms())
+        task.cancel()
+        await stand_in.stop()
+        assert not seen
+        assert age_ms is not None
+        assert age_ms >= 3 * WATCH_MS
+
+    asyncio.run(scenario())
+
+
 def entry(vm: str, revision: int, **changes: object) -> Item:
     """Return the entry of a daemon."""
     fields: dict[str, object] = {
