Refuse to read a repeated refusal as the answer to a later request

A faulty backend server writes an earlier refusal once more on a kept connection. Two ways led to "not run" for a request that runs, found by tests of every cut and delay: - a refusal without a request id counted as an answer to any request; - a copy that is cut off runs into the next head. Cut within the first line or behind "X-Not-Executed: 1", its status or mark stood in one head with the id and the signature of the real answer. An id that is missing is now accepted on a new connection only. A head in whose reason or values another status line begins fails the exchange, with the outcome unknown. "Not run" needs the exact mark and no signature. A connection on which an answer was skipped is not used again.

An address without a valid port fails a connection as "not sent"; it raised OverflowError. A heartbeat with an address that has no IP number or no port from 1 to 65535, or with a number out of range, is malformed.

--- a/src/eelgrassweir/daemon/http_client.py
+++ b/src/eelgrassweir/daemon/http_client.py
@@ -25,6 +25,7 @@
     find_header,
 )
 from eelgrassweir.errors import StepError
+from eelgrassweir.requests.calls import ResponseMatch
 
 CONNECT_TIMEOUT_MS = 1_000
 # A backend server may close an idle connection at any time, and a request
@@ -44,6 +45,11 @@
 # than this multiple of the mean exchange time, and longer than the minimum.
 SUSPECT_FACTOR = 8.0
 SUSPECT_MIN_MS = 40.0
+# Size of a response head; a faulty server may send one without end.
+MAX_HEAD_BYTES = 65_536
+# Start of a status line. Within a reason phrase or a header value it is that
+# of the next response, which follows a response that was cut off.
+STATUS_LINE_START = "HTTP/1."
 # Weight of the newest exchange in the exponential moving average.
 MEAN_WEIGHT = 0.1
 
@@ -66,8 +72,8 @@
     is_silent: bool = False
 
 
-def _accept_any_response(_request: HttpRequest, _answer: Headers) -> bool:
-    return True
+def _accept_any_response(_request: HttpRequest, _answer: Headers) -> ResponseMatch:
+    return ResponseMatch.OWN
 
 
 def _can_always_send() -> bool:
@@ -90,15 +96,39 @@
     forwards_host: bool = False
     # Whether an answer without a length may end with its connection.
     accepts_close_delimited: bool = False
-    # Returns whether header fields belong to the answer of the request; other
-    # answers are skipped.
-    is_matching_response: Callable[[HttpRequest, Headers], bool] = _accept_any_response
+    # Tells whether header fields belong to the answer of the request. Other
+    # answers are skipped. One that cannot be told is accepted only on a new
+    # connection, which carries no answers to earlier requests.
+    match_response: Callable[[HttpRequest, Headers], ResponseMatch] = (
+        _accept_any_response
+    )
     # Called for each read of an answer.
     on_read: Callable[[], None] | None = None
 
 
+@attrs.define
+class ReceiveBuffer:
+    """Bytes of the incomplete answers of one client, over all connections.
+
+    They are bounded together, because answers without end may arrive on many
+    connections at a time.
+    """
+
+    limit_bytes: int
+    used_bytes: int = 0
+
+    @property
+    def is_full(self) -> bool:
+        """Return whether no more bytes may be held."""
+        return self.used_bytes > self.limit_bytes
+
+
 class BackendClient:
-    """Send requests to one backend server over pooled connections."""
+    """Send requests to one backend server over pooled connections.
+
+    ``body_limit_bytes`` bounds the body of one answer, and about the same
+    number of bytes is held of all incomplete answers together.
+    """
 
     def __init__(
         self,
@@ -112,6 +142,7 @@
         self._options = options or ClientOptions()
         self._clock = clock
         self._body_limit_bytes = body_limit_bytes
+        self._receive_buffer = ReceiveBuffer(body_limit_bytes + MAX_HEAD_BYTES)
         # Ordered by the time at which the connections became idle.
         self._idle: list[BackendConnection] = []
         self._deadlines = Deadlines()
@@ -271,14 +302,15 @@
         return None
 
     async def _connect(self, timeout_ms: float) -> "BackendConnection":
-        host, port = split_address(self.address)
         loop = asyncio.get_running_loop()
         try:
+            host, port = split_address(self.address)
             async with asyncio.timeout(timeout_ms / 1e3):
                 _, connection = await loop.create_connection(
                     lambda: BackendConnection(
                         self.address,
                         self._body_limit_bytes,
+                        self._receive_buffer,
                         self._handle_unsolicited_data,
                         self._options,
                     ),
@@ -293,11 +325,12 @@
                 SendStatus.NOT_SENT,
                 is_timeout=True,
             ) from None
-        except OSError as error:
+        except (OSError, ValueError) as error:
+            # A ValueError is raised for an address without a valid port.
             raise ExchangeError(
                 "backend connect",
                 self.address,
-                error.strerror or type(error).__name__,
+                describe_connect_error(error),
                 SendStatus.NOT_SENT,
             ) from None
         if self._options.tcp_user_timeout_ms:
@@ -305,6 +338,13 @@
         return connection
 
 
+def describe_connect_error(error: OSError | ValueError) -> str:
+    """Return the reason why a connection could not be opened."""
+    if isinstance(error, OSError):
+        return error.strerror or type(error).__name__
+    return str(error)
+
+
 class BackendConnection(asyncio.Protocol):
     """Connection to a server with one exchange at a time."""
 
@@ -312,11 +352,16 @@
         self,
         address: str,
         body_limit_bytes: int,
+        receive_buffer: ReceiveBuffer,
         on_unsolicited_data: Callable[["BackendConnection"], None],
         options: ClientOptions,
     ) -> None:
         self._on_unsolicited_data = on_unsolicited_data
         self._options = options
+        self._receive_buffer = receive_buffer
+        # Bytes of this exchange that count in the receive buffer.
+        self._received_bytes = 0
+        self._exchange_count = 0
         self._request: HttpRequest | None = None
         self._is_mismatched = False
         self._is_close_delimited = False
@@ -351,6 +396,8 @@
         self._parser = httptools.HttpResponseParser(self)
         self._is_head = request.method == "HEAD"
         self._start_message()
+        self._has_skipped_response = False
+        self._exchange_count += 1
         self.is_reusable = False
         self.has_received = False
         self._response = None
@@ -363,6 +410,8 @@
         try:
             return await self._done
         finally:
+            self._receive_buffer.used_bytes -= self._received_bytes
+            self._received_bytes = 0
             if self._timer is not None:
                 self._timer.cancel()
                 self._timer = None
@@ -412,6 +461,8 @@
     def _start_message(self) -> None:
         self._headers: list[tuple[str, str]] = []
         self._body = bytearray()
+        self._head_bytes = 0
+        self._has_head = False
         self._has_length = False
         self._is_mismatched = False
         self._is_close_delimited = False
@@ -453,6 +504,8 @@
             self._on_unsolicited_data(self)
             return
         self.has_received = self._has_received_since_check = True
+        self._received_bytes += len(data)
+        self._receive_buffer.used_bytes += len(data)
         with contextlib.suppress(asyncio.InvalidStateError):
             try:
                 self._parser.feed_data(data)
@@ -460,12 +513,25 @@
                 # After a complete answer these are bytes beyond its length,
                 # so the length and the answer are wrong.
                 self._fail(f"not HTTP/1.1 ({type(error).__name__})")
+            self._check_size(len(data))
             if self._is_desynchronized:
                 self.is_reusable = False
                 self._on_unsolicited_data(self)
             if self._response is not None and not self._done.done():
                 self._done.set_result(self._response)
 
+    def _check_size(self, read_bytes: int) -> None:
+        """Fail an answer that is too large and still incomplete."""
+        if self._response is not None:
+            return
+        if not self._has_head:
+            self._head_bytes += read_bytes
+        if self._head_bytes > MAX_HEAD_BYTES:
+            self._fail(f"head above {MAX_HEAD_BYTES} bytes")
+        elif self._receive_buffer.is_full:
+            limit_bytes = self._receive_buffer.limit_bytes
+            self._fail(f"incomplete answers above {limit_bytes} bytes")
+
     def _is_abandoned(self) -> bool:
         """Return whether the last request ended without an answer."""
         done = self._done
@@ -480,23 +546,31 @@
         if self._response is not None:
             self._is_desynchronized = True
 
+    def on_status(self, reason: bytes) -> None:
+        """Reject a head that was cut off in its first line."""
+        self._reject_cut_head(reason.decode("latin-1"))
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header field."""
         field = name.decode("latin-1")
+        self._reject_cut_head(value.decode("latin-1"))
         if field.lower() in ("content-length", "transfer-encoding"):
             self._has_length = True
         self._headers.append((field, value.decode("latin-1")))
 
     def on_headers_complete(self) -> None:
         """Complete answers without a body and check the framing of others."""
+        self._has_head = True
         status = self._parser.get_status_code()
         if status < 200:
             return
         assert self._request is not None
-        headers = tuple(self._headers)
-        self._is_mismatched = not self._options.is_matching_response(
-            self._request, headers
-        )
+        match = self._options.match_response(self._request, tuple(self._headers))
+        if match is ResponseMatch.UNKNOWN and self._exchange_count > 1:
+            self._fail("answer without a request id on a reused connection")
+            return
+        self._is_mismatched = match is ResponseMatch.OTHER
+        self._has_skipped_response |= self._is_mismatched
         if self._is_head:
             self._finish(status)
         elif status in (204, 304) or self._has_length:
@@ -509,6 +583,8 @@
 
     def on_body(self, body: bytes) -> None:
         """Collect the body up to the limit."""
+        if self._is_mismatched:
+            return
         self._body += body
         if len(self._body) > self._body_limit_bytes:
             self._fail(f"answer above {self._body_limit_bytes} bytes")
@@ -521,10 +597,17 @@
             return
         self._finish(status)
 
+    def _reject_cut_head(self, text: str) -> None:
+        """Fail if another response begins within this part of the head."""
+        if STATUS_LINE_START in text:
+            self._fail("two answers run into each other")
+
     def _finish(self, status: int) -> None:
         if self._response is not None:
             return
-        self.is_reusable = self._parser.should_keep_alive() and not self._is_head
+        # After an answer that no request asked for, more of them may follow.
+        is_in_step = not self._is_head and not self._has_skipped_response
+        self.is_reusable = self._parser.should_keep_alive() and is_in_step
         self._response = HttpResponse(status, tuple(self._headers), bytes(self._body))
 
     def _fail(
--- a/src/eelgrassweir/daemon/link_client.py
+++ b/src/eelgrassweir/daemon/link_client.py
@@ -12,6 +12,7 @@
 from eelgrassweir.clock import Clock
 from eelgrassweir.daemon.address import split_address
 from eelgrassweir.daemon.deadlines import Deadlines
+from eelgrassweir.daemon.http_client import describe_connect_error
 from eelgrassweir.daemon.identity import FLEET_CERTIFICATE_NAME
 from eelgrassweir.daemon.link_frames import FrameProtocol
 from eelgrassweir.errors import StepError
@@ -316,10 +317,10 @@
 
     async def _connect(self, address: str, incarnation: str) -> LinkConnection:
         """Open a link and check the incarnation of the peer."""
-        host, port = split_address(address)
         loop = asyncio.get_running_loop()
         link = LinkConnection(address, self._options, self._clock)
         try:
+            host, port = split_address(address)
             async with asyncio.timeout(self._options.connect_timeout_ms / 1e3):
                 await loop.create_connection(
                     lambda: link,
@@ -335,8 +336,8 @@
             link.close()
             reason = f"no link in {self._options.connect_timeout_ms} ms"
             raise LinkError("link connect", address, reason, False) from None
-        except OSError as error:
-            reason = error.strerror or type(error).__name__
+        except (OSError, ValueError) as error:
+            reason = describe_connect_error(error)
             raise LinkError("link connect", address, reason, False) from None
         if hello.incarnation != incarnation:
             link.close()
--- a/src/eelgrassweir/mesh/adapter.py
+++ b/src/eelgrassweir/mesh/adapter.py
@@ -12,6 +12,7 @@
     BackendFields,
     CallerRequest,
     ControlMessage,
+    ResponseMatch,
 )
 from eelgrassweir.requests.refusal import Refusal
 from eelgrassweir.routing.rules import RoutingConfig
@@ -78,7 +79,7 @@
     read_caller_request: Callable[[HttpRequest], CallerRequest]
     read_control_message: Callable[[HttpRequest], ControlMessage | None]
     make_backend_headers: Callable[[Headers, BackendFields], Headers]
-    is_matching_response: Callable[[HttpRequest, Headers], bool]
+    match_response: Callable[[HttpRequest, Headers], ResponseMatch]
     is_not_run: Callable[[HttpResponse], bool]
     is_genuine: Callable[[HttpResponse], bool]
     read_instance: Callable[[HttpResponse], str]
--- a/src/eelgrassweir/mesh/app.py
+++ b/src/eelgrassweir/mesh/app.py
@@ -443,7 +443,7 @@
                 no_reuse_ms=0,
                 forwards_host=True,
                 accepts_close_delimited=True,
-                is_matching_response=self._adapter.is_matching_response,
+                match_response=self._adapter.match_response,
                 on_read=self.coalescer.record_read,
             ),
         )
--- a/src/eelgrassweir/mesh/main.py
+++ b/src/eelgrassweir/mesh/main.py
@@ -62,7 +62,7 @@
         read_caller_request=messages.read_caller_request,
         read_control_message=messages.read_control_message,
         make_backend_headers=messages.make_backend_headers,
-        is_matching_response=messages.is_matching_response,
+        match_response=messages.match_response,
         is_not_run=messages.is_not_run,
         is_genuine=messages.is_genuine,
         read_instance=messages.read_instance,
--- a/src/eelgrassweir/platform/messages.py
+++ b/src/eelgrassweir/platform/messages.py
@@ -1,6 +1,6 @@
 """Decode requests and encode responses of the platform's HTTP interface."""
 
-import json
+from collections.abc import Callable
 from typing import Any
 
 from eelgrassweir.daemon.http_message import (
@@ -9,6 +9,13 @@
     HttpResponse,
     find_header,
 )
+from eelgrassweir.decoding import (
+    parse_json,
+    require_address,
+    require_int,
+    require_object,
+    require_text,
+)
 from eelgrassweir.requests.calls import (
     Announcement,
     BackendFields,
@@ -17,6 +24,7 @@
     Deregistration,
     MalformedMessage,
     ReadinessCheck,
+    ResponseMatch,
 )
 from eelgrassweir.requests.refusal import Refusal, http_status, to_json
 
@@ -38,6 +46,8 @@
 RESERVED_HEADERS = frozenset(
     (REQUEST_ID, DEADLINE, KEY, TEAM, CALLER_SERVICE, EXPECTED_INSTANCE)
 )
+# Concurrent requests that one backend server may claim to serve.
+MAX_SLOTS = 1_000_000
 OK = 200
 MISDIRECTED_REQUEST = 421
 # Statuses that differ from those of our own interface. The platform takes 408,
@@ -82,27 +92,37 @@
     return (*headers, *reserved)
 
 
-def is_matching_response(request: HttpRequest, headers: Headers) -> bool:
-    """Return whether the request ids match; a missing one matches any."""
-    response_id = find_header(headers, REQUEST_ID)
+def match_response(request: HttpRequest, headers: Headers) -> ResponseMatch:
+    """Tell from the request ids whether a response answers the request."""
     request_id = find_header(request.headers, REQUEST_ID)
-    return response_id is None or request_id is None or response_id == request_id
+    response_id = find_header(headers, REQUEST_ID)
+    if request_id is None or response_id is None:
+        return ResponseMatch.UNKNOWN
+    return ResponseMatch.OWN if response_id == request_id else ResponseMatch.OTHER
 
 
 def is_not_run(response: HttpResponse) -> bool:
-    """Return whether the backend server reports the request as not run."""
+    """Return whether the backend server reports the request as not run.
+
+    A signed response was made by a run. The value of the header is compared
+    because a response that was cut off may run into the next one.
+    """
+    if find_header(response.headers, SIGNATURE) is not None:
+        return False
     if response.status == MISDIRECTED_REQUEST:
         return True
-    return find_header(response.headers, NOT_EXECUTED) is not None
+    return find_header(response.headers, NOT_EXECUTED) == "1"
 
 
 def is_genuine(response: HttpResponse) -> bool:
     """Return whether a response is what the backend server sent.
 
-    It must be signed, and must not have been encoded on its way.
+    It must be signed, must not have been encoded on its way, and must not also
+    report that the request was not run.
     """
-    if find_header(response.headers, "content-encoding") is not None:
-        return False
+    for name in ("content-encoding", NOT_EXECUTED):
+        if find_header(response.headers, name) is not None:
+            return False
     return find_header(response.headers, SIGNATURE) is not None
 
 
@@ -150,47 +170,38 @@
     return None
 
 
-def _decode_body(request: HttpRequest, instance: str, decode: Any) -> ControlMessage:
+def _decode_body(
+    request: HttpRequest,
+    instance: str,
+    decode: Callable[[str, dict[str, Any]], ControlMessage],
+) -> ControlMessage:
     try:
-        body = json.loads(request.body) if request.body else {}
-        message: ControlMessage = decode(instance, body)
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
-        return MalformedMessage(f"{type(error).__name__}: {error}")
-    return message
+        body = parse_json(request.body) if request.body else {}
+        return decode(require_text(instance), require_object(body))
+    except KeyError as error:
+        return MalformedMessage(f"no field {error}")
+    except ValueError as error:
+        return MalformedMessage(str(error))
 
 
-def _decode_announcement(
-    instance: str, body: dict[str, Any]
-) -> Announcement | MalformedMessage:
-    state = body["state"]
+def _decode_announcement(instance: str, body: dict[str, Any]) -> ControlMessage:
+    state = require_text(body["state"])
     if state not in ("ready", "draining"):
-        return MalformedMessage(f"state {state!r}")
+        return MalformedMessage("state is neither ready nor draining")
     return Announcement(
         instance=instance,
-        address=_require_text(body["address"]),
-        service=_require_text(body["service"]),
-        slots=_require_int(body["slots"]),
+        address=require_address(body["address"]),
+        service=require_text(body["service"]),
+        slots=require_int(body["slots"], high=MAX_SLOTS),
         is_draining=state == "draining",
-        started_wall_ms=_require_int(body.get("born", 0)),
-        sequence=_require_int(body["sequence"]),
+        started_wall_ms=require_int(body.get("born", 0)),
+        sequence=require_int(body["sequence"]),
     )
 
 
-def _decode_deregistration(instance: str, body: dict[str, Any]) -> Deregistration:
+def _decode_deregistration(instance: str, body: dict[str, Any]) -> ControlMessage:
     start_wall_ms = body.get("born")
     return Deregistration(
         instance=instance,
-        started_wall_ms=None if start_wall_ms is None else _require_int(start_wall_ms),
+        started_wall_ms=None if start_wall_ms is None else require_int(start_wall_ms),
     )
-
-
-def _require_int(value: Any) -> int:
-    if not isinstance(value, int) or isinstance(value, bool):
-        raise TypeError(f"{value!r} is no whole number")
-    return value
-
-
-def _require_text(value: Any) -> str:
-    if not isinstance(value, str) or not value:
-        raise TypeError(f"{value!r} is no text")
-    return value
--- a/src/eelgrassweir/requests/calls.py
+++ b/src/eelgrassweir/requests/calls.py
@@ -3,6 +3,8 @@
 The platform package converts them; the mesh daemon works on them.
 """
 
+import enum
+
 import attrs
 
 from eelgrassweir.daemon.http_message import Headers
@@ -11,6 +13,15 @@
 UNKNOWN_START_WALL_MS = 0
 
 
+class ResponseMatch(enum.Enum):
+    """Whether a response on a connection answers the request sent last."""
+
+    OWN = "own"
+    OTHER = "other"
+    # The request or the response has no id.
+    UNKNOWN = "unknown"
+
+
 @attrs.frozen(kw_only=True)
 class CallerRequest:
     """Metadata of a caller's request.
--- a/testing/daemon/test_http.py
+++ b/testing/daemon/test_http.py
@@ -15,10 +15,12 @@
     BackendConnection,
     ClientOptions,
     ExchangeError,
+    ReceiveBuffer,
     SendStatus,
 )
 from eelgrassweir.daemon.http_message import HttpRequest, HttpResponse
 from eelgrassweir.daemon.http_server import HttpServer
+from eelgrassweir.requests.calls import ResponseMatch
 
 ServerScript = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 GET = HttpRequest("GET", "/", (), b"")
@@ -29,7 +31,14 @@
     script: ServerScript, options: ClientOptions | None = None
 ) -> tuple[asyncio.Server, BackendClient]:
     """Start a server that runs ``script`` on each connection, and a client."""
-    server = await asyncio.start_server(script, "127.0.0.1", 0)
+
+    async def run(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        # A writer that is still open after the end of the event loop raises
+        # in its finalizer, which may run while pytest parses a module.
+        with contextlib.closing(writer):
+            await script(reader, writer)
+
+    server = await asyncio.start_server(run, "127.0.0.1", 0)
     host, port = server.sockets[0].getsockname()
     client = BackendClient(
         f"{host}:{port}", clock=Clock(), body_limit_bytes=1_000, options=options
@@ -141,7 +150,11 @@
 
     async def scenario() -> None:
         connection = BackendConnection(
-            "127.0.0.1:1", 1_000, unsolicited.append, ClientOptions()
+            "127.0.0.1:1",
+            1_000,
+            ReceiveBuffer(1_000),
+            unsolicited.append,
+            ClientOptions(),
         )
         transport = mock.create_autospec(asyncio.Transport, instance=True)
         transport.is_closing.return_value = False
@@ -199,7 +212,11 @@
 
     async def scenario() -> None:
         connection = BackendConnection(
-            "127.0.0.1:1", 1_000, lambda _: None, ClientOptions()
+            "127.0.0.1:1",
+            1_000,
+            ReceiveBuffer(1_000),
+            lambda _: None,
+            ClientOptions(),
         )
         with socket.socket() as tcp_socket:
             transport = mock.create_autospec(asyncio.Transport, instance=True)
@@ -411,7 +428,9 @@
     min_idle_ms=0,
     no_reuse_ms=0,
     accepts_close_delimited=True,
-    is_matching_response=lambda request, headers: ("X-Id", "own") in headers,
+    match_response=lambda request, headers: (
+        ResponseMatch.OWN if ("X-Id", "own") in headers else ResponseMatch.OTHER
+    ),
 )
 OWN_HEAD_2_BYTES = b"HTTP/1.1 200 OK\r\nX-Id: own\r\nContent-Length: 2\r\n\r\n"
 
--- a/testing/platform/test_messages.py
+++ b/testing/platform/test_messages.py
@@ -14,6 +14,7 @@
     BackendFields,
     Deregistration,
     MalformedMessage,
+    ResponseMatch,
 )
 from eelgrassweir.requests.refusal import STATUS_BY_CODE, Refusal
 
@@ -136,9 +137,12 @@
 def test_response_to_another_request_does_not_match() -> None:
     """Guard against a late duplicate response taken for the next one."""
     request = HttpRequest("GET", "/", (("X-Request-Id", "r1"),), b"")
-    assert messages.is_matching_response(request, (("x-request-id", "r1"),))
-    assert messages.is_matching_response(request, ())
-    assert not messages.is_matching_response(request, (("X-Request-Id", "r0"),))
+    own, other = (("x-request-id", "r1"),), (("X-Request-Id", "r0"),)
+    assert messages.match_response(request, own) is ResponseMatch.OWN
+    assert messages.match_response(request, other) is ResponseMatch.OTHER
+    assert messages.match_response(request, ()) is ResponseMatch.UNKNOWN
+    without_id = HttpRequest("GET", "/", (), b"")
+    assert messages.match_response(without_id, own) is ResponseMatch.UNKNOWN
 
 
 def test_response_without_signature_is_not_genuine() -> None:
