Keep following the store past an odd entry

Another writer's entry among those of the targets could stop every daemon that read it.

- mesh/member_entry.py accepts an entry only if it is that of the VM in its key, in a known failure domain, with an address that can be connected to.
- An entry of a response that cannot be decoded costs itself; a change that cannot be applied is logged and does not stop those behind it; pages that do not advance are an error.
- daemon/supervision.py restarts long-lived tasks that end with an error, logs and counts each (eelgrassweir_task_failures_total).
- A heartbeat whose start is more than an hour ahead is malformed.

--- a/src/eelgrassweir/daemon/metrics.py
+++ b/src/eelgrassweir/daemon/metrics.py
@@ -39,6 +39,12 @@
             ["team"],
             registry=self.registry,
         )
+        self.task_failures = Counter(
+            "eelgrassweir_task_failures_total",
+            "Errors that ended a long-lived task, by task.",
+            ["task"],
+            registry=self.registry,
+        )
         self.latency = Histogram(
             "eelgrassweir_request_seconds",
             "Time from the complete request to the answer.",
--- a/src/eelgrassweir/mesh/app.py
+++ b/src/eelgrassweir/mesh/app.py
@@ -1,6 +1,7 @@
 """Application object of the daemon on the platform: wiring and life cycle."""
 
 import asyncio
+import functools
 import random
 import signal
 
@@ -17,12 +18,13 @@
 from eelgrassweir.daemon.link_client import LinkOptions, LinkPool, Reply
 from eelgrassweir.daemon.link_server import LinkServer
 from eelgrassweir.daemon.metrics import Metrics
+from eelgrassweir.daemon.supervision import TaskSupervisor
 from eelgrassweir.mesh.adapter import PlatformAdapter, Store
 from eelgrassweir.mesh.admin import AdminService
 from eelgrassweir.mesh.backend import BackendTracker
 from eelgrassweir.mesh.config_state import ConfigState
 from eelgrassweir.mesh.control import ControlService
-from eelgrassweir.mesh.directory import MemberDirectory, member_key
+from eelgrassweir.mesh.directory import MemberDirectory
 from eelgrassweir.mesh.discovery import discover_backend
 from eelgrassweir.mesh.dispatch import Dispatcher
 from eelgrassweir.mesh.entry import EntryService
@@ -35,6 +37,7 @@
 from eelgrassweir.mesh.link_messages import decode_request, encode_result
 from eelgrassweir.mesh.local_entry import LocalEntry
 from eelgrassweir.mesh.log_output import LogOutput
+from eelgrassweir.mesh.member_entry import member_key
 from eelgrassweir.mesh.planned_stop import finish_requests
 from eelgrassweir.mesh.registration import Registration
 from eelgrassweir.mesh.target import TargetService
@@ -87,7 +90,7 @@
         self.metrics = Metrics()
         self.store = store
         self.config = ConfigState(adapter.decode_config, self._apply_config)
-        self.directory = MemberDirectory(self.clock)
+        self.directory = MemberDirectory(self.clock, settings.failure_domains)
         self.feed = StoreFeed(
             store,
             clock=self.clock,
@@ -209,7 +212,7 @@
         )
         self._has_probed_backend = False
         self._stop_requested = asyncio.Event()
-        self._tasks: list[asyncio.Task[None]] = []
+        self.tasks = TaskSupervisor(self.metrics.task_failures)
 
     # Lifecycle
 
@@ -234,8 +237,9 @@
             seed=self.seed,
         )
         settings = self.settings
-        for run in (self.feed.run, self.registration.run, self._run_periodic_tasks):
-            self._tasks.append(asyncio.create_task(run()))
+        self.tasks.start("feed", self.feed.run)
+        self.tasks.start("registration", self.registration.run)
+        self.tasks.start("periodic", self._run_periodic_tasks)
         await self.control_server.start(*split_address(settings.control_address))
         await self.link_server.start(*split_address(settings.link_address))
         await self.caller_server.start(*split_address(settings.callers_address))
@@ -260,8 +264,7 @@
 
     async def stop(self) -> None:
         """Cancel the tasks, remove the entry and close all connections."""
-        for task in self._tasks:
-            task.cancel()
+        self.tasks.stop()
         await self.local_entry.remove()
         for server in (
             self.caller_server,
@@ -387,7 +390,9 @@
         self.caller_server.head_timeout_s = limits.head_timeout_ms / 1e3
         if not self._has_probed_backend:
             self._has_probed_backend = True
-            self._tasks.append(asyncio.create_task(self._discover_backend(config)))
+            self.tasks.start_once(
+                "discovery", functools.partial(self._discover_backend, config)
+            )
 
     def _update_from_backend(self) -> None:
         """Follow a change of the backend server's state."""
--- a/src/eelgrassweir/mesh/backend.py
+++ b/src/eelgrassweir/mesh/backend.py
@@ -27,6 +27,9 @@
 # Announcements may be seconds late. A crash is detected earlier, by failing
 # connections.
 MAX_ANNOUNCEMENT_AGE_MS = 12_000.0
+# A start later than this from now is not that of a process on this VM. It
+# would outrank every later one.
+MAX_START_AHEAD_MS = 3_600_000
 # Backend servers whose leave is remembered. One runs on a VM at a time, and
 # its announcements may arrive seconds after it has left.
 MAX_LEAVES = 16
@@ -85,6 +88,10 @@
         self.announcement: Announcement | None = None
         self.client: BackendClient | None = None
 
+    def is_plausible_start(self, started_wall_ms: int) -> bool:
+        """Return whether a backend server can have started at this time."""
+        return started_wall_ms <= self._clock.wall_ms() + MAX_START_AHEAD_MS
+
     def apply_announcement(self, announcement: Announcement) -> BackendChange:
         """Apply an announcement, unless it is older than the known one."""
         known = self.announcement
--- a/src/eelgrassweir/mesh/control.py
+++ b/src/eelgrassweir/mesh/control.py
@@ -10,6 +10,7 @@
 from eelgrassweir.mesh.backend import BackendChange, BackendTracker
 from eelgrassweir.requests.calls import (
     Announcement,
+    ControlMessage,
     Deregistration,
     MalformedMessage,
     ReadinessCheck,
@@ -40,7 +41,7 @@
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Handle one message; status 200 acknowledges it."""
-        message = self._adapter.read_control_message(request)
+        message = self._check_start(self._adapter.read_control_message(request))
         if isinstance(message, ReadinessCheck):
             return _make_response(200 if self._is_ready() else 503)
         if isinstance(message, Announcement):
@@ -58,6 +59,14 @@
             return _make_response(400, message.reason)
         return _make_response(404, "no such path")
 
+    def _check_start(self, message: ControlMessage | None) -> ControlMessage | None:
+        """Return the message, as malformed if its start is in the future."""
+        if isinstance(message, Announcement | Deregistration):
+            started_wall_ms = message.started_wall_ms or 0
+            if not self._backend.is_plausible_start(started_wall_ms):
+                return MalformedMessage("start in the future")
+        return message
+
     async def _report_change(
         self, change: BackendChange, message: Announcement | Deregistration
     ) -> None:
--- a/src/eelgrassweir/mesh/directory.py
+++ b/src/eelgrassweir/mesh/directory.py
@@ -1,33 +1,31 @@
 """Member directory: the daemons of the mesh as listed in the store."""
 
+from collections.abc import Collection
+
 from eliot import log_message
-from google.protobuf.message import DecodeError
+from returns.result import Failure
 
 from eelgrassweir.clock import Clock
 from eelgrassweir.membership.table import MemberTable, mark_down
-from eelgrassweir.proto.control_pb2 import Member
+from eelgrassweir.mesh.member_entry import MEMBER_PREFIX, decode_member
 from eelgrassweir.store.items import Change, Item, Snapshot
 
-MEMBER_PREFIX = "members/"
 # Entries that expired while the store was unreachable are written again within
 # 2 s of its recovery. A daemon whose entry is missing for longer has failed.
 EXPIRY_GRACE_MS = 2_500.0
 
 
-def member_key(vm: str) -> str:
-    """Return the store key of the member entry of a daemon."""
-    return MEMBER_PREFIX + vm
-
-
 class MemberDirectory:
     """Merge the member entries of the store into a member table.
 
     Entries are ordered by their store revision, which neither clocks nor
-    restarts of daemons can set back.
+    restarts of daemons can set back. Entries of other failure domains than
+    ``failure_domains`` are ignored, if there are any.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, failure_domains: Collection[str] = ()) -> None:
         self._clock = clock
+        self._failure_domains = frozenset(failure_domains)
         self.members = MemberTable()
         self._revisions: dict[str, int] = {}
         self._missing_since_ms: dict[str, float] = {}
@@ -48,10 +46,12 @@
         if not isinstance(change, Item):
             self._record_missing(change.key)
             return
-        member = _decode(change)
-        if member is None:
-            log_message(message_type="member:unreadable", key=change.key)
+        result = decode_member(change, self._failure_domains)
+        if isinstance(result, Failure):
+            reason = result.failure().reason
+            log_message(message_type="member:unreadable", key=change.key, reason=reason)
             return
+        member = result.unwrap()
         self._revisions[change.key] = change.revision
         self._missing_since_ms.pop(change.key, None)
         if self.members.merge(member):
@@ -82,16 +82,3 @@
     def _record_missing(self, key: str) -> None:
         if self._revisions.pop(key, None) is not None:
             self._missing_since_ms[key] = self._clock.now_ms()
-
-
-def _decode(item: Item) -> Member | None:
-    """Return the member, None if the item is not a valid member entry."""
-    try:
-        member = Member.FromString(item.value)
-    except DecodeError:
-        return None
-    if member_key(member.vm) != item.key or not member.link_address:
-        return None
-    member.started_ms = item.revision
-    member.sequence = 0
-    return member
--- a/src/eelgrassweir/mesh/feed.py
+++ b/src/eelgrassweir/mesh/feed.py
@@ -7,7 +7,7 @@
 import random
 from collections.abc import Callable
 
-from eliot import log_message
+from eliot import log_message, write_traceback
 
 from eelgrassweir.clock import Clock
 from eelgrassweir.errors import StepError
@@ -103,7 +103,7 @@
         """Apply the changes after a revision; return whether there are any."""
         changes = await self._store.watch(revision, wait_ms)
         for change in changes.changes:
-            self._on_change(change)
+            self._apply(change)
         self._revision = max(revision, changes.revision)
         return bool(changes.changes)
 
@@ -111,7 +111,17 @@
         """Apply the stored configuration; a watch may return it once more."""
         item = await self._store.read(self._config_key)
         if item is not None:
-            self._on_change(item)
+            self._apply(item)
+
+    def _apply(self, change: Change) -> None:
+        """Apply a change; one that fails must not stop those behind it."""
+        try:
+            self._on_change(change)
+        except Exception as error:
+            write_traceback()
+            log_message(
+                message_type="store:change_failed", key=change.key, reason=str(error)
+            )
 
     def _is_proof_outdated(self, now_ms: float) -> bool:
         max_age_ms = MAX_PROOF_AGE_WATCHES * self._watch_ms
--- a/src/eelgrassweir/platform/store.py
+++ b/src/eelgrassweir/platform/store.py
@@ -2,13 +2,23 @@
 
 import base64
 import json
-from collections.abc import Mapping
-from typing import Any
+from collections.abc import Callable, Mapping
+from typing import Any, TypeVar
 from urllib.parse import quote
 
+from eliot import log_message
+
 from eelgrassweir.clock import Clock
-from eelgrassweir.daemon.http_client import BackendClient, ClientOptions, ExchangeError
-from eelgrassweir.daemon.http_message import HttpRequest
+from eelgrassweir.daemon.http_client import BackendClient, ClientOptions
+from eelgrassweir.daemon.http_message import HttpRequest, HttpResponse
+from eelgrassweir.decoding import (
+    MalformedValue,
+    parse_json,
+    require_int,
+    require_list,
+    require_object,
+    require_text,
+)
 from eelgrassweir.errors import StepError
 from eelgrassweir.store.items import (
     Change,
@@ -21,6 +31,8 @@
     Snapshot,
 )
 
+T = TypeVar("T")
+
 # A page of a range holds at most 1 MB of values, in base64 within JSON.
 MAX_RESPONSE_BYTES = 4_194_304
 CONNECT_TIMEOUT_MS = 500
@@ -64,11 +76,15 @@
         while True:
             path = f"/-/kv-range?prefix=&after={quote(after, safe='')}"
             page = await self._call("GET", path if after else "/-/kv-range?prefix=")
-            revision = revision or int(page["storeRevision"])
-            items += [_decode_item(entry) for entry in page["items"]]
-            if not page["hasMore"] or not page["items"]:
+            entries = self._require(require_list, page.get("items"))
+            revision = revision or self._read_revision(page)
+            items += self._decode_items(entries)
+            if not page.get("hasMore") or not entries:
                 return Snapshot(items=tuple(items), revision=revision)
-            after = items[-1].key
+            last_key = self._require(_read_key, entries[-1])
+            if last_key <= after:
+                raise StepError("store range", self._address, "pages do not advance")
+            after = last_key
 
     async def read(self, key: str) -> Item | None:
         """Return the item of a key, None if it does not exist.
@@ -77,7 +93,7 @@
         """
         # The range, because a 404 is taken for an expired lease.
         page = await self._call("GET", f"/-/kv-range?prefix={quote(key, safe='')}")
-        items = map(_decode_item, page["items"])
+        items = self._decode_items(self._require(require_list, page.get("items")))
         return next((item for item in items if item.key == key), None)
 
     async def watch(self, after_revision: int, wait_ms: int) -> Changes:
@@ -88,15 +104,16 @@
         """
         path = f"/-/kv-watch?prefix=&after={after_revision}&waitMs={wait_ms}"
         answer = await self._call("GET", path, timeout_ms=wait_ms + WATCH_MARGIN_MS)
+        events = self._require(require_list, answer.get("events"))
         return Changes(
-            changes=tuple(_decode_change(entry) for entry in answer["events"]),
-            revision=int(answer["storeRevision"]),
+            changes=tuple(self._decode_each(_decode_change, events)),
+            revision=self._read_revision(answer),
         )
 
     async def grant_lease(self, ttl_ms: int) -> int:
         """Return the id of a new lease that expires after ``ttl_ms``."""
         answer = await self._call("POST", "/-/kv-lease", {"ttl_time": ttl_ms})
-        return int(answer["lease"])
+        return self._require(require_int, answer.get("lease"))
 
     async def renew_lease(self, lease_id: int) -> None:
         """Extend a lease by its lifetime.
@@ -127,7 +144,33 @@
         condition = {"key": key, "revision": expected_revision}
         change = {"expected": [condition], "writes": [entry], "deletes": []}
         answer = await self._call("POST", "/-/kv-txn", change)
-        return int(answer["revision"])
+        return self._require(require_int, answer.get("revision"))
+
+    def _read_revision(self, answer: Mapping[str, Any]) -> int:
+        return self._require(require_int, answer.get("storeRevision"))
+
+    def _require(self, check: Callable[[Any], T], value: Any) -> T:
+        """Return the checked value of a response.
+
+        :raises StepError: if the value is malformed.
+        """
+        try:
+            return check(value)
+        except MalformedValue as error:
+            raise StepError("store response", self._address, str(error)) from None
+
+    def _decode_items(self, entries: list[Any]) -> list[Item]:
+        return self._decode_each(_decode_item, entries)
+
+    def _decode_each(self, decode: Callable[[Any], T], entries: list[Any]) -> list[T]:
+        """Return the decoded entries without those that are malformed."""
+        decoded = []
+        for entry in entries:
+            try:
+                decoded.append(decode(entry))
+            except MalformedValue as error:
+                log_message(message_type="store:item_unreadable", reason=str(error))
+        return decoded
 
     async def _call(
         self,
@@ -137,51 +180,72 @@
         *,
         timeout_ms: int = 0,
     ) -> dict[str, Any]:
-        self.call_count += 1
-        headers: tuple[tuple[str, str], ...] = ()
-        payload = b""
-        if body is not None:
-            payload = json.dumps(body, separators=(",", ":")).encode()
-            headers = (("Content-Type", "application/json"),)
-        request = HttpRequest(method, path, headers, payload)
         step = path.partition("?")[0]
-        response = await self._client.exchange(
-            request, timeout_ms=timeout_ms or self._timeout_ms
-        )
+        response = await self._exchange(method, path, body, timeout_ms)
         if response.status == 410:
             raise HistoryGone
         if response.status == 404:
             raise LeaseGone
         if response.status not in (200, 412):
             raise StepError(step, self._address, f"status {response.status}")
-        try:
-            answer = json.loads(response.body)
-        except ValueError as error:
-            raise ExchangeError(step, self._address, f"not JSON ({error})") from None
-        if not isinstance(answer, dict):
-            raise StepError(step, self._address, "response is not a JSON object")
+        answer = self._require(_parse_object, response.body)
         if response.status == 412:
-            raise Conflict(_conflicting_revision(answer))
+            raise Conflict(self._require(_read_conflicting_revision, answer))
         return answer
 
+    async def _exchange(
+        self,
+        method: str,
+        path: str,
+        body: Mapping[str, Any] | None,
+        timeout_ms: int,
+    ) -> HttpResponse:
+        self.call_count += 1
+        headers: tuple[tuple[str, str], ...] = ()
+        payload = b""
+        if body is not None:
+            payload = json.dumps(body, separators=(",", ":")).encode()
+            headers = (("Content-Type", "application/json"),)
+        request = HttpRequest(method, path, headers, payload)
+        return await self._client.exchange(
+            request, timeout_ms=timeout_ms or self._timeout_ms
+        )
+
 
-def _conflicting_revision(answer: Mapping[str, Any]) -> int:
+def _parse_object(payload: bytes) -> dict[str, Any]:
+    return require_object(parse_json(payload))
+
+
+def _read_conflicting_revision(answer: Mapping[str, Any]) -> int:
     """Return the present revision of the conflicting key, 0 if absent."""
-    for entry in answer.get("items") or ():
-        return int(entry.get("revision") or 0)
+    for entry in require_list(answer.get("items") or []):
+        return require_int(require_object(entry).get("revision") or 0)
     return 0
 
 
-def _decode_item(entry: Mapping[str, Any]) -> Item:
+def _read_key(entry: Any) -> str:
+    return require_text(require_object(entry).get("key"))
+
+
+def _decode_item(entry: Any) -> Item:
+    key = _read_key(entry)
+    value = entry.get("value")
+    if not isinstance(value, str):
+        raise MalformedValue(f"{key}: value is no text")
+    try:
+        decoded_value = base64.b64decode(value, validate=True)
+    except ValueError:
+        raise MalformedValue(f"{key}: value is not in base64") from None
     return Item(
-        key=entry["key"],
-        value=base64.b64decode(entry["value"]),
-        revision=int(entry["revision"]),
-        lease_id=int(entry.get("lease") or 0),
+        key=key,
+        value=decoded_value,
+        revision=require_int(entry.get("revision")),
+        lease_id=require_int(entry.get("lease") or 0),
     )
 
 
-def _decode_change(entry: Mapping[str, Any]) -> Change:
+def _decode_change(entry: Any) -> Change:
+    key = _read_key(entry)
     if entry.get("removed"):
-        return Removal(key=entry["key"], revision=int(entry["revision"]))
+        return Removal(key=key, revision=require_int(entry.get("revision")))
     return _decode_item(entry)
