Let one daemon of each failure domain read the store for the others

Now the first VM of each domain, in an order that all daemons compute alike from the members, watches the store. The others follow it over the links that exist, in a tree of fan-out 32, with a waiting request that is answered by a change or a newer proof. A follower dates the proof by the time at which it asked, so an update that is late or passed on looks older, never newer; two daemons that both think they are the reader cost a call, nothing else. A follower leaves a source that fails or whose proof is older than one and a half watches, reads the store itself at once, and then takes the reader of another domain. A reader that the store turns away follows another domain's. The watch is at most 0.4 of the time in which a configuration must be in force.

--- a/src/eelgrassweir/daemon/link_client.py
+++ b/src/eelgrassweir/daemon/link_client.py
@@ -25,8 +25,8 @@
 FRAME_OVERHEAD_BYTES = 131_072
 
 Reply = link_pb2.Response | link_pb2.Refusal
-StreamRequest = link_pb2.Request | link_pb2.Borrow
-StreamReply = Reply | link_pb2.Lent
+StreamRequest = link_pb2.Request | link_pb2.Borrow | link_pb2.Follow
+StreamReply = Reply | link_pb2.Lent | link_pb2.Update
 
 
 @attrs.frozen
@@ -67,6 +67,9 @@
         self._options = options
         self._clock = clock
         self._streams: dict[int, asyncio.Future[StreamReply]] = {}
+        # Streams that may wait long for their reply. They time out by
+        # themselves, and are not pinged.
+        self._waiting_stream_ids: set[int] = set()
         self._deadlines = Deadlines()
         self._next_stream_id = 1
         self._last_received_ms = clock.now_ms()
@@ -108,6 +111,8 @@
             self._resolve(frame.refusal.stream_id, frame.refusal)
         elif kind == "lent":
             self._resolve(frame.lent.stream_id, frame.lent)
+        elif kind == "update":
+            self._resolve(frame.update.stream_id, frame.update)
         elif kind == "hello" and not self.hello.done():
             self.hello.set_result(frame.hello)
 
@@ -117,7 +122,7 @@
         :raises LinkError: if there is no reply within ``timeout_ms``.
         """
         stream_reply = await self._send_and_wait(request, timeout_ms)
-        assert not isinstance(stream_reply, link_pb2.Lent)
+        assert isinstance(stream_reply, link_pb2.Response | link_pb2.Refusal)
         return stream_reply
 
     async def borrow(self, request: bytes, *, timeout_ms: float) -> bytes:
@@ -133,10 +138,21 @@
         assert isinstance(stream_reply, link_pb2.Lent)
         return stream_reply.reply
 
+    async def follow(
+        self, request: link_pb2.Follow, *, timeout_ms: float
+    ) -> link_pb2.Update:
+        """Wait for news of the store from the peer.
+
+        :raises LinkError: if there is no update within ``timeout_ms``.
+        """
+        stream_reply = await self._send_and_wait(request, timeout_ms)
+        assert isinstance(stream_reply, link_pb2.Update)
+        return stream_reply
+
     async def _send_and_wait(
         self, stream_request: StreamRequest, timeout_ms: float
     ) -> StreamReply:
-        if not self._streams:
+        if not self._is_reply_due:
             # Silence is measured from the first waiting request on.
             self._last_received_ms = self._clock.now_ms()
         self._last_used_ms = self._clock.now_ms()
@@ -144,13 +160,11 @@
         self._next_stream_id += 1
         stream_request.stream_id = stream_id
         future: asyncio.Future[StreamReply] = asyncio.get_running_loop().create_future()
-        if isinstance(stream_request, link_pb2.Borrow):
-            frame = link_pb2.Frame(borrow=stream_request)
-        else:
-            frame = link_pb2.Frame(request=stream_request)
-        if not self.send(frame):
+        if not self.send(_make_frame(stream_request)):
             raise LinkError("link send", self._address, "connection closed", False)
         self._streams[stream_id] = future
+        if isinstance(stream_request, link_pb2.Follow):
+            self._waiting_stream_ids.add(stream_id)
         deadline = self._deadlines.add(
             timeout_ms, lambda: self._expire(stream_id, timeout_ms)
         )
@@ -162,6 +176,7 @@
         finally:
             deadline.cancel()
             self._streams.pop(stream_id, None)
+            self._waiting_stream_ids.discard(stream_id)
             if not is_answered:
                 cancel = link_pb2.Cancel(stream_id=stream_id)
                 self.send(link_pb2.Frame(cancel=cancel))
@@ -180,6 +195,11 @@
         """Return the number of requests without a reply."""
         return len(self._streams)
 
+    @property
+    def _is_reply_due(self) -> bool:
+        """Return whether the peer should reply to a request soon."""
+        return len(self._streams) > len(self._waiting_stream_ids)
+
     def _resolve(self, stream_id: int, reply: StreamReply) -> None:
         future = self._streams.get(stream_id)
         if future is not None and not future.done():
@@ -197,7 +217,7 @@
 
     def check_liveness(self, now_ms: float) -> None:
         """Ping while requests wait; close a silent or unused connection."""
-        if self._streams:
+        if self._is_reply_due:
             if now_ms - self._last_received_ms > self._options.silence_ms:
                 self._fail_all(f"silent for {self._options.silence_ms} ms")
                 self.close()
@@ -209,6 +229,14 @@
             self.close()
 
 
+def _make_frame(stream_request: StreamRequest) -> link_pb2.Frame:
+    if isinstance(stream_request, link_pb2.Borrow):
+        return link_pb2.Frame(borrow=stream_request)
+    if isinstance(stream_request, link_pb2.Follow):
+        return link_pb2.Frame(follow=stream_request)
+    return link_pb2.Frame(request=stream_request)
+
+
 class LinkPool:
     """Pool of links, one for each target daemon that is called."""
 
@@ -251,6 +279,21 @@
         link = await self._get_link(address, incarnation, timeout_ms)
         return await link.borrow(request, timeout_ms=timeout_ms)
 
+    async def follow(
+        self,
+        address: str,
+        incarnation: str,
+        request: link_pb2.Follow,
+        *,
+        timeout_ms: float,
+    ) -> link_pb2.Update:
+        """Wait for news of the store from the daemon at ``address``.
+
+        :raises LinkError: if there is no update within ``timeout_ms``.
+        """
+        link = await self._get_link(address, incarnation, timeout_ms)
+        return await link.follow(request, timeout_ms=timeout_ms)
+
     def close(self) -> None:
         """Close all links."""
         if self._timer is not None:
--- a/src/eelgrassweir/daemon/link_server.py
+++ b/src/eelgrassweir/daemon/link_server.py
@@ -29,6 +29,7 @@
 RequestHandler = Callable[[link_pb2.Request, str], Awaitable[Reply]]
 # Returns a serialized BorrowReply for a serialized BorrowRequest.
 BorrowHandler = Callable[[bytes], bytes]
+FollowHandler = Callable[[link_pb2.Follow], Awaitable[link_pb2.Update]]
 
 
 class LinkServer:
@@ -40,8 +41,10 @@
         handler: RequestHandler,
         clock: Clock,
         borrow_handler: BorrowHandler | None = None,
+        follow_handler: FollowHandler | None = None,
     ) -> None:
         self.borrow_handler = borrow_handler
+        self.follow_handler = follow_handler
         self.options = options
         self.handler = handler
         self.clock = clock
@@ -111,6 +114,8 @@
         )
         self._server = server
         self._tasks: dict[int, asyncio.Task[None]] = {}
+        # Followers that wait for news; they do not delay a planned stop.
+        self._follow_tasks: dict[int, asyncio.Task[None]] = {}
         self._peer_vm = ""
         self._last_received_ms = server.clock.now_ms()
         # Consecutive checks that found the link silent.
@@ -149,7 +154,7 @@
         """Cancel the requests of this link, since their caller is gone."""
         super().connection_lost(exc)
         self._server.remove_session(self)
-        for task in self._tasks.values():
+        for task in (*self._tasks.values(), *self._follow_tasks.values()):
             task.cancel()
 
     def frame_received(self, frame: link_pb2.Frame) -> None:
@@ -159,9 +164,14 @@
             self._start_request(frame.request)
         elif kind == "cancel":
             # A task that is cancelled before its start does not remove itself.
-            task = self._tasks.pop(frame.cancel.stream_id, None)
-            if task is not None:
-                task.cancel()
+            stream_id = frame.cancel.stream_id
+            for tasks in (self._tasks, self._follow_tasks):
+                task = tasks.pop(stream_id, None)
+                if task is not None:
+                    task.cancel()
+        elif kind == "follow" and self._server.follow_handler is not None:
+            task = asyncio.get_running_loop().create_task(self._follow(frame.follow))
+            self._follow_tasks[frame.follow.stream_id] = task
         elif kind == "borrow" and self._server.borrow_handler is not None:
             reply = self._server.borrow_handler(frame.borrow.request)
             lent = link_pb2.Lent(stream_id=frame.borrow.stream_id, reply=reply)
@@ -171,6 +181,15 @@
         elif kind == "hello":
             self._peer_vm = frame.hello.vm
 
+    async def _follow(self, request: link_pb2.Follow) -> None:
+        assert self._server.follow_handler is not None
+        try:
+            update = await self._server.follow_handler(request)
+        finally:
+            self._follow_tasks.pop(request.stream_id, None)
+        update.stream_id = request.stream_id
+        self.send(link_pb2.Frame(update=update))
+
     def _start_request(self, request: link_pb2.Request) -> None:
         task = asyncio.get_running_loop().create_task(self._run(request))
         self._tasks[request.stream_id] = task
--- a/src/eelgrassweir/daemon/metrics.py
+++ b/src/eelgrassweir/daemon/metrics.py
@@ -51,6 +51,16 @@
             registry=self.registry,
             buckets=LATENCY_BUCKETS_S,
         )
+        self.store_calls = Gauge(
+            "eelgrassweir_store_calls",
+            "Calls of the platform's store since the start.",
+            registry=self.registry,
+        )
+        self.is_store_reader = Gauge(
+            "eelgrassweir_store_reader",
+            "1 if this daemon reads the store for others, else 0.",
+            registry=self.registry,
+        )
         self.config_version = Gauge(
             "eelgrassweir_config_version",
             "Version of the configuration in force.",
--- a/src/eelgrassweir/mesh/app.py
+++ b/src/eelgrassweir/mesh/app.py
@@ -29,6 +29,7 @@
 from eelgrassweir.mesh.dispatch import Dispatcher
 from eelgrassweir.mesh.entry import EntryService
 from eelgrassweir.mesh.feed import StoreFeed
+from eelgrassweir.mesh.follow_service import FollowService
 from eelgrassweir.mesh.lending import (
     QuotaTolerance,
     TokenLending,
@@ -40,6 +41,7 @@
 from eelgrassweir.mesh.member_entry import member_key
 from eelgrassweir.mesh.planned_stop import finish_requests
 from eelgrassweir.mesh.registration import Registration
+from eelgrassweir.mesh.source_selector import SourceSelector
 from eelgrassweir.mesh.target import TargetService
 from eelgrassweir.proto import link_pb2
 from eelgrassweir.retries.budget import RetryRatio
@@ -63,6 +65,9 @@
 # A watch can miss changes for about a second before the store reports that its
 # history is lost. The rest covers timers and the transit of the request.
 REVOKE_MARGIN_MS = 1_300
+# Longest watch of the store, as a share of the time in which a configuration
+# must be in force.
+WATCH_APPLY_SHARE = 0.4
 # Shares of the allowed retry ratio and slack that are used. A retried request
 # repeats the calls made below it too, so less than the whole is used.
 RETRY_RATIO_SHARE = 0.35
@@ -91,15 +96,38 @@
         self.store = store
         self.config = ConfigState(adapter.decode_config, self._apply_config)
         self.directory = MemberDirectory(self.clock, settings.failure_domains)
+        link_options = LinkOptions(
+            vm=settings.vm,
+            incarnation=self.identity.incarnation,
+            ping_ms=settings.link_ping_ms,
+            silence_ms=settings.link_silence_ms,
+            body_limit_bytes=BODY_LIMIT_BYTES,
+            connect_timeout_ms=LINK_CONNECT_TIMEOUT_MS,
+            on_read=self.coalescer.record_read,
+        )
+        self.links = LinkPool(link_options, self.clock)
+        self.sources = SourceSelector(
+            vm=settings.vm,
+            failure_domain=settings.failure_domain,
+            members=self.directory.members,
+            clock=self.clock,
+        )
         self.feed = StoreFeed(
             store,
             clock=self.clock,
             rng=rng,
-            watch_ms=settings.store_watch_ms,
+            watch_ms=compute_watch_ms(settings),
             config_key=adapter.config_key,
+            links=self.links,
+            sources=self.sources,
             on_snapshot=self._apply_snapshot,
             on_change=self._apply_change,
         )
+        self.followers = FollowService(
+            clock=self.clock,
+            replica=self.feed.replica,
+            freshness=self.feed.freshness,
+        )
         self._local_member_key = member_key(settings.vm)
         self.registration = Registration(
             store,
@@ -132,16 +160,6 @@
             refused_calls=refused_calls,
             can_log=can_log,
         )
-        link_options = LinkOptions(
-            vm=settings.vm,
-            incarnation=self.identity.incarnation,
-            ping_ms=settings.link_ping_ms,
-            silence_ms=settings.link_silence_ms,
-            body_limit_bytes=BODY_LIMIT_BYTES,
-            connect_timeout_ms=LINK_CONNECT_TIMEOUT_MS,
-            on_read=self.coalescer.record_read,
-        )
-        self.links = LinkPool(link_options, self.clock)
         self.lending = TokenLending(
             vm=settings.vm,
             incarnation=self.identity.incarnation,
@@ -164,6 +182,7 @@
             self._handle_link_request,
             self.clock,
             borrow_handler=self.lending.lend_serialized,
+            follow_handler=self.followers.serve,
         )
         self.retry_ratio = RetryRatio(
             percent=int(100 * settings.budget_ratio * RETRY_RATIO_SHARE),
@@ -313,6 +332,8 @@
             "config_version": config.version if config else None,
             "config_age_ms": self.feed.freshness.age_ms(now_ms),
             "store_is_reached": self.feed.is_reached,
+            "is_store_reader": self.sources.is_reader,
+            "store_source": self.feed.source_vm or "store",
             "store_calls": self.store.call_count,
             "backend": self.backend.state(),
             "gate": self.target.gate.state(),
@@ -417,6 +438,8 @@
             self.directory.expire_missing()
             self.lending.refresh()
             age_ms = self.feed.freshness.age_ms(self.clock.now_ms())
+            self.metrics.store_calls.set(self.store.call_count)
+            self.metrics.is_store_reader.set(self.sources.is_reader)
             self.metrics.config_age.set(-1 if age_ms is None else age_ms / 1e3)
             daemons = max(1, self.directory.members.count_live())
             slack = self.settings.budget_slack_calls * RETRY_SLACK_SHARE / daemons
@@ -454,5 +477,15 @@
         )
 
 
+def compute_watch_ms(settings: MeshSettings) -> int:
+    """Return the wait of a watch of the store.
+
+    A follower notices that its source is silent or behind after one and a
+    half watches, and must then still have the configuration in time.
+    """
+    limit_ms = int(settings.config_apply_ms * WATCH_APPLY_SHARE)
+    return min(settings.store_watch_ms, limit_ms)
+
+
 def _can_always_log(_kind: str) -> bool:
     return True
--- a/src/eelgrassweir/mesh/registration.py
+++ b/src/eelgrassweir/mesh/registration.py
@@ -12,7 +12,7 @@
 from eelgrassweir.store.items import Conflict, LeaseGone
 
 # Allows for renewals that fail before the lease expires.
-RENEWALS_PER_LEASE = 3
+RENEWALS_PER_LEASE = 2
 RETRY_DELAY_MS = 300.0
 
 
--- a/testing/mesh/test_feed.py
+++ b/testing/mesh/test_feed.py
@@ -5,8 +5,11 @@
 from collections.abc import Callable
 
 from eelgrassweir.clock import Clock, ManualClock
+from eelgrassweir.daemon.link_client import LinkOptions, LinkPool
+from eelgrassweir.membership.table import MemberTable
 from eelgrassweir.mesh.directory import EXPIRY_GRACE_MS, MemberDirectory
 from eelgrassweir.mesh.feed import StoreFeed
+from eelgrassweir.mesh.source_selector import SourceSelector
 from eelgrassweir.platform.store import PlatformStore
 from eelgrassweir.proto.control_pb2 import DOWN, READY, Member
 from eelgrassweir.store.items import Change, Item, Removal, Snapshot
@@ -23,12 +26,20 @@
     on_change: Callable[[Change], None] = lambda _: None,
 ) -> StoreFeed:
     """Return a feed whose configuration is at the key ``k``."""
+    clock = Clock()
+    options = LinkOptions(
+        vm="v", incarnation="1", ping_ms=100, silence_ms=300, body_limit_bytes=1_000
+    )
     return StoreFeed(
         store,
-        clock=Clock(),
+        clock=clock,
         rng=random.Random(1),
         watch_ms=WATCH_MS,
         config_key="k",
+        links=LinkPool(options, clock),
+        sources=SourceSelector(
+            vm="v", failure_domain="a", members=MemberTable(), clock=clock
+        ),
         on_snapshot=on_snapshot,
         on_change=on_change,
     )
