Borrow tokens ahead only for a demand of several requests

A team of 7 calls a second reaches each of 195 entries every half a minute. Tokens are now borrowed ahead from 2.5 requests a second of one entry on.

--- a/src/eelgrassweir/shares/credit.py
+++ b/src/eelgrassweir/shares/credit.py
@@ -15,6 +15,9 @@
 # when they cover less than LOW_WATER_S.
 LOOKAHEAD_S = 0.5
 LOW_WATER_S = 0.2
+# Tokens are borrowed ahead only for a demand of several requests a time
+# constant. An entry that seldom sees a team would keep them unused.
+MIN_AHEAD_DEMAND_PER_S = 2.5
 # Time constant of the exponential moving average of the demand.
 DEMAND_TIME_CONSTANT_MS = 1_000.0
 # Every window over which a rate is judged allows one burst. This fraction of
@@ -182,7 +185,7 @@
         for team, account in self._accounts.items():
             if team != needed and not self._is_low(account, now_ms):
                 continue
-            expected_calls = account.current_demand_per_s(now_ms) * LOOKAHEAD_S
+            expected_calls = self._demand_ahead_per_s(account, now_ms) * LOOKAHEAD_S
             wanted[team] = max(1, math.ceil(expected_calls - account.level_calls))
         return wanted
 
@@ -199,4 +202,11 @@
     def _is_low(self, account: _Account, now_ms: float) -> bool:
         if now_ms < account.backoff_until_ms:
             return False
-        return account.level_calls < account.current_demand_per_s(now_ms) * LOW_WATER_S
+        demand_per_s = self._demand_ahead_per_s(account, now_ms)
+        return account.level_calls < demand_per_s * LOW_WATER_S
+
+    @staticmethod
+    def _demand_ahead_per_s(account: _Account, now_ms: float) -> float:
+        """Return the demand for which tokens are borrowed ahead."""
+        demand_per_s = account.current_demand_per_s(now_ms)
+        return demand_per_s if demand_per_s >= MIN_AHEAD_DEMAND_PER_S else 0.0
