Keep the tokens of small teams in few failure domains

A bucket that is split over six domains holds less than one token of a small team in each, so requests within the team's rate found no whole token anywhere. A part of the slack of a window also adds to the rate of the bucket, which matters to small teams only. A request waits up to 80 ms for the next token instead of being refused.

--- a/src/eelgrassweir/mesh/lending.py
+++ b/src/eelgrassweir/mesh/lending.py
@@ -27,6 +27,7 @@
     CreditHolder,
     compute_bucket_limits,
 )
+from eelgrassweir.shares.placement import choose_domains
 
 BORROW_TIMEOUT_MS = 150.0
 # A holder that did not answer is not asked again for this long.
@@ -34,13 +35,13 @@
 # Part of the allowed overage that is lent. The rest covers tokens lent by two
 # holders of a domain while the daemons disagree on which one is the holder.
 LENT_OVERAGE_SHARE = 0.6
-# Part of the allowed slack that is added to the bucket depth. Without it, the
-# buckets of a small team hold only one or two tokens in each domain.
-BUCKET_SLACK_SHARE = 0.4
 # Requests within the higher limit must be served until one whole window after
 # all daemons have the lower one. The lower limit takes effect after this part
 # of the window; the rest covers daemons that receive it late.
 DECREASE_WINDOW_SHARE = 0.4
+# A request waits this long for the next token instead of being refused. Its
+# caller would be back later than that.
+MAX_TOKEN_WAIT_MS = 80
 # Borrow requests are small until the demand is known, so that one of several
 # concurrent requests may have to wait for more than one of them.
 MAX_BORROW_ROUNDS = 10
@@ -91,7 +92,9 @@
         self._vm = vm
         self._incarnation = incarnation
         self._failure_domain = failure_domain
-        self._domain_count = max(1, len(failure_domains))
+        self._domains = tuple(failure_domains) or (failure_domain,)
+        # Domains with a holder, as of the limits of the local holder.
+        self._limited_domains: frozenset[str] = frozenset()
         self._tolerance = tolerance
         self._clock = clock
         self._members = members
@@ -148,9 +151,7 @@
     def _set_teams(self, teams: dict[str, TeamRule], now_ms: float) -> None:
         self._teams = teams
         if self._local_holder is not None:
-            self._local_holder.set_limits(
-                self._compute_limits(self._domain_count), now_ms
-            )
+            self._update_local_limits(self._local_holder, now_ms)
         if self._fallback is not None:
             self._update_fallback(now_ms)
 
@@ -168,11 +169,16 @@
             if accounts.is_low(team.name, now_ms):
                 self._ensure_borrowing(team.name)
             return 0
+        may_wait = True
         for _ in range(MAX_BORROW_ROUNDS):
             retry_after_ms = accounts.backoff_left_ms(team.name, self._clock.now_ms())
-            if retry_after_ms:
+            if not retry_after_ms:
+                await asyncio.shield(self._ensure_borrowing(team.name))
+            elif may_wait and retry_after_ms <= MAX_TOKEN_WAIT_MS:
+                may_wait = False
+                await asyncio.sleep(retry_after_ms / 1e3)
+            else:
                 return retry_after_ms
-            await asyncio.shield(self._ensure_borrowing(team.name))
             if accounts.take(team.name):
                 return 0
         return max(1, accounts.backoff_left_ms(team.name, self._clock.now_ms()))
@@ -191,16 +197,18 @@
     async def _borrow(self, wanted: dict[str, int]) -> None:
         """Ask one holder after another until all teams have tokens.
 
-        The holder of the local failure domain is asked first.
+        The holder of the local failure domain is asked first, and each only
+        for the teams whose tokens it holds.
         """
         backoffs_ms: dict[str, int] = {}
-        has_reply = False
+        unanswered = dict(wanted)
         for member in self.find_reachable_holders():
-            reply = await self._borrow_from(member, wanted)
+            held = self._select_held(wanted, member.failure_domain)
+            reply = await self._borrow_from(member, held) if held else None
             if reply is None:
                 continue
-            has_reply = True
             for grant in reply.grants:
+                unanswered.pop(grant.team, None)
                 if grant.tokens:
                     self._accounts.add(grant.team, grant.tokens)
                     wanted.pop(grant.team, None)
@@ -208,12 +216,22 @@
                     backoffs_ms[grant.team] = grant.retry_after_ms
             if not wanted:
                 return
-        if not has_reply:
-            self._borrow_from_fallback(wanted, backoffs_ms)
+        if unanswered:
+            self._borrow_from_fallback(unanswered, backoffs_ms)
+            for team in wanted.keys() - backoffs_ms.keys():
+                del wanted[team]
         now_ms = self._clock.now_ms()
         for team in wanted:
             self._accounts.back_off(team, backoffs_ms.get(team, 1), now_ms)
 
+    def _select_held(self, wanted: dict[str, int], domain: str) -> dict[str, int]:
+        """Return the part of a plan that the holder of a domain can lend."""
+        return {
+            team: tokens
+            for team, tokens in wanted.items()
+            if domain in self._find_domains(team)
+        }
+
     async def _borrow_from(
         self, member: Member, wanted: dict[str, int]
     ) -> BorrowReply | None:
@@ -258,7 +276,11 @@
     def _update_fallback(self, now_ms: float) -> None:
         assert self._fallback is not None
         daemons = max(1, self._members.count_live())
-        self._fallback.set_limits(self._compute_limits(daemons), now_ms)
+        limits = {
+            name: self._compute_limits(team).split(daemons)
+            for name, team in self._teams.items()
+        }
+        self._fallback.set_limits(limits, now_ms)
 
     # Lending
 
@@ -298,27 +320,45 @@
         if self._local_holder is None:
             log_message(message_type="lending:began", vm=self._vm)
             self._local_holder = CreditHolder()
-            self._local_holder.set_limits(
-                self._compute_limits(self._domain_count), now_ms
-            )
+            self._update_local_limits(self._local_holder, now_ms)
+        elif self._limited_domains != self._find_live_domains():
+            self._update_local_limits(self._local_holder, now_ms)
         return self._local_holder
 
-    def _compute_limits(self, count: int) -> dict[str, BucketLimits]:
-        """Return the bucket limits of each team divided by ``count``."""
+    def _update_local_limits(self, holder: CreditHolder, now_ms: float) -> None:
+        """Give the holder this domain's part of the teams that have one."""
+        self._limited_domains = self._find_live_domains()
         limits = {}
-        slack_calls = self._tolerance.slack_calls * BUCKET_SLACK_SHARE
-        for team in self._teams.values():
-            total = compute_bucket_limits(
-                rate_per_s=team.rate_per_s,
-                burst_calls=team.burst_calls,
-                window_s=self._tolerance.window_s,
-                factor=1.0 + self._tolerance.overage * LENT_OVERAGE_SHARE,
-            )
-            limits[team.name] = BucketLimits(
-                rate_per_s=total.rate_per_s / count,
-                depth_calls=max(1.0, (total.depth_calls + slack_calls) / count),
-            )
-        return limits
+        for name, team in self._teams.items():
+            domains = self._find_domains(name)
+            if self._failure_domain in domains:
+                limits[name] = self._compute_limits(team).split(len(domains))
+        holder.set_limits(limits, now_ms)
+
+    def _find_live_domains(self) -> frozenset[str]:
+        return frozenset(member.failure_domain for member in self._select_holders())
+
+    def _find_domains(self, name: str) -> Sequence[str]:
+        """Return the domains that hold the tokens of a team."""
+        team = self._teams.get(name)
+        if team is None:
+            return ()
+        return choose_domains(
+            name,
+            depth_calls=self._compute_limits(team).depth_calls,
+            domains=self._domains,
+            live=self._find_live_domains(),
+        )
+
+    def _compute_limits(self, team: TeamRule) -> BucketLimits:
+        """Return the bucket limits of a team over all failure domains."""
+        return compute_bucket_limits(
+            rate_per_s=team.rate_per_s,
+            burst_calls=team.burst_calls,
+            window_s=self._tolerance.window_s,
+            factor=1.0 + self._tolerance.overage * LENT_OVERAGE_SHARE,
+            slack_calls=self._tolerance.slack_calls,
+        )
 
     # Selection of the holders
 
--- a/src/eelgrassweir/shares/credit.py
+++ b/src/eelgrassweir/shares/credit.py
@@ -23,6 +23,10 @@
 # Every window over which a rate is judged allows one burst. This fraction of
 # it can be lent at once, the rest is spread over the window.
 DEPTH_FRACTION = 0.35
+# Parts of the slack of a window that deepen the bucket and add to its rate.
+# The rest covers tokens that two holders lend at the same time.
+DEPTH_SLACK_SHARE = 0.4
+REFILL_SLACK_SHARE = 0.2
 # Buckets start at this fraction of their depth, because a new holder does not
 # know what its predecessor lent.
 INITIAL_LEVEL_FRACTION = 0.4
@@ -41,19 +45,36 @@
     rate_per_s: float
     depth_calls: float
 
+    def split(self, count: int) -> "BucketLimits":
+        """Return the limits of one of ``count`` equal parts."""
+        return BucketLimits(
+            rate_per_s=self.rate_per_s / count,
+            depth_calls=max(1.0, self.depth_calls / count),
+        )
+
 
 def compute_bucket_limits(
-    *, rate_per_s: float, burst_calls: float, window_s: float, factor: float
+    *,
+    rate_per_s: float,
+    burst_calls: float,
+    window_s: float,
+    factor: float,
+    slack_calls: float = 0.0,
 ) -> BucketLimits:
     """Return the bucket of a team over all holders.
 
     In any window of ``window_s``, the bucket and the tokens that entries hold
-    admit at most ``factor * (rate_per_s * window_s + burst_calls)`` calls.
+    admit at most ``factor * (rate_per_s * window_s + burst_calls)`` calls, and
+    in addition the part of ``slack_calls`` that may be lent.
     """
     allowed_calls = (rate_per_s * window_s + burst_calls) * factor
     depth_calls = max(1.0, burst_calls * DEPTH_FRACTION)
-    rate_per_s = max(0.0, allowed_calls - depth_calls) / (window_s + LOOKAHEAD_S)
-    return BucketLimits(rate_per_s=rate_per_s, depth_calls=depth_calls)
+    refilled_calls = max(0.0, allowed_calls - depth_calls)
+    refilled_calls += slack_calls * REFILL_SLACK_SHARE
+    return BucketLimits(
+        rate_per_s=refilled_calls / (window_s + LOOKAHEAD_S),
+        depth_calls=depth_calls + slack_calls * DEPTH_SLACK_SHARE,
+    )
 
 
 @attrs.define
