Wait for the run of a non-idempotent request on a silent link

A VM that is paused or cut off for a second was given up: after 750 ms without a byte its callers got 502 for filings and settlements whose run went on, and the daemon beside the target cancelled the run after about 3 s of silence. Such a request cannot be sent anywhere else, so nothing is gained.

A silent link now gives up what can be repeated at once, as before, and is replaced for new requests; it stays open for its non-idempotent requests until their deadline. The daemon beside the target keeps their runs likewise. The product's own interface keeps the old behaviour: a filing there is resent under its ticket.

--- a/src/eelgrassweir/daemon/link_client.py
+++ b/src/eelgrassweir/daemon/link_client.py
@@ -5,7 +5,7 @@
 
 import asyncio
 import ssl
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import attrs
 
@@ -44,6 +44,10 @@
     A link that receives nothing for ``silence_ms`` while it has requests is
     closed. It is pinged after ``ping_ms`` without traffic. ``on_read`` is
     called for each read.
+
+    With ``waits_for_runs``, a silent link is only closed once it has no
+    non-idempotent requests: these cannot be repeated, and their peer may be
+    paused or cut off for a moment.
     """
 
     vm: str
@@ -54,6 +58,7 @@
     tls: ssl.SSLContext | None = None
     connect_timeout_ms: int = CONNECT_TIMEOUT_MS
     on_read: Callable[[], None] | None = None
+    waits_for_runs: bool = False
 
 
 class LinkConnection(FrameProtocol):
@@ -70,6 +75,10 @@
         # Streams that may wait long for their reply. They time out by
         # themselves, and are not pinged.
         self._waiting_stream_ids: set[int] = set()
+        # Streams whose request cannot be repeated.
+        self._run_stream_ids: set[int] = set()
+        # Whether the link was silent too long; it gets no new requests.
+        self.is_suspected = False
         self._deadlines = Deadlines()
         self._next_stream_id = 1
         self._last_received_ms = clock.now_ms()
@@ -165,6 +174,8 @@
         self._streams[stream_id] = future
         if isinstance(stream_request, link_pb2.Follow):
             self._waiting_stream_ids.add(stream_id)
+        elif self._options.waits_for_runs and _is_unrepeatable(stream_request):
+            self._run_stream_ids.add(stream_id)
         deadline = self._deadlines.add(
             timeout_ms, lambda: self._expire(stream_id, timeout_ms)
         )
@@ -177,6 +188,7 @@
             deadline.cancel()
             self._streams.pop(stream_id, None)
             self._waiting_stream_ids.discard(stream_id)
+            self._run_stream_ids.discard(stream_id)
             if not is_answered:
                 cancel = link_pb2.Cancel(stream_id=stream_id)
                 self.send(link_pb2.Frame(cancel=cancel))
@@ -206,29 +218,46 @@
             future.set_result(reply)
 
     def _fail_all(self, reason: str) -> None:
-        for future in self._streams.values():
-            if not future.done():
-                future.set_exception(LinkError("link call", self._address, reason))
+        self._fail_streams(self._streams.keys(), reason)
         if not self.hello.done():
             self.hello.set_exception(
                 LinkError("link connect", self._address, reason, False)
             )
             self.hello.exception()
 
+    def _fail_streams(self, stream_ids: Iterable[int], reason: str) -> None:
+        for stream_id in stream_ids:
+            future = self._streams[stream_id]
+            if not future.done():
+                future.set_exception(LinkError("link call", self._address, reason))
+
+    def _suspect(self) -> None:
+        """Give up what can be repeated; close the link if nothing is left."""
+        self.is_suspected = True
+        repeatable_ids = self._streams.keys() - self._run_stream_ids
+        reason = f"silent for {self._options.silence_ms} ms"
+        self._fail_streams(repeatable_ids, reason)
+        if not self._run_stream_ids:
+            self.close()
+
     def check_liveness(self, now_ms: float) -> None:
         """Ping while requests wait; close a silent or unused connection."""
         if self._is_reply_due:
             if now_ms - self._last_received_ms > self._options.silence_ms:
-                self._fail_all(f"silent for {self._options.silence_ms} ms")
-                self.close()
-                return
+                self._suspect()
             inactive_since_ms = min(self._last_received_ms, self._last_used_ms)
             if now_ms - inactive_since_ms >= self._options.ping_ms:
                 self.send(link_pb2.Frame(ping=link_pb2.Ping(id=int(now_ms))))
-        elif now_ms - self._last_used_ms > IDLE_TIMEOUT_MS:
+        elif self.is_suspected or now_ms - self._last_used_ms > IDLE_TIMEOUT_MS:
             self.close()
 
 
+def _is_unrepeatable(stream_request: StreamRequest) -> bool:
+    if not isinstance(stream_request, link_pb2.Request):
+        return False
+    return not stream_request.context.idempotent
+
+
 def _make_frame(stream_request: StreamRequest) -> link_pb2.Frame:
     if isinstance(stream_request, link_pb2.Borrow):
         return link_pb2.Frame(borrow=stream_request)
@@ -245,6 +274,8 @@
         self._clock = clock
         self._links: dict[tuple[str, str], LinkConnection] = {}
         self._connecting: dict[tuple[str, str], asyncio.Task[LinkConnection]] = {}
+        # Silent links that still wait for replies, and were replaced.
+        self._suspected: set[LinkConnection] = set()
         # One timer serves all links. With several hundred idle links, a timer
         # for each would cost more than their requests.
         self._timer: asyncio.TimerHandle | None = None
@@ -300,9 +331,10 @@
             self._timer.cancel()
         for task in self._connecting.values():
             task.cancel()
-        for link in self._links.values():
+        for link in (*self._links.values(), *self._suspected):
             link.close()
         self._links.clear()
+        self._suspected.clear()
 
     def state(self) -> dict[str, object]:
         """Return the open links and their requests in flight, for the dump."""
@@ -352,10 +384,15 @@
         now_ms = self._clock.now_ms()
         for key, link in list(self._links.items()):
             link.check_liveness(now_ms)
-            if not link.is_open:
+            if not link.is_open or link.is_suspected:
                 del self._links[key]
+                self._suspected.add(link)
+        for link in list(self._suspected):
+            link.check_liveness(now_ms)
+            if not link.is_open:
+                self._suspected.discard(link)
         self._timer = None
-        if self._links:
+        if self._links or self._suspected:
             self._schedule_check()
 
     async def _connect(self, address: str, incarnation: str) -> LinkConnection:
--- a/src/eelgrassweir/daemon/link_server.py
+++ b/src/eelgrassweir/daemon/link_server.py
@@ -116,6 +116,8 @@
         self._tasks: dict[int, asyncio.Task[None]] = {}
         # Followers that wait for news; they do not delay a planned stop.
         self._follow_tasks: dict[int, asyncio.Task[None]] = {}
+        # Requests that are not cancelled because the link is silent.
+        self._run_stream_ids: set[int] = set()
         self._peer_vm = ""
         self._last_received_ms = server.clock.now_ms()
         # Consecutive checks that found the link silent.
@@ -133,8 +135,16 @@
         silent_ms = now_ms - self._last_received_ms
         is_silent = silent_ms > self._server.options.silence_ms
         self._silent_checks = self._silent_checks + 1 if is_silent else 0
-        is_abandoned = bool(self._tasks) and self._silent_checks > MAX_SILENT_CHECKS
-        if is_abandoned or silent_ms > SILENCE_TIMEOUT_MS:
+        if silent_ms > SILENCE_TIMEOUT_MS:
+            self.close()
+        elif self._tasks and self._silent_checks > MAX_SILENT_CHECKS:
+            self._abandon()
+
+    def _abandon(self) -> None:
+        """Cancel what the caller can repeat; close if nothing is left."""
+        for stream_id in self._tasks.keys() - self._run_stream_ids:
+            self._tasks.pop(stream_id).cancel()
+        if not self._run_stream_ids:
             self.close()
 
     def data_received(self, data: bytes) -> None:
@@ -193,12 +203,15 @@
     def _start_request(self, request: link_pb2.Request) -> None:
         task = asyncio.get_running_loop().create_task(self._run(request))
         self._tasks[request.stream_id] = task
+        if self._server.options.waits_for_runs and not request.context.idempotent:
+            self._run_stream_ids.add(request.stream_id)
 
     async def _run(self, request: link_pb2.Request) -> None:
         try:
             reply = await self._handle(request)
         finally:
             self._tasks.pop(request.stream_id, None)
+            self._run_stream_ids.discard(request.stream_id)
         reply.stream_id = request.stream_id
         if isinstance(reply, link_pb2.Response):
             self.send(link_pb2.Frame(response=reply))
--- a/src/eelgrassweir/mesh/app.py
+++ b/src/eelgrassweir/mesh/app.py
@@ -104,6 +104,7 @@
             body_limit_bytes=BODY_LIMIT_BYTES,
             connect_timeout_ms=LINK_CONNECT_TIMEOUT_MS,
             on_read=self.coalescer.record_read,
+            waits_for_runs=True,
         )
         self.links = LinkPool(link_options, self.clock)
         self.sources = SourceSelector(
--- a/testing/daemon/test_link.py
+++ b/testing/daemon/test_link.py
@@ -4,12 +4,14 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 
+import attrs
 import pytest
 
 from eelgrassweir.clock import Clock
 from eelgrassweir.daemon.link_client import LinkError, LinkOptions, LinkPool, Reply
 from eelgrassweir.daemon.link_server import LinkServer
 from eelgrassweir.proto import link_pb2
+from testing.stand_ins.tcp_proxy import TcpProxy
 
 OPTIONS = LinkOptions(
     vm="a", incarnation="1", ping_ms=20, silence_ms=100, body_limit_bytes=10_000
@@ -164,6 +166,55 @@
     asyncio.run(scenario())
 
 
+def test_run_on_a_silent_link_is_waited_for() -> None:
+    """Guard against giving up a run whose VM is only silent for a while.
+
+    Requests that can be repeated fail at once, and new ones use a new link.
+    """
+    options = attrs.evolve(OPTIONS, waits_for_runs=True)
+    runs: list[str] = []
+
+    async def run(request: link_pb2.Request, _peer: str) -> Reply:
+        runs.append(request.path)
+        await asyncio.sleep(0.1)
+        return link_pb2.Response(status=200, body=request.path.encode())
+
+    async def scenario() -> None:
+        server = LinkServer(options, run, Clock())
+        await server.start("127.0.0.1", 0)
+        pool = LinkPool(options, Clock())
+        with TcpProxy() as proxy:
+            address = proxy.listen("link", f"127.0.0.1:{server.port}")
+
+            async def call(path: str, *, idempotent: bool) -> bytes:
+                context = link_pb2.CallContext(idempotent=idempotent)
+                request = link_pb2.Request(path=path, context=context)
+                reply = await pool.call(address, "1", request, timeout_ms=10_000)
+                assert isinstance(reply, link_pb2.Response)
+                return reply.body
+
+            unsafe = asyncio.create_task(call("unsafe", idempotent=False))
+            safe = asyncio.create_task(call("safe", idempotent=True))
+            async with asyncio.timeout(5):
+                while len(runs) < 2:
+                    await asyncio.sleep(0.001)
+            # Longer than both sides' limits of silence.
+            proxy.delay("link", 1_000.0)
+            with pytest.raises(LinkError):
+                await safe
+            await asyncio.sleep(0.5)
+            assert not unsafe.done()
+            proxy.delay("link", 0.0)
+            async with asyncio.timeout(5):
+                assert await unsafe == b"unsafe"
+                assert await call("later", idempotent=True) == b"later"
+            assert runs == ["unsafe", "safe", "later"]
+        pool.close()
+        await server.stop()
+
+    asyncio.run(scenario())
+
+
 def test_exception_in_the_handler_is_a_reply() -> None:
     """Guard against a call that gets no reply after a handler error."""
 
