Bound the head of a caller's request before its last field has ended

A field without end was collected by the parser until the head timeout, since only complete fields were counted. The test fails before (the answer comes after the timeout of 2 s, if at all) and passes now.

--- a/src/eelgrassweir/daemon/http_server.py
+++ b/src/eelgrassweir/daemon/http_server.py
@@ -196,6 +196,9 @@
         self._path = b""
         self._headers: list[tuple[str, str]] = []
         self._head_bytes = 0
+        # Bytes read while the head is incomplete, also of an incomplete field.
+        self._read_head_bytes = 0
+        self._has_head = False
         self._body = bytearray()
         self._has_refused = False
         self._is_receiving = False
@@ -248,12 +251,23 @@
             self._refuse("bad_request", "upgrade of the protocol is not served")
         except httptools.HttpParserError as error:
             self._refuse("bad_request", f"not HTTP/1.1 ({type(error).__name__})")
+        self._check_incomplete_head(len(data))
         # A request that is complete by now needed no deadline.
         if self._new_timeout_s and not self._is_write_closed:
             self._set_deadline(self._new_timeout_s)
             self._new_timeout_s = 0.0
         self._start_timer()
 
+    def _check_incomplete_head(self, read_bytes: int) -> None:
+        """Refuse a head that exceeds the limit before its last field ends."""
+        if not self._is_receiving or self._has_head or self._has_refused:
+            return
+        limit_bytes = self._server.head_limit_bytes
+        # What was read before this part may be the end of another request.
+        if self._read_head_bytes > limit_bytes:
+            self._refuse("bad_request", f"head above {limit_bytes} bytes")
+        self._read_head_bytes += read_bytes
+
     # httptools callbacks
 
     def on_message_begin(self) -> None:
@@ -274,6 +288,7 @@
 
     def on_headers_complete(self) -> None:
         """Answer ``Expect: 100-continue`` and wait for the body."""
+        self._has_head = True
         self._new_timeout_s = self._server.receive_timeout_s
         for name, value in self._headers:
             if name.lower() == "expect" and value.lower() == "100-continue":
--- a/testing/daemon/test_http.py
+++ b/testing/daemon/test_http.py
@@ -504,6 +504,29 @@
     asyncio.run(scenario())
 
 
+def test_head_field_without_end_is_refused_at_the_limit() -> None:
+    """Guard against a field that is only counted once it has ended."""
+
+    async def scenario() -> None:
+        server = HttpServer(echo, body_limit_bytes=1_000)
+        await server.start("127.0.0.1", 0)
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        writer.write(b"GET / HTTP/1.1\r\nPadding: ")
+        sent_bytes = 0
+        answer = asyncio.create_task(reader.readline())
+        async with asyncio.timeout(2.0):
+            while not answer.done():
+                writer.write(b"x" * 4_096)
+                sent_bytes += 4_096
+                await asyncio.sleep(0.001)
+        assert (await answer).split()[1] == b"400"
+        assert sent_bytes < 1_000_000
+        writer.close()
+        await server.stop()
+
+    asyncio.run(scenario())
+
+
 def test_head_that_does_not_end_in_time_closes_the_connection() -> None:
     """Guard against callers that hold connections with incomplete heads."""
 
