Renew the lease of a VM that the store turns away through a peer

A daemon that cannot renew its lease now asks the daemon that it follows to do so; the answer also tells it if the lease has ended.

test_entry_of_a_vm_that_the_store_turns_away_is_kept fails without the peer (the entry is gone after 1.5 s) and passes now.

--- a/src/eelgrassweir/daemon/link_client.py
+++ b/src/eelgrassweir/daemon/link_client.py
@@ -25,8 +25,10 @@
 FRAME_OVERHEAD_BYTES = 131_072
 
 Reply = link_pb2.Response | link_pb2.Refusal
-StreamRequest = link_pb2.Request | link_pb2.Borrow | link_pb2.Follow
-StreamReply = Reply | link_pb2.Lent | link_pb2.Update
+StreamRequest = (
+    link_pb2.Request | link_pb2.Borrow | link_pb2.Follow | link_pb2.RenewLease
+)
+StreamReply = Reply | link_pb2.Lent | link_pb2.Update | link_pb2.Renewal
 
 
 @attrs.frozen
@@ -122,6 +124,8 @@
             self._resolve(frame.lent.stream_id, frame.lent)
         elif kind == "update":
             self._resolve(frame.update.stream_id, frame.update)
+        elif kind == "renewal":
+            self._resolve(frame.renewal.stream_id, frame.renewal)
         elif kind == "hello" and not self.hello.done():
             self.hello.set_result(frame.hello)
 
@@ -158,6 +162,17 @@
         assert isinstance(stream_reply, link_pb2.Update)
         return stream_reply
 
+    async def renew_lease(
+        self, request: link_pb2.RenewLease, *, timeout_ms: float
+    ) -> link_pb2.Renewal:
+        """Let the peer renew a lease of the store.
+
+        :raises LinkError: if there is no reply within ``timeout_ms``.
+        """
+        stream_reply = await self._send_and_wait(request, timeout_ms)
+        assert isinstance(stream_reply, link_pb2.Renewal)
+        return stream_reply
+
     async def _send_and_wait(
         self, stream_request: StreamRequest, timeout_ms: float
     ) -> StreamReply:
@@ -263,6 +278,8 @@
         return link_pb2.Frame(borrow=stream_request)
     if isinstance(stream_request, link_pb2.Follow):
         return link_pb2.Frame(follow=stream_request)
+    if isinstance(stream_request, link_pb2.RenewLease):
+        return link_pb2.Frame(renew_lease=stream_request)
     return link_pb2.Frame(request=stream_request)
 
 
@@ -325,6 +342,21 @@
         link = await self._get_link(address, incarnation, timeout_ms)
         return await link.follow(request, timeout_ms=timeout_ms)
 
+    async def renew_lease(
+        self,
+        address: str,
+        incarnation: str,
+        request: link_pb2.RenewLease,
+        *,
+        timeout_ms: float,
+    ) -> link_pb2.Renewal:
+        """Let the daemon at ``address`` renew a lease of the store.
+
+        :raises LinkError: if there is no reply within ``timeout_ms``.
+        """
+        link = await self._get_link(address, incarnation, timeout_ms)
+        return await link.renew_lease(request, timeout_ms=timeout_ms)
+
     def close(self) -> None:
         """Close all links."""
         if self._timer is not None:
--- a/src/eelgrassweir/daemon/link_server.py
+++ b/src/eelgrassweir/daemon/link_server.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import ssl
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any
 
 import attrs
 from eliot import write_traceback
@@ -30,6 +31,7 @@
 # Returns a serialized BorrowReply for a serialized BorrowRequest.
 BorrowHandler = Callable[[bytes], bytes]
 FollowHandler = Callable[[link_pb2.Follow], Awaitable[link_pb2.Update]]
+RenewalHandler = Callable[[link_pb2.RenewLease], Awaitable[link_pb2.Renewal]]
 
 
 class LinkServer:
@@ -42,9 +44,11 @@
         clock: Clock,
         borrow_handler: BorrowHandler | None = None,
         follow_handler: FollowHandler | None = None,
+        renewal_handler: RenewalHandler | None = None,
     ) -> None:
         self.borrow_handler = borrow_handler
         self.follow_handler = follow_handler
+        self.renewal_handler = renewal_handler
         self.options = options
         self.handler = handler
         self.clock = clock
@@ -114,8 +118,9 @@
         )
         self._server = server
         self._tasks: dict[int, asyncio.Task[None]] = {}
-        # Followers that wait for news; they do not delay a planned stop.
-        self._follow_tasks: dict[int, asyncio.Task[None]] = {}
+        # Followers that wait for news, and renewals of their leases. They do
+        # not delay a planned stop.
+        self._control_tasks: dict[int, asyncio.Task[None]] = {}
         # Requests that are not cancelled because the link is silent.
         self._run_stream_ids: set[int] = set()
         self._peer_vm = ""
@@ -164,7 +169,7 @@
         """Cancel the requests of this link, since their caller is gone."""
         super().connection_lost(exc)
         self._server.remove_session(self)
-        for task in (*self._tasks.values(), *self._follow_tasks.values()):
+        for task in (*self._tasks.values(), *self._control_tasks.values()):
             task.cancel()
 
     def frame_received(self, frame: link_pb2.Frame) -> None:
@@ -175,13 +180,15 @@
         elif kind == "cancel":
             # A task that is cancelled before its start does not remove itself.
             stream_id = frame.cancel.stream_id
-            for tasks in (self._tasks, self._follow_tasks):
+            for tasks in (self._tasks, self._control_tasks):
                 task = tasks.pop(stream_id, None)
                 if task is not None:
                     task.cancel()
-        elif kind == "follow" and self._server.follow_handler is not None:
-            task = asyncio.get_running_loop().create_task(self._follow(frame.follow))
-            self._follow_tasks[frame.follow.stream_id] = task
+        elif kind == "follow":
+            self._start_control(frame.follow.stream_id, self._follow(frame.follow))
+        elif kind == "renew_lease":
+            request = frame.renew_lease
+            self._start_control(request.stream_id, self._renew_lease(request))
         elif kind == "borrow" and self._server.borrow_handler is not None:
             reply = self._server.borrow_handler(frame.borrow.request)
             lent = link_pb2.Lent(stream_id=frame.borrow.stream_id, reply=reply)
@@ -191,15 +198,25 @@
         elif kind == "hello":
             self._peer_vm = frame.hello.vm
 
+    def _start_control(self, stream_id: int, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._control_tasks[stream_id] = task
+        task.add_done_callback(lambda _: self._control_tasks.pop(stream_id, None))
+
     async def _follow(self, request: link_pb2.Follow) -> None:
-        assert self._server.follow_handler is not None
-        try:
-            update = await self._server.follow_handler(request)
-        finally:
-            self._follow_tasks.pop(request.stream_id, None)
+        if self._server.follow_handler is None:
+            return
+        update = await self._server.follow_handler(request)
         update.stream_id = request.stream_id
         self.send(link_pb2.Frame(update=update))
 
+    async def _renew_lease(self, request: link_pb2.RenewLease) -> None:
+        if self._server.renewal_handler is None:
+            return
+        renewal = await self._server.renewal_handler(request)
+        renewal.stream_id = request.stream_id
+        self.send(link_pb2.Frame(renewal=renewal))
+
     def _start_request(self, request: link_pb2.Request) -> None:
         task = asyncio.get_running_loop().create_task(self._run(request))
         self._tasks[request.stream_id] = task
--- a/src/eelgrassweir/mesh/app.py
+++ b/src/eelgrassweir/mesh/app.py
@@ -30,6 +30,7 @@
 from eelgrassweir.mesh.entry import EntryService
 from eelgrassweir.mesh.feed import StoreFeed
 from eelgrassweir.mesh.follow_service import FollowService
+from eelgrassweir.mesh.lease_renewal import LeaseRenewer
 from eelgrassweir.mesh.lending import (
     QuotaTolerance,
     TokenLending,
@@ -129,6 +130,7 @@
             replica=self.feed.replica,
             freshness=self.feed.freshness,
         )
+        self.lease_renewer = LeaseRenewer(store, self.links, self.sources)
         self._local_member_key = member_key(settings.vm)
         self.registration = Registration(
             store,
@@ -136,6 +138,7 @@
             key=self._local_member_key,
             lease_ms=settings.lease_ms,
             get_revision=lambda: self.directory.get_revision(self._local_member_key),
+            renew_lease=self.lease_renewer.renew,
         )
         self.backend = BackendTracker(
             clock=self.clock, drain_ms=settings.drain_ms, connect=self._connect_backend
@@ -184,6 +187,7 @@
             self.clock,
             borrow_handler=self.lending.lend_serialized,
             follow_handler=self.followers.serve,
+            renewal_handler=self.lease_renewer.serve,
         )
         self.retry_ratio = RetryRatio(
             percent=int(100 * settings.budget_ratio * RETRY_RATIO_SHARE),
--- /dev/null
+++ b/src/eelgrassweir/mesh/lease_renewal.py
@@ -0,0 +1,72 @@
+"""Renew the lease of this VM's entry, through another daemon if need be.
+
+The store may turn a VM away while it serves others. Without a renewal the
+VM's entry would expire, although its backend server is well and reachable.
+"""
+
+import attrs
+from eliot import log_message
+
+from eelgrassweir.daemon.link_client import LinkError, LinkPool
+from eelgrassweir.errors import StepError
+from eelgrassweir.mesh.adapter import Store
+from eelgrassweir.mesh.source_selector import SourceSelector
+from eelgrassweir.proto import link_pb2
+from eelgrassweir.store.items import LeaseGone
+
+PEER_TIMEOUT_MS = 1_200.0
+
+
+@attrs.frozen
+class LeaseRenewer:
+    """Renew leases at the store, or at the store through a peer."""
+
+    store: Store
+    links: LinkPool
+    sources: SourceSelector
+
+    async def renew(self, lease_id: int) -> None:
+        """Extend a lease by its lifetime.
+
+        :raises LeaseGone: if it has expired.
+        :raises StepError: if neither the store nor a peer renewed it.
+        """
+        try:
+            await self.store.renew_lease(lease_id)
+        except (StepError, OSError) as error:
+            await self._renew_through_peer(lease_id, error)
+
+    async def serve(self, request: link_pb2.RenewLease) -> link_pb2.Renewal:
+        """Renew a lease for a peer; without a further peer in between."""
+        try:
+            await self.store.renew_lease(request.lease_id)
+        except LeaseGone:
+            return link_pb2.Renewal(outcome=link_pb2.LEASE_GONE)
+        except (StepError, OSError) as error:
+            log_message(message_type="registration:peer_failed", reason=str(error))
+            return link_pb2.Renewal(outcome=link_pb2.RENEWAL_FAILED)
+        return link_pb2.Renewal(outcome=link_pb2.RENEWED)
+
+    async def _renew_through_peer(self, lease_id: int, error: Exception) -> None:
+        """Ask the preferred source; raise ``error`` if it does not help."""
+        peer = self.sources.choose()
+        if peer is None:
+            raise error
+        try:
+            renewal = await self.links.renew_lease(
+                peer.link_address,
+                peer.incarnation,
+                link_pb2.RenewLease(lease_id=lease_id),
+                timeout_ms=PEER_TIMEOUT_MS,
+            )
+        except LinkError:
+            raise error from None
+        if renewal.outcome == link_pb2.LEASE_GONE:
+            raise LeaseGone
+        if renewal.outcome != link_pb2.RENEWED:
+            raise error
+        log_message(
+            message_type="registration:renewed_by_peer",
+            peer=peer.vm,
+            reason=str(error),
+        )
--- a/src/eelgrassweir/mesh/registration.py
+++ b/src/eelgrassweir/mesh/registration.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from eliot import log_message
 
@@ -20,7 +20,7 @@
     """Write the entry under a lease; write it again if either is lost.
 
     ``get_revision`` returns the latest observed revision of the entry, 0 if it
-    is not in the store.
+    is not in the store. ``renew_lease`` replaces that of the store.
     """
 
     def __init__(
@@ -31,8 +31,10 @@
         key: str,
         lease_ms: int,
         get_revision: Callable[[], int],
+        renew_lease: Callable[[int], Awaitable[None]] | None = None,
     ) -> None:
         self._store = store
+        self._renew_lease = renew_lease or store.renew_lease
         self._clock = clock
         self._key = key
         self._lease_ms = lease_ms
@@ -119,7 +121,7 @@
             return
         due_ms = self._lease_ms / RENEWALS_PER_LEASE
         if now_ms - self._renewed_ms >= due_ms - 1.0:
-            await self._store.renew_lease(self._lease_id)
+            await self._renew_lease(self._lease_id)
             self._renewed_ms = now_ms
 
     async def _write(self) -> None:
--- a/testing/mesh/test_leaves.py
+++ b/testing/mesh/test_leaves.py
@@ -7,7 +7,9 @@
 
 from eelgrassweir.daemon.http_client import BackendConnection
 from eelgrassweir.daemon.http_message import find_header
+from eelgrassweir.errors import StepError
 from eelgrassweir.mesh.app import Application
+from eelgrassweir.mesh.directory import EXPIRY_GRACE_MS
 from eelgrassweir.proto.control_pb2 import Member
 from testing.mesh.fleet import (
     BackendStandIn,
@@ -117,6 +119,40 @@
     asyncio.run(scenario())
 
 
+def test_entry_of_a_vm_that_the_store_turns_away_is_kept() -> None:
+    """Guard against losing a target whose VM alone does not reach the store.
+
+    Seen on inc-4c12 of cangrejo-kioscos: entries expired while the store
+    refused the connections of some VMs.
+    """
+
+    async def scenario() -> None:
+        async with mesh_fleet() as fleet:
+            entry = await fleet.add(BackendStandIn("lists", "i-0"))
+            target = await fleet.add(BackendStandIn("notes", "i-1"))
+            fleet.configure(make_route("/a/", "notes"))
+            await fleet.wait_until_converged()
+            store = target.store
+
+            async def refuse(*_arguments: object, **_options: object) -> None:
+                raise StepError("store call", "store", "connection refused")
+
+            for name in ("renew_lease", "grant_lease", "write", "watch", "read"):
+                setattr(store, name, refuse)
+            # Longer than the lease and the time for which a missing entry is
+            # kept.
+            end_s = 2 * target.settings.lease_ms / 1e3 + EXPIRY_GRACE_MS / 1e3
+            for _ in range(int(end_s / 0.1)):
+                await asyncio.sleep(0.1)
+                assert "members/vm-1" in fleet.store.items
+            assert (await fleet.call(entry, "/a/")).status == 200
+            # The lease ends: the VM must learn it through its peer as well.
+            fleet.store.expire_leases()
+            await wait_until(lambda: not target.registration._lease_id)
+
+    asyncio.run(scenario())
+
+
 def test_late_heartbeat_does_not_end_a_leave_after_a_probe() -> None:
     """Guard against requests to a target that left right after a restart."""
 
