Use the whole of the retry budget in a large fleet

Each daemon rounded its part of a service's budget down: at 195 daemons with 4 calls a second to a service the ratio earns 2.9 retries in a window, of which 2 were used, and the slack of 0.4 was lost altogether. While all targets of a service refuse a part of their requests, each retry that is not made ends a whole tree of calls. A daemon now adds a fixed random part below one before it rounds, so the fleet uses the shares of ratio and slack that it is meant to.

Test: 195 daemons, 42 calls each; the constructor of before has no such parameter, and its formula allows 390 retries of the budget of 651.

--- a/src/eelgrassweir/mesh/app.py
+++ b/src/eelgrassweir/mesh/app.py
@@ -190,8 +190,9 @@
             renewal_handler=self.lease_renewer.serve,
         )
         self.retry_ratio = RetryRatio(
-            percent=int(100 * settings.budget_ratio * RETRY_RATIO_SHARE),
+            percent=100 * settings.budget_ratio * RETRY_RATIO_SHARE,
             spare_retries=1,
+            rounding=rng.random(),
         )
         self.dispatcher = Dispatcher(
             vm=settings.vm,
@@ -448,7 +449,7 @@
             self.metrics.config_age.set(-1 if age_ms is None else age_ms / 1e3)
             daemons = max(1, self.directory.members.count_live())
             slack = self.settings.budget_slack_calls * RETRY_SLACK_SHARE / daemons
-            self.retry_ratio.set_spare_retries(int(slack))
+            self.retry_ratio.set_spare_retries(slack)
 
     def _log_reload(self) -> None:
         log_message(message_type="daemon:reload", vm=self.settings.vm)
--- a/src/eelgrassweir/retries/budget.py
+++ b/src/eelgrassweir/retries/budget.py
@@ -1,6 +1,7 @@
 """Retry budgets: per request tree and per service."""
 
 import collections
+import math
 
 import attrs
 
@@ -58,16 +59,25 @@
 
     The share is taken of the lower of first attempts and successes in the last
     10 s, so a service that fails all calls gets only the spare retries.
+
+    ``rounding`` from 0 to 1 is added to the allowed retries before they are
+    rounded down. Many daemons with little traffic, each with another one, use
+    the whole of their common budget.
     """
 
     def __init__(
-        self, *, percent: int = 10, spare_retries: int = SPARE_RETRIES
+        self,
+        *,
+        percent: float = 10,
+        spare_retries: float = SPARE_RETRIES,
+        rounding: float = 0.0,
     ) -> None:
         self._percent = percent
         self._spare_retries = spare_retries
+        self._rounding = rounding
         self._services: dict[str, collections.deque[_Bucket]] = {}
 
-    def set_spare_retries(self, spare_retries: int) -> None:
+    def set_spare_retries(self, spare_retries: float) -> None:
         """Set the number of retries allowed without earlier successes."""
         self._spare_retries = spare_retries
 
@@ -86,8 +96,8 @@
         first_calls = sum(bucket.first_calls for bucket in buckets)
         successes = sum(bucket.successes for bucket in buckets)
         retries = sum(bucket.retries for bucket in buckets)
-        earned = min(first_calls, successes) * self._percent // 100
-        if retries >= earned + self._spare_retries:
+        earned = min(first_calls, successes) * self._percent / 100.0
+        if retries >= math.floor(earned + self._spare_retries + self._rounding):
             return False
         current.retries += 1
         return True
--- a/testing/retries/test_budget.py
+++ b/testing/retries/test_budget.py
@@ -62,3 +62,22 @@
     assert sum(ratio.take("service", 100.0) for _ in range(1_000)) == 50
     assert not ratio.take("service", 9_000.0)
     assert ratio.take("service", 10_001.0)
+
+
+def test_daemons_with_little_traffic_use_their_common_budget() -> None:
+    """Guard against a budget that is lost by rounding in each daemon.
+
+    Load of one service over 195 daemons, about 4 calls a second at each, while
+    its targets refuse a part of them.
+    """
+    source = random.Random(1)
+    allowed = 0
+    first_calls = 42
+    for _ in range(195):
+        ratio = RetryRatio(percent=7, spare_retries=0.4, rounding=source.random())
+        for _ in range(first_calls):
+            ratio.record_first("service", 0.0)
+            ratio.record_success("service", 0.0)
+        allowed += sum(ratio.take("service", 0.0) for _ in range(first_calls))
+    budget = 195 * (0.07 * first_calls + 0.4)
+    assert 0.95 * budget <= allowed <= 1.05 * budget
