Keep the log lines of failures apart, and name the VM in each line

Lines with a status of 500 and above now have a limit of their own. Each line names the VM of its daemon as `daemon`; explain gave all lines of a stream to the VM that started last. explain also reads .gz files, the standard input, and lines behind a collector's prefix.

test_lines_of_failures_have_a_limit_of_their_own and test_lines_of_many_vms_in_one_stream_keep_their_vm fail before.

--- a/src/eelgrassweir/cli/explain.py
+++ b/src/eelgrassweir/cli/explain.py
@@ -3,8 +3,10 @@
 Used by the command ``explain``.
 """
 
+import gzip
 import json
 import pathlib
+import sys
 from collections.abc import Iterable, Sequence
 from datetime import UTC, datetime
 from typing import Any
@@ -79,15 +81,17 @@
 def read_log(path: str) -> LogFile:
     """Parse a daemon's log file.
 
-    The VM is taken from the ``daemon:start`` line; lines without one before
-    them get the file's name without its suffix.
+    A line names its VM itself, so a file may hold the lines of many. The VM of
+    lines that do not is taken from the last ``daemon:start`` line, or from the
+    file's name. What a collector writes before a line is skipped. A path of
+    ``-`` is the standard input, and a ``.gz`` file is decompressed.
 
     :raises CommandError: if the file cannot be read or holds no log line.
     """
     try:
-        text = pathlib.Path(path).read_text(errors="replace")
-    except OSError as error:
-        reason = f"{path} cannot be read ({error.strerror})"
+        text = _read_text(path)
+    except (OSError, EOFError) as error:
+        reason = f"{path} cannot be read ({error})"
         raise CommandError(
             ExitStatus.USAGE, reason, "Name the log files of daemons."
         ) from None
@@ -104,7 +108,8 @@
         wall_s = float(fields.get("timestamp", wall_s))
         if kind == "daemon:start":
             vm = str(fields.get("vm", vm))
-        lines.append(LogLine(vm=vm, wall_s=wall_s, kind=kind, fields=fields))
+        line_vm = str(fields.pop("daemon", vm))
+        lines.append(LogLine(vm=line_vm, wall_s=wall_s, kind=kind, fields=fields))
     if not lines:
         reason = f"{path} holds no log line of a daemon"
         raise CommandError(ExitStatus.USAGE, reason, "Name the log files of daemons.")
@@ -180,10 +185,20 @@
     return attrs.asdict(explanation) | {"unreadable_lines": unreadable_lines}
 
 
+def _read_text(path: str) -> str:
+    if path == "-":
+        return sys.stdin.read()
+    if path.endswith(".gz"):
+        with gzip.open(path, "rt", errors="replace") as file:
+            return file.read()
+    return pathlib.Path(path).read_text(errors="replace")
+
+
 def _decode_line(row: str) -> dict[str, Any] | None:
+    start = row.find("{")
     try:
-        fields = json.loads(row)
-    except ValueError:
+        fields = json.loads(row[max(start, 0) :])
+    except (ValueError, RecursionError):
         return None
     if not isinstance(fields, dict) or "message_type" not in fields:
         return None
--- a/src/eelgrassweir/mesh/app.py
+++ b/src/eelgrassweir/mesh/app.py
@@ -493,5 +493,5 @@
     return min(settings.store_watch_ms, limit_ms)
 
 
-def _can_always_log(_kind: str) -> bool:
+def _can_always_log(kind: str, *, is_failure: bool = False) -> bool:
     return True
--- a/src/eelgrassweir/mesh/entry.py
+++ b/src/eelgrassweir/mesh/entry.py
@@ -19,6 +19,7 @@
 from eelgrassweir.mesh.adapter import PlatformAdapter
 from eelgrassweir.mesh.dispatch import Call, Dispatcher
 from eelgrassweir.mesh.lending import TokenLending
+from eelgrassweir.mesh.log_output import CanLog, is_failed
 from eelgrassweir.proto import link_pb2
 from eelgrassweir.requests.calls import CallerRequest
 from eelgrassweir.requests.refusal import Refusal
@@ -86,7 +87,7 @@
         throttle: OverloadThrottle,
         refused_calls: FailureRate,
         metrics: Metrics,
-        can_log: Callable[[str], bool],
+        can_log: CanLog,
     ) -> None:
         self._vm = vm
         self._service = service
@@ -217,7 +218,9 @@
         started_ms: float,
         config_version: int,
     ) -> None:
-        if not self._can_log(ANSWERED_MESSAGE_TYPE):
+        if not self._can_log(
+            ANSWERED_MESSAGE_TYPE, is_failure=is_failed(response.status)
+        ):
             return
         log_message(
             message_type=ANSWERED_MESSAGE_TYPE,
--- a/src/eelgrassweir/mesh/main.py
+++ b/src/eelgrassweir/mesh/main.py
@@ -43,10 +43,11 @@
     if options.check:
         print(f"{path}: valid")
         return
+    settings = result.unwrap()
     os.set_blocking(sys.stdout.fileno(), False)
-    log_output = LogOutput(sys.stdout.fileno())
+    log_output = LogOutput(sys.stdout.fileno(), settings.vm)
     add_destinations(log_output.write)
-    uvloop.run(serve(result.unwrap(), log_output))
+    uvloop.run(serve(settings, log_output))
 
 
 def read_settings(path: pathlib.Path) -> Result[MeshSettings, SettingsError]:
--- a/src/eelgrassweir/mesh/target.py
+++ b/src/eelgrassweir/mesh/target.py
@@ -1,7 +1,6 @@
 """Admit requests to the local backend server and run them on it."""
 
 import random
-from collections.abc import Callable
 
 import attrs
 from eliot import log_message
@@ -14,6 +13,7 @@
 from eelgrassweir.daemon.http_message import HttpRequest, HttpResponse
 from eelgrassweir.mesh.adapter import PlatformAdapter
 from eelgrassweir.mesh.backend import BackendTracker
+from eelgrassweir.mesh.log_output import CanLog, is_failed
 from eelgrassweir.proto import link_pb2
 from eelgrassweir.requests.calls import BackendFields
 from eelgrassweir.requests.refusal import Refusal
@@ -79,7 +79,7 @@
         adapter: PlatformAdapter,
         queue_limit_calls: int,
         refused_calls: FailureRate,
-        can_log: Callable[[str], bool],
+        can_log: CanLog,
     ) -> None:
         self._vm = vm
         self._clock = clock
@@ -135,9 +135,9 @@
         admission: Admission,
     ) -> None:
         response = result.result
-        if not isinstance(response, HttpResponse) or not self._can_log(
-            RAN_MESSAGE_TYPE
-        ):
+        if not isinstance(response, HttpResponse):
+            return
+        if not self._can_log(RAN_MESSAGE_TYPE, is_failure=is_failed(response.status)):
             return
         log_message(
             message_type=RAN_MESSAGE_TYPE,
--- a/testing/cli/test_explain.py
+++ b/testing/cli/test_explain.py
@@ -1,6 +1,8 @@
 """Guard against a failed request whose cause the logs do not show."""
 
 import asyncio
+import gzip
+import io
 import json
 import os
 import pathlib
@@ -102,6 +104,36 @@
     assert "1 unreadable lines, the first is line 4" in explanation_text(found, logs)
 
 
+@pytest.mark.parametrize("form", ["plain", "prefixed", "gz", "stdin"])
+def test_lines_of_many_vms_in_one_stream_keep_their_vm(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch, form: str
+) -> None:
+    """Guard against lines that are given to the VM that started last."""
+    lost = {"message_type": "target:failed", "request": "r-1", "timestamp": 110.1}
+    rows = [
+        START | {"daemon": "vm-1"},
+        START | {"vm": "vm-2", "daemon": "vm-2"},
+        lost | {"daemon": "vm-2"},
+        make_refused_line("outcome_unknown", 110.2, daemon="vm-1"),
+    ]
+    prefix = "2026-12-05T00:00:00Z host-7 daemon: " if form == "prefixed" else ""
+    text = "".join(f"{prefix}{json.dumps(row)}\n" for row in rows)
+    path = str(tmp_path / "all.log")
+    if form == "gz":
+        path += ".gz"
+        pathlib.Path(path).write_bytes(gzip.compress(text.encode()))
+    elif form == "stdin":
+        path = "-"
+        monkeypatch.setattr("sys.stdin", io.StringIO(text))
+    else:
+        pathlib.Path(path).write_text(text)
+    found = explain("r-1", [read_log(path)])
+    assert [(line.vm, line.kind) for line in found.path] == [
+        ("vm-2", "target:failed"),
+        ("vm-1", "request:refused"),
+    ]
+
+
 def test_unknown_request_and_unreadable_files_are_errors(
     tmp_path: pathlib.Path, capsys: pytest.CaptureFixture[str]
 ) -> None:
--- a/testing/mesh/test_log_output.py
+++ b/testing/mesh/test_log_output.py
@@ -83,3 +83,19 @@
     output.write({"message_type": "daemon:start"})
     output.flush(0.0)
     assert output.dropped_lines == 1
+
+
+def test_lines_of_failures_have_a_limit_of_their_own() -> None:
+    """Guard against a failure that no line names because of successes."""
+    read, write = os.pipe()
+    output = LogOutput(write, "vm-1")
+    for _ in range(MAX_LINES_PER_S + 5):
+        output.write({"message_type": "target:ran", "status": 200})
+    assert not output.can_log("target:ran")
+    assert output.can_log("target:ran", is_failure=True)
+    output.write({"message_type": "target:ran", "status": 504, "request": "r"})
+    output.flush(2_000.0)
+    lines = read_lines(read)
+    assert {line["daemon"] for line in lines} == {"vm-1"}
+    assert [line["status"] for line in lines if "request" in line] == [504]
+    assert lines[-1]["lines"] == {"target:ran": 6}
