Do not repeat a run that failed because of a call below it

A daemon now reports the share of its backend server's calls that failed. A run that answers 500 while that share is above 2% is not repeated; its failed call has been, as far as the budget goes.

--- a/src/eelgrassweir/mesh/app.py
+++ b/src/eelgrassweir/mesh/app.py
@@ -153,6 +153,7 @@
         can_log = log_output.can_log if log_output else _can_always_log
         # Calls of the local backend server that are refused.
         refused_calls = FailureRate()
+        failed_calls = FailureRate()
         self.throttle = OverloadThrottle(rng)
         self.target = TargetService(
             vm=settings.vm,
@@ -161,6 +162,7 @@
             backend=self.backend,
             adapter=adapter,
             queue_limit_calls=QUEUE_LIMIT_CALLS,
+            failed_calls=failed_calls,
             refused_calls=refused_calls,
             can_log=can_log,
         )
@@ -218,6 +220,7 @@
             lending=self.lending,
             dispatcher=self.dispatcher,
             throttle=self.throttle,
+            failed_calls=failed_calls,
             refused_calls=refused_calls,
             metrics=self.metrics,
             can_log=can_log,
--- a/src/eelgrassweir/mesh/dispatch.py
+++ b/src/eelgrassweir/mesh/dispatch.py
@@ -25,6 +25,9 @@
 # With less time left a retry would be cut off by the deadline.
 MIN_RETRY_TIME_MS = 20.0
 SERVER_ERROR = 500
+# A run is taken to have failed because of a call if more than this share of
+# the recent calls of its backend server failed.
+FAILED_CALLS_SHARE = 0.02
 
 
 @attrs.define(kw_only=True)
@@ -41,6 +44,8 @@
     # Share of the calls made by the last target's backend server that were
     # refused for lack of capacity, from 0 to 1.
     refused_calls_share: float = 0.0
+    # Share of these calls that failed for any reason.
+    failed_calls_share: float = 0.0
     # Response of the last target that gave one, kept during a retry.
     last_response: HttpResponse | None = None
     tried_vms: set[str] = attrs.field(factory=set)
@@ -128,7 +133,11 @@
             return False
         result = last.result
         if isinstance(result, HttpResponse):
-            return call.context.idempotent and result.status >= SERVER_ERROR
+            if not call.context.idempotent or result.status < SERVER_ERROR:
+                return False
+            # The failed call was repeated where it failed. A second run would
+            # make all calls again, and each counts as a repeat.
+            return call.failed_calls_share <= FAILED_CALLS_SHARE
         if result.not_run:
             return result.code != "deadline_exceeded"
         call.may_have_run = True
@@ -192,6 +201,7 @@
     def _record_load(self, call: Call, member: Member, load: link_pb2.Load) -> None:
         self._picker.record_load(member.vm, load, self._clock.now_ms())
         call.refused_calls_share = load.refused_calls_percent / 100.0
+        call.failed_calls_share = load.failed_calls_percent / 100.0
 
     def _translate_link_error(self, member: Member, error: LinkError) -> TargetResult:
         if not error.is_timeout or not error.maybe_sent:
--- a/src/eelgrassweir/mesh/entry.py
+++ b/src/eelgrassweir/mesh/entry.py
@@ -85,6 +85,7 @@
         lending: TokenLending,
         dispatcher: Dispatcher,
         throttle: OverloadThrottle,
+        failed_calls: FailureRate,
         refused_calls: FailureRate,
         metrics: Metrics,
         can_log: CanLog,
@@ -100,6 +101,7 @@
         self._lending = lending
         self._dispatcher = dispatcher
         self._throttle = throttle
+        self._failed_calls = failed_calls
         self._refused_calls = refused_calls
         self._metrics = metrics
         self._can_log = can_log
@@ -206,6 +208,8 @@
         if authorized.team is None:
             refused = is_capacity_failure(call, result)
             self._refused_calls.record(failed=refused, now_ms=now_ms)
+            failed = isinstance(result, Refusal) or result.status >= SERVER_ERROR
+            self._failed_calls.record(failed=failed, now_ms=now_ms)
         elif isinstance(result, HttpResponse):
             failed = is_capacity_failure(call, result)
             self._throttle.record(authorized.route.name, failed=failed, now_ms=now_ms)
--- a/src/eelgrassweir/mesh/target.py
+++ b/src/eelgrassweir/mesh/target.py
@@ -64,9 +64,9 @@
 class TargetService:
     """Queue, admit and run requests on the local backend server.
 
-    ``refused_calls`` is the share of the calls made by the backend server that
-    were refused for lack of capacity. ``can_log`` returns whether a log line
-    of a message type would be written.
+    ``failed_calls`` is the share of the calls made by the backend server that
+    failed, ``refused_calls`` the share that was refused for lack of capacity.
+    ``can_log`` returns whether a log line of a message type would be written.
     """
 
     def __init__(
@@ -78,6 +78,7 @@
         backend: BackendTracker,
         adapter: PlatformAdapter,
         queue_limit_calls: int,
+        failed_calls: FailureRate,
         refused_calls: FailureRate,
         can_log: CanLog,
     ) -> None:
@@ -86,6 +87,7 @@
         self._backend = backend
         self._adapter = adapter
         self._failures = FailureRate()
+        self._failed_calls = failed_calls
         self._refused_calls = refused_calls
         self._can_log = can_log
         self.gate = Gate(clock, vm, queue_limit_calls, rng, limit=SlotLimit())
@@ -99,6 +101,7 @@
         now_ms = self._clock.now_ms()
         load.failing_percent = round(100 * self._failures.rate(now_ms))
         load.refused_calls_percent = round(100 * self._refused_calls.rate(now_ms))
+        load.failed_calls_percent = round(100 * self._failed_calls.rate(now_ms))
         return load
 
     async def handle(
--- a/testing/mesh/test_overload.py
+++ b/testing/mesh/test_overload.py
@@ -88,3 +88,37 @@
             )
 
     asyncio.run(scenario())
+
+
+def test_run_that_failed_because_of_a_call_is_not_repeated() -> None:
+    """Guard against second runs that use up the retries of the calls below.
+
+    Load of a day on which all targets of the deepest service refused a part of
+    their requests: the runs above were repeated, with all their calls, while
+    most refused calls were not.
+    """
+
+    async def scenario() -> None:
+        async with mesh_fleet() as fleet:
+            entry = await fleet.add(BackendStandIn("lists", "i-0"))
+            middle = BackendStandIn("notes", "i-1", status=500)
+            caller = await fleet.add(middle)
+            second = BackendStandIn("notes", "i-2")
+            await fleet.add(second)
+            fleet.configure(
+                make_route("/a/", "notes", public=False, attempts=3),
+                make_route("/gone/", "nowhere"),
+            )
+            await fleet.wait_until_converged()
+            for _ in range(20):
+                await fleet.call(entry, "/a/", KEYED)
+            assert second.runs
+            repeated = entry.metrics.retries.labels("notes")._value.get()
+            assert repeated > 0
+            for _ in range(10):
+                # A call of the middle service that fails.
+                assert (await fleet.call(caller, "/gone/")).status == 503
+                await fleet.call(entry, "/a/", KEYED)
+            assert entry.metrics.retries.labels("notes")._value.get() <= repeated + 1
+
+    asyncio.run(scenario())
