Let followers try a store that is away less often

A follower learns from its source that the store is back, so it tries by itself every 0.75 to 1.5 s at most. A reader keeps 0.5 s.

--- a/src/eelgrassweir/mesh/feed.py
+++ b/src/eelgrassweir/mesh/feed.py
@@ -25,6 +25,8 @@
 # Kept short: a new configuration must be in force soon after the store is
 # reachable again.
 MAX_BACKOFF_MS = 500.0
+# A follower learns from its source that the store is back.
+MAX_FOLLOWER_BACKOFF_MS = 1_500.0
 MIN_WAIT_DIVISOR = 5
 # Changes made during an outage may be missing from the first watch after it.
 # If the last proof is older than this multiple of a watch, only a read of the
@@ -197,9 +199,9 @@
         if not self._failures:
             age_ms = self.freshness.age_ms(now_ms)
             log_message(message_type="store:lost", reason=str(error), age_ms=age_ms)
-        backoff_ms = min(
-            MAX_BACKOFF_MS, INITIAL_BACKOFF_MS * 2.0 ** min(self._failures, 8)
-        )
+        is_follower = not self._sources.is_reader
+        limit_ms = MAX_FOLLOWER_BACKOFF_MS if is_follower else MAX_BACKOFF_MS
+        backoff_ms = min(limit_ms, INITIAL_BACKOFF_MS * 2.0 ** min(self._failures, 8))
         self._failures += 1
         self._store_retry_ms = now_ms + backoff_ms * self._rng.uniform(0.5, 1.0)
 
