Ask up to three peers to renew a lease

Now the sources are asked in turn, up to three. The test, with the followed daemon turned away too, fails on the code before.

--- a/src/eelgrassweir/mesh/lease_renewal.py
+++ b/src/eelgrassweir/mesh/lease_renewal.py
@@ -12,9 +12,12 @@
 from eelgrassweir.mesh.adapter import Store
 from eelgrassweir.mesh.source_selector import SourceSelector
 from eelgrassweir.proto import link_pb2
+from eelgrassweir.proto.control_pb2 import Member
 from eelgrassweir.store.items import LeaseGone
 
 PEER_TIMEOUT_MS = 1_200.0
+# The preferred source may be turned away as well.
+MAX_PEERS = 3
 
 
 @attrs.frozen
@@ -48,10 +51,23 @@
         return link_pb2.Renewal(outcome=link_pb2.RENEWED)
 
     async def _renew_through_peer(self, lease_id: int, error: Exception) -> None:
-        """Ask the preferred source; raise ``error`` if it does not help."""
-        peer = self.sources.choose()
-        if peer is None:
-            raise error
+        """Ask one source after another; raise ``error`` if none helps."""
+        for peer in self.sources.list_usable()[:MAX_PEERS]:
+            outcome = await self._ask(peer, lease_id)
+            if outcome == link_pb2.LEASE_GONE:
+                raise LeaseGone
+            if outcome == link_pb2.RENEWED:
+                log_message(
+                    message_type="registration:renewed_by_peer",
+                    peer=peer.vm,
+                    reason=str(error),
+                )
+                return
+        raise error
+
+    async def _ask(
+        self, peer: Member, lease_id: int
+    ) -> link_pb2.RenewalOutcome.ValueType:
         try:
             renewal = await self.links.renew_lease(
                 peer.link_address,
@@ -59,14 +75,11 @@
                 link_pb2.RenewLease(lease_id=lease_id),
                 timeout_ms=PEER_TIMEOUT_MS,
             )
-        except LinkError:
-            raise error from None
-        if renewal.outcome == link_pb2.LEASE_GONE:
-            raise LeaseGone
-        if renewal.outcome != link_pb2.RENEWED:
-            raise error
-        log_message(
-            message_type="registration:renewed_by_peer",
-            peer=peer.vm,
-            reason=str(error),
-        )
+        except LinkError as error:
+            log_message(
+                message_type="registration:peer_unanswered",
+                peer=peer.vm,
+                reason=str(error),
+            )
+            return link_pb2.RENEWAL_FAILED
+        return renewal.outcome
--- a/src/eelgrassweir/mesh/source_selector.py
+++ b/src/eelgrassweir/mesh/source_selector.py
@@ -1,5 +1,7 @@
 """Select the daemon to follow among those that are usable now."""
 
+from collections.abc import Sequence
+
 from eelgrassweir.clock import Clock
 from eelgrassweir.membership.sources import SourcePlan, plan_sources
 from eelgrassweir.membership.table import MemberTable
@@ -30,11 +32,16 @@
 
     def choose(self) -> Member | None:
         """Return the preferred source that is not excluded, or None."""
+        return next(iter(self.list_usable()), None)
+
+    def list_usable(self) -> Sequence[Member]:
+        """Return the sources that are not excluded, in their order."""
         now_ms = self._clock.now_ms()
-        for member in self._get_plan().sources:
-            if self._excluded_until_ms.get(member.incarnation, 0.0) <= now_ms:
-                return member
-        return None
+        return [
+            member
+            for member in self._get_plan().sources
+            if self._excluded_until_ms.get(member.incarnation, 0.0) <= now_ms
+        ]
 
     def exclude(self, member: Member) -> None:
         """Leave a source out for some time."""
--- a/testing/mesh/test_leaves.py
+++ b/testing/mesh/test_leaves.py
@@ -128,17 +128,28 @@
 
     async def scenario() -> None:
         async with mesh_fleet() as fleet:
-            entry = await fleet.add(BackendStandIn("lists", "i-0"))
-            target = await fleet.add(BackendStandIn("notes", "i-1"))
+            domains = {"failure_domains": ("a", "b")}
+            entry = await fleet.add(BackendStandIn("lists", "i-0"), **domains)
+            target = await fleet.add(BackendStandIn("notes", "i-1"), **domains)
             fleet.configure(make_route("/a/", "notes"))
+            # The daemon that the target follows is turned away as well.
+            followed = await fleet.add(
+                BackendStandIn("lists", "i-2"), vm="vm-first", **domains
+            )
+            other = BackendStandIn("lists", "i-3")
+            await fleet.add(other, failure_domain="b", **domains)
             await fleet.wait_until_converged()
-            store = target.store
+            assert [member.vm for member in target.sources.list_usable()] == [
+                "vm-first",
+                "vm-3",
+            ]
 
             async def refuse(*_arguments: object, **_options: object) -> None:
                 raise StepError("store call", "store", "connection refused")
 
-            for name in ("renew_lease", "grant_lease", "write", "watch", "read"):
-                setattr(store, name, refuse)
+            for daemon in (target, followed):
+                for name in ("renew_lease", "grant_lease", "write", "watch", "read"):
+                    setattr(daemon.store, name, refuse)
             # Longer than the lease and the time for which a missing entry is
             # kept.
             end_s = 2 * target.settings.lease_ms / 1e3 + EXPIRY_GRACE_MS / 1e3
