Review: an acknowledged leave is lost with the process that knows it

While the store is down, a leave is acknowledged without being stored. The stand-ins take ports that no outgoing connection gets.

--- a/review/stand_ins/deployment.py
+++ b/review/stand_ins/deployment.py
@@ -4,6 +4,7 @@
 import json
 import os
 import pathlib
+import random
 import re
 import signal
 import socket
@@ -42,6 +43,7 @@
 KEPT_VARIABLES = ("PATH", "HOME", "LANG")
 # Traffic starts this long after the machines.
 LEAD_S = 10.0
+FIRST_PORT, END_PORT = 12_000, 32_000
 EXIT_HELD, EXIT_BROKEN, EXIT_NOT_RUN = 0, 1, 2
 
 
@@ -114,12 +116,21 @@
         self._template = (ROOT / self._role["template"]).read_text()
 
     def _reserve_address(self) -> str:
-        """Return a loopback address with a free port, kept until the start."""
-        reserved = socket.socket()
-        reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        reserved.bind(("127.0.0.1", 0))
-        self._reserved.append(reserved)
-        return f"127.0.0.1:{reserved.getsockname()[1]}"
+        """Return a loopback address with a free port, kept until the start.
+
+        The port is below those that the system gives to outgoing connections.
+        """
+        while True:
+            reserved = socket.socket()
+            reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            port = random.randrange(FIRST_PORT, END_PORT)
+            try:
+                reserved.bind(("127.0.0.1", port))
+            except OSError:
+                reserved.close()
+                continue
+            self._reserved.append(reserved)
+            return f"127.0.0.1:{port}"
 
     def add_machine(
         self, zone: str, service: str, get_work_s: Callable[[], float], **target: Any
--- a/review/stand_ins/store.py
+++ b/review/stand_ins/store.py
@@ -1,4 +1,4 @@
-"""Stand-in for the platform's metadata store, without faults."""
+"""Stand-in for the platform's metadata store, which may fall silent."""
 
 import asyncio
 import base64
@@ -7,7 +7,7 @@
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
-from stand_ins.http1 import Message, Server, encode_response
+from stand_ins.http1 import ConnectionEnded, Message, Server, encode_response
 
 PAGE_ITEMS = 500
 EXPIRY_INTERVAL_S = 0.05
@@ -26,6 +26,9 @@
         self._lease_ends_s: dict[int, float] = {}
         self._next_lease = 100
         self._changed = asyncio.Event()
+        # Set while the store answers.
+        self._is_up = asyncio.Event()
+        self._is_up.set()
         self._server = Server(self._handle)
         self._expiry: asyncio.Task[None] | None = None
 
@@ -40,6 +43,16 @@
             self._expiry.cancel()
         self._server.stop()
 
+    async def be_silent(self, duration_s: float) -> None:
+        """Answer and do nothing for a time, in which leases pause."""
+        self._is_up.clear()
+        # Watches that wait are cut.
+        self._notify()
+        await asyncio.sleep(duration_s)
+        for lease in self._lease_ends_s:
+            self._lease_ends_s[lease] += duration_s
+        self._is_up.set()
+
     def put(self, key: str, value: bytes, lease: int = 0) -> int:
         """Write an item and return its revision."""
         self.revision += 1
@@ -63,10 +76,17 @@
 
     def _add_event(self, event: Item) -> None:
         self._events.append(event)
+        self._notify()
+
+    def _notify(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
 
     async def _handle(self, request: Message) -> bytes:
+        if not self._is_up.is_set():
+            # The call is not carried out, also after the silence.
+            await self._is_up.wait()
+            raise ConnectionEnded
         url = urlsplit(request.path)
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
         body = json.loads(request.body) if request.body else {}
@@ -104,6 +124,9 @@
         after = int(query["after"])
         end_s = time.monotonic() + int(query["waitMs"]) / 1e3
         while True:
+            if not self._is_up.is_set():
+                await self._is_up.wait()
+                raise ConnectionEnded
             prefix = query.get("prefix", "")
             events = [
                 event
@@ -158,6 +181,7 @@
     async def _expire_leases(self) -> None:
         while True:
             await asyncio.sleep(EXPIRY_INTERVAL_S)
+            await self._is_up.wait()
             now_s = time.monotonic()
             for lease in [k for k, end in self._lease_ends_s.items() if end < now_s]:
                 self._end_lease(lease)
--- a/review/stand_ins/target.py
+++ b/review/stand_ins/target.py
@@ -38,6 +38,8 @@
     get_body: Callable[[Message], bytes] = lambda message: b"body of the target"
     runs: list[Run] = field(default_factory=list)
     running: int = 0
+    sequence: int = 0
+    is_leaving: bool = False
     born_ms: int = field(default_factory=lambda: time.time_ns() // 1_000_000)
 
     async def start(self) -> None:
@@ -55,7 +57,7 @@
         request_id = message.header("x-request-id") or ""
         headers = [("X-Request-Id", request_id), ("X-Instance-Id", self.name)]
         if message.path == "/health":
-            return encode_response(200, headers)
+            return encode_response(503 if self.is_leaving else 200, headers)
         if message.header("x-expected-instance") not in (None, self.name):
             return encode_response(421, headers)
         if self.running >= self.slots:
@@ -74,24 +76,38 @@
         return encode_response(200, signed, self.get_body(message))
 
     async def _send_heartbeats(self) -> None:
-        sequence = 0
         while True:
-            sequence += 1
-            body = {
-                "service": self.service,
-                "address": self.address,
-                "zone": self.zone,
-                "version": "v1",
-                "slots": self.slots,
-                "state": "ready",
-                "coldRemaining": 0,
-                "sequence": sequence,
-                "born": self.born_ms,
-            }
-            headers = [("Host", "control"), ("Content-Type", "application/json")]
-            path = f"/-/Instances.Heartbeat/{self.name}"
-            message = encode(
-                f"POST {path} HTTP/1.1", headers, json.dumps(body).encode()
-            )
-            await request(self.control_address, message)
+            await request(self.control_address, self.make_heartbeat())
             await asyncio.sleep(HEARTBEAT_INTERVAL_S)
+
+    def make_heartbeat(self) -> bytes:
+        """Return the next heartbeat."""
+        self.sequence += 1
+        body = {
+            "service": self.service,
+            "address": self.address,
+            "zone": self.zone,
+            "version": "v1",
+            "slots": self.slots,
+            "state": "ready",
+            "coldRemaining": 0,
+            "sequence": self.sequence,
+            "born": self.born_ms,
+        }
+        return self._encode_control("Heartbeat", body)
+
+    async def deregister(self) -> bool:
+        """Leave, and send no further heartbeat; return if it is acknowledged.
+
+        The server goes on serving, and its health check fails from now on.
+        """
+        self._heartbeats.cancel()
+        self.is_leaving = True
+        message = self._encode_control("Deregister", {"born": self.born_ms})
+        response = await request(self.control_address, message)
+        return response is not None and response.status // 100 == 2
+
+    def _encode_control(self, call: str, body: dict[str, object]) -> bytes:
+        headers = [("Host", "control"), ("Content-Type", "application/json")]
+        start = f"POST /-/Instances.{call}/{self.name} HTTP/1.1"
+        return encode(start, headers, json.dumps(body).encode())
