Review: tokens under an earlier limit are spent after a lower one binds

Replaces the trial with moving clients by a single planned change: the quota of a tenant that pauses is lowered.

--- a/review/3/run.py
+++ b/review/3/run.py
@@ -1,4 +1,4 @@
-"""Clients of a tenant that move between machines, and then become many."""
+"""A tenant pauses, its quota is lowered, and it sends again."""
 
 import asyncio
 import pathlib
@@ -25,14 +25,15 @@
 WORK_S = 0.12
 ROUTE_TIMEOUT_MS = 800
 DEADLINE_MS = 6_000
-RATE_PER_S = 80
-BURST = 80
 # A tenant's quota is 1.6 times what it usually sends (quota_x of the site).
-USUAL_PER_S = RATE_PER_S / 1.6
-# hot_tenant: the largest dose of the site is x = 7.5 for 6.5 s.
-HOT_FACTOR, HOT_S = 7.5, 6.5
-# shift: the largest dose of the site is a half of a zone's clients for 6.5 s.
-STAY_S = 3.0
+USUAL_PER_S = 400.0
+RATE_PER_S = BURST = int(1.6 * USUAL_PER_S)
+# config_change, how quota down: far below what the tenant sends.
+LOWER_RATE_PER_S = LOWER_BURST = 8
+SEND_S = 6.0
+# A lower limit binds one quotaWindow after configApply past its
+# acknowledgement, which is after 7 s.
+PAUSE_S = 12.0
 
 
 class Tenant:
@@ -71,8 +72,6 @@
     async def finish(self) -> None:
         """Wait for the responses that are still due."""
         await asyncio.gather(*self._tasks)
-        for clients in self._clients:
-            clients.close()
 
 
 async def play(record: Record, folder: pathlib.Path, has_trouble: bool) -> bool:
@@ -81,28 +80,30 @@
     for _ in range(MACHINES_PER_ZONE):
         for zone in ZONES:
             deployment.add_machine(zone, "rota-board", lambda: WORK_S)
+    routes = [make_route("/rota-view/", "safe", "rota-board", ROUTE_TIMEOUT_MS)]
     tenant = {"name": "gang", "apiKeys": [KEY], "priority": 1}
-    deployment.configure(
-        [make_route("/rota-view/", "safe", "rota-board", ROUTE_TIMEOUT_MS)],
-        [tenant | {"ratePerS": RATE_PER_S, "burst": BURST}],
-    )
+    quota = {"ratePerS": RATE_PER_S, "burst": BURST}
+    deployment.configure(routes, [tenant | quota])
     machines = list(range(len(deployment.machines)))
     try:
         await deployment.start()
         sender = Tenant(record, deployment)
-        for machine in machines:
-            # Without the trouble, the clients stay where they are.
-            await sender.send_for([machine * has_trouble], USUAL_PER_S, STAY_S)
-        record.write("hot_tenant", x=HOT_FACTOR)
-        await sender.send_for(machines, USUAL_PER_S * HOT_FACTOR, HOT_S)
+        await sender.send_for(machines, USUAL_PER_S, SEND_S)
+        await sender.finish()
+        if has_trouble:
+            quota = {"ratePerS": LOWER_RATE_PER_S, "burst": LOWER_BURST}
+            deployment.configure(routes, [tenant | quota])
+        await asyncio.sleep(PAUSE_S)
+        resumed_s = time.monotonic()
+        await sender.send_for(machines, USUAL_PER_S, SEND_S)
         await sender.finish()
         record.write_runs(deployment.runs)
         times_s = [
             (sender.sent_s[run.request_id], run.started_s)
             for run in deployment.runs
-            if run.request_id in sender.sent_s
+            if sender.sent_s[run.request_id] >= resumed_s
         ]
-        allowed = get_allowed_calls(RATE_PER_S, BURST, BOUNDS)
+        allowed = get_allowed_calls(quota["ratePerS"], quota["burst"], BOUNDS)
         most = count_most_in_window(times_s, BOUNDS["quotaWindow"])
         record.write("result", most_in_window=most, allowed=allowed)
         return most <= allowed
