--- a/review/stand_ins/deployment.py
+++ b/review/stand_ins/deployment.py
@@ -122,7 +122,6 @@
         """
         while True:
             reserved = socket.socket()
-            reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             port = random.randrange(FIRST_PORT, END_PORT)
             try:
                 reserved.bind(("127.0.0.1", port))
@@ -191,10 +190,19 @@
         started_s = time.monotonic()
         while not all([await self._is_ready(machine) for machine in self.machines]):
             if time.monotonic() - started_s > 3 * LEAD_S:
-                raise NotRun("a daemon is not ready")
+                raise NotRun(f"not all daemons are ready: {self._describe_ends()}")
             await asyncio.sleep(0.2)
         await asyncio.sleep(max(0.0, LEAD_S - (time.monotonic() - started_s)))
 
+    def _describe_ends(self) -> str:
+        """Return the last log lines of the daemons that have ended."""
+        lines = [
+            (self.folder / f"{machine.name}.log").read_text()[-200:]
+            for machine in self.machines
+            if machine.process is not None and machine.process.poll() is not None
+        ]
+        return "; ".join(lines) or "none has ended"
+
     def start_daemon(self, machine: Machine) -> None:
         """Start the daemon of a machine as the deploy file says."""
         settings = self.folder / f"{machine.name}.json"
