Read all items when a watch exceeds the limit of a response

Cause: a watch returns all versions since the last one. Several versions of a large configuration are above the 4 MB that the client of the store accepts, and the same watch was sent again after each failure. The daemon stopped following.

Evidence: the new test writes 8 versions of 0.8 MB during an outage.

Change: such a response is taken as a lost history, so that the items are read by pages, each of which is within the limit.

--- a/src/eelgrassweir/daemon/http_client.py
+++ b/src/eelgrassweir/daemon/http_client.py
@@ -70,6 +70,8 @@
     # A pooled connection received no byte of the answer for some time; a
     # second exchange would use a new connection.
     is_silent: bool = False
+    # The answer exceeds the limits of the client.
+    is_too_large: bool = False
 
 
 def _accept_any_response(_request: HttpRequest, _answer: Headers) -> ResponseMatch:
@@ -530,7 +532,8 @@
             self._fail(f"head above {MAX_HEAD_BYTES} bytes")
         elif self._receive_buffer.is_full:
             limit_bytes = self._receive_buffer.limit_bytes
-            self._fail(f"incomplete answers above {limit_bytes} bytes")
+            reason = f"incomplete answers above {limit_bytes} bytes"
+            self._fail(reason, is_too_large=True)
 
     def _is_abandoned(self) -> bool:
         """Return whether the last request ended without an answer."""
@@ -587,7 +590,8 @@
             return
         self._body += body
         if len(self._body) > self._body_limit_bytes:
-            self._fail(f"answer above {self._body_limit_bytes} bytes")
+            reason = f"answer above {self._body_limit_bytes} bytes"
+            self._fail(reason, is_too_large=True)
 
     def on_message_complete(self) -> None:
         """Finish the exchange, unless the answer was interim or mismatched."""
@@ -611,7 +615,12 @@
         self._response = HttpResponse(status, tuple(self._headers), bytes(self._body))
 
     def _fail(
-        self, reason: str, *, is_silent: bool = False, is_timeout: bool = False
+        self,
+        reason: str,
+        *,
+        is_silent: bool = False,
+        is_timeout: bool = False,
+        is_too_large: bool = False,
     ) -> None:
         if self._done is not None and not self._done.done():
             error = ExchangeError(
@@ -620,5 +629,6 @@
                 reason,
                 is_silent=is_silent,
                 is_timeout=is_timeout,
+                is_too_large=is_too_large,
             )
             self._done.set_exception(error)
--- a/src/eelgrassweir/platform/store.py
+++ b/src/eelgrassweir/platform/store.py
@@ -9,7 +9,11 @@
 from eliot import log_message
 
 from eelgrassweir.clock import Clock
-from eelgrassweir.daemon.http_client import BackendClient, ClientOptions
+from eelgrassweir.daemon.http_client import (
+    BackendClient,
+    ClientOptions,
+    ExchangeError,
+)
 from eelgrassweir.daemon.http_message import HttpRequest, HttpResponse
 from eelgrassweir.decoding import (
     MalformedValue,
@@ -99,11 +103,17 @@
     async def watch(self, after_revision: int, wait_ms: int) -> Changes:
         """Return the changes after a revision, none after ``wait_ms``.
 
-        :raises HistoryGone: if the store no longer has all of them.
+        :raises HistoryGone: if the store no longer has all of them, or if they
+            exceed the limit of a response.
         :raises StepError: if there is no valid response.
         """
         path = f"/-/kv-watch?prefix=&after={after_revision}&waitMs={wait_ms}"
-        answer = await self._call("GET", path, timeout_ms=wait_ms + WATCH_MARGIN_MS)
+        try:
+            answer = await self._call("GET", path, timeout_ms=wait_ms + WATCH_MARGIN_MS)
+        except ExchangeError as error:
+            if error.is_too_large:
+                raise HistoryGone from None
+            raise
         events = self._require(require_list, answer.get("events"))
         return Changes(
             changes=tuple(self._decode_each(_decode_change, events)),
--- a/testing/mesh/test_feed.py
+++ b/testing/mesh/test_feed.py
@@ -184,3 +184,32 @@
         Item(key="members/y", value=other.value, revision=7, lease_id=0)
     )
     assert [member.vm for member in directory.members.all()] == ["v"]
+
+
+def test_changes_above_the_limit_of_a_response_are_read_as_items() -> None:
+    """Guard against a daemon that never gets a configuration again.
+
+    After a pause, several versions of a large configuration exceeded the limit
+    of one response. The same watch was sent and failed until the next start.
+    """
+
+    async def scenario() -> None:
+        stand_in = PlatformStoreStandIn()
+        snapshots: list[Snapshot] = []
+        store = PlatformStore(await stand_in.start(), clock=Clock(), timeout_ms=500)
+        feed = make_feed(store, on_snapshot=snapshots.append)
+        task = asyncio.create_task(feed.run())
+        await wait_until(lambda: snapshots)
+        stand_in.fault = "busy"
+        await wait_until(lambda: not feed.is_reached)
+        for version in range(8):
+            stand_in.put("k", bytes([version]) * 800_000)
+        stand_in.fault = ""
+        await wait_until(lambda: len(snapshots) == 2)
+        await wait_until(lambda: feed.is_reached)
+        task.cancel()
+        await stand_in.stop()
+        (item,) = snapshots[-1].items
+        assert item.value == bytes([7]) * 800_000
+
+    asyncio.run(scenario())
