Wait for a port that is taken at the start of a daemon

What callers saw: a VM without an entry, as its daemon ended at each start while one of its ports was held by another process or an outgoing connection.

Cause: the first EADDRINUSE of five listeners ended the process, also that of the metrics.

--- a/src/eelgrassweir/mesh/app.py
+++ b/src/eelgrassweir/mesh/app.py
@@ -10,7 +10,6 @@
 from eelgrassweir.admission.failures import FailureRate
 from eelgrassweir.admission.throttle import OverloadThrottle
 from eelgrassweir.clock import Clock
-from eelgrassweir.daemon.address import split_address
 from eelgrassweir.daemon.coalescing import WakeupCoalescer
 from eelgrassweir.daemon.http_client import BackendClient, ClientOptions
 from eelgrassweir.daemon.http_server import Handler, HttpServer
@@ -38,6 +37,7 @@
     compute_decrease_delay_ms,
 )
 from eelgrassweir.mesh.link_messages import decode_request, encode_result
+from eelgrassweir.mesh.listeners import open_listener
 from eelgrassweir.mesh.local_entry import LocalEntry
 from eelgrassweir.mesh.log_output import LogOutput
 from eelgrassweir.mesh.member_entry import member_key
@@ -271,15 +271,30 @@
             incarnation=self.identity.incarnation,
             seed=self.seed,
         )
-        settings = self.settings
         self.tasks.start("feed", self.feed.run)
         self.tasks.start("registration", self.registration.run)
         self.tasks.start("periodic", self._run_periodic_tasks)
-        await self.control_server.start(*split_address(settings.control_address))
-        await self.link_server.start(*split_address(settings.link_address))
-        await self.caller_server.start(*split_address(settings.callers_address))
-        await self.ready_server.start(*split_address(settings.ready_address))
-        await self.admin_server.start(*split_address(settings.admin_address))
+        await self._open_listeners()
+
+    async def _open_listeners(self) -> None:
+        """Open all listeners; the daemon serves also without the metrics.
+
+        The platform is told that the daemon is ready after the callers' one.
+        """
+        settings = self.settings
+        for purpose, server, address in (
+            ("control", self.control_server, settings.control_address),
+            ("link", self.link_server, settings.link_address),
+            ("callers", self.caller_server, settings.callers_address),
+            ("ready", self.ready_server, settings.ready_address),
+        ):
+            await open_listener(purpose, address, server.start, self.clock)
+        try:
+            await open_listener(
+                "admin", settings.admin_address, self.admin_server.start, self.clock
+            )
+        except OSError as error:
+            log_message(message_type="daemon:no_metrics", reason=str(error))
 
     async def drain(self) -> None:
         """Publish the drain, then finish the requests in flight."""
--- a/testing/stand_ins/platform_store.py
+++ b/testing/stand_ins/platform_store.py
@@ -50,9 +50,9 @@
         )
         self._expiry_task: asyncio.Task[None] | None = None
 
-    async def start(self) -> str:
-        """Listen on a free port and return the address."""
-        await self._server.start("127.0.0.1", 0)
+    async def start(self, port: int = 0) -> str:
+        """Listen on a port, by default a free one, and return the address."""
+        await self._server.start("127.0.0.1", port)
         self._expiry_task = asyncio.create_task(self._expire_due_leases())
         return f"127.0.0.1:{self._server.port}"
 
