Refuse requests that a planned stop would cut off

What callers saw: in a planned stop, requests taken late in the grace got 502 at its end, filings and calls among them; a call that came while the connections closed was passed on and its connection aborted.

Cause: admission in a stop looked at the clock alone, not at how long requests take, and calls were let in until 4.2 s even where the stop ended at 3.5 s.

Change: the entry estimates the duration of each route by its slowest recent requests, and refuses as not run what would outlast the stop. All requests are refused before the connections close.

Evidence: testing/mesh/test_planned_stop.py.

--- a/src/eelgrassweir/mesh/entry.py
+++ b/src/eelgrassweir/mesh/entry.py
@@ -4,6 +4,7 @@
 key as a call that the backend server makes while it runs a request.
 """
 
+import math
 import random
 from collections.abc import Callable
 
@@ -20,6 +21,7 @@
 from eelgrassweir.mesh.dispatch import Call, Dispatcher
 from eelgrassweir.mesh.lending import TokenLending
 from eelgrassweir.mesh.log_output import CanLog, is_failed
+from eelgrassweir.mesh.run_durations import RunDurations
 from eelgrassweir.proto import link_pb2
 from eelgrassweir.requests.calls import CallerRequest
 from eelgrassweir.requests.refusal import Refusal
@@ -106,6 +108,9 @@
         self._metrics = metrics
         self._can_log = can_log
         self.in_flight_calls = 0
+        self.durations = RunDurations()
+        # Set in a planned stop: when the requests in progress are failed.
+        self.stop_end_ms = math.inf
         # Set late in a planned stop, when new requests could not be finished.
         self.is_refusing_roots = False
         self.is_refusing_all = False
@@ -136,6 +141,12 @@
         authorized = await self._authorize(config, caller_request, request)
         if isinstance(authorized, Refusal):
             return self._refuse(caller_request, authorized)
+        if self._would_outlast_stop(authorized.route):
+            if authorized.team is not None:
+                self._lending.return_token(authorized.team)
+            reason = "this VM leaves before the request could end"
+            refusal = self._make_refusal("draining", reason)
+            return self._refuse(caller_request, refusal)
         call = self._make_call(request, caller_request, authorized, started_ms)
         if self._is_throttled(call, authorized):
             if authorized.team is not None:
@@ -152,9 +163,18 @@
         self._metrics.answers.labels(
             authorized.route.name, f"{result.status // 100}xx"
         ).inc()
+        duration_ms = self._clock.now_ms() - started_ms
+        self.durations.record(authorized.route.name, duration_ms)
         self._log_response(call, authorized, result, started_ms, config.version)
         return result
 
+    def _would_outlast_stop(self, route: RouteRule) -> bool:
+        """Return whether a planned stop would cut the request off."""
+        if math.isinf(self.stop_end_ms):
+            return False
+        left_ms = self.stop_end_ms - self._clock.now_ms()
+        return self.durations.estimate_ms(route.name) > left_ms
+
     async def _authorize(
         self, config: RoutingConfig, caller_request: CallerRequest, request: HttpRequest
     ) -> AuthorizedRequest | Refusal:
--- a/src/eelgrassweir/mesh/planned_stop.py
+++ b/src/eelgrassweir/mesh/planned_stop.py
@@ -38,6 +38,7 @@
     started_ms = clock.now_ms()
     caller_server.set_closing()
     max_wait_ms = grace_ms * (1.0 - STOP_MARGIN_SHARE)
+    entry.stop_end_ms = started_ms + max_wait_ms
     while True:
         waited_ms = clock.now_ms() - started_ms
         if waited_ms >= max_wait_ms:
@@ -49,6 +50,8 @@
         if waited_ms >= drain_ms / 2:
             target.is_stopping = True
         await asyncio.sleep(STOP_POLL_MS / 1e3)
+    # A request that arrives while the connections close would be cut off.
+    entry.is_refusing_all = True
     caller_server.fail_pending_requests()
     await _close_connections(clock, caller_server)
 
--- a/src/eelgrassweir/routing/rules.py
+++ b/src/eelgrassweir/routing/rules.py
@@ -78,6 +78,12 @@
                 return route
         return None
 
+    def list_route_names(self) -> set[str]:
+        """Return the names of all routes."""
+        return {
+            route.name for routes in self.routes_by_host.values() for route in routes
+        }
+
     def find_team(self, key: str) -> TeamRule | None:
         """Return the team that holds ``key``, or None."""
         return self.teams_by_key_hash.get(hash_key(key))
--- /dev/null
+++ b/testing/mesh/test_planned_stop.py
@@ -0,0 +1,86 @@
+"""Guard against requests that a planned stop cuts off."""
+
+import asyncio
+
+from eelgrassweir.daemon.http_message import HttpResponse
+from eelgrassweir.mesh.run_durations import RunDurations
+from testing.mesh.fleet import KEY, BackendStandIn, make_route, mesh_fleet
+
+# Half of the time in which a planned stop lets requests in.
+WORK_S = 2.5
+SEND_INTERVAL_S = 0.25
+SENDING_S = 4.75
+
+
+def test_requests_that_a_stop_would_cut_off_are_refused_as_not_run() -> None:
+    """Guard against requests taken late in the grace and cut at its end.
+
+    They got 502 although they could have gone elsewhere, calls among them that
+    were sent up to a second before the end.
+    """
+
+    async def scenario() -> None:
+        async with mesh_fleet() as fleet:
+            leaving = await fleet.add(BackendStandIn("lists", "i-0"))
+            backend = BackendStandIn("notes", "i-1", slots=100, delay_s=WORK_S)
+            await fleet.add(backend)
+            fleet.configure(
+                make_route("/a/", "notes", timeout=8_000, kind="unsafe"),
+                make_route("/k/", "notes", timeout=8_000, kind="unsafe", public=False),
+            )
+            await fleet.wait_until_converged()
+            key = ("X-Credential", KEY)
+            # The durations of both routes become known.
+            first = await asyncio.gather(
+                fleet.call(leaving, "/a/"), fleet.call(leaving, "/k/", key)
+            )
+            assert [response.status for response in first] == [200, 200]
+            runs_before = len(backend.runs)
+            stop = asyncio.create_task(leaving.drain())
+            requests: list[asyncio.Task[HttpResponse]] = []
+            for _ in range(int(SENDING_S / SEND_INTERVAL_S)):
+                for path, *fields in (("/a/",), ("/k/", key)):
+                    call = fleet.call(leaving, path, *fields)
+                    requests.append(asyncio.create_task(call))
+                await asyncio.sleep(SEND_INTERVAL_S)
+            responses = await asyncio.gather(*requests)
+            await stop
+            statuses = [response.status for response in responses]
+            assert set(statuses) == {200, 503}
+            assert statuses.count(200) == len(backend.runs) - runs_before
+            # Those that end in time are still served.
+            assert statuses[: 2 * int(1.5 / SEND_INTERVAL_S)].count(503) == 0
+
+    asyncio.run(scenario())
+
+
+def test_requests_that_cross_the_end_of_a_stop_are_not_passed_on() -> None:
+    """Guard against calls that are passed on while the connections close."""
+
+    async def scenario() -> None:
+        async with mesh_fleet() as fleet:
+            leaving = await fleet.add(BackendStandIn("lists", "i-0"))
+            backend = BackendStandIn("notes", "i-1")
+            await fleet.add(backend)
+            fleet.configure(make_route("/a/", "notes"))
+            await fleet.wait_until_converged()
+            # Nothing is in flight, so the stop ends before it refuses calls.
+            await leaving.drain()
+            assert (await fleet.call(leaving, "/a/")).status == 503
+            assert not backend.runs
+
+    asyncio.run(scenario())
+
+
+def test_estimate_stays_near_the_slowest_recent_requests() -> None:
+    """Guard against an estimate that one fast request makes useless."""
+    durations = RunDurations()
+    assert durations.estimate_ms("a") == 0.0
+    durations.record("a", 1_000.0)
+    durations.record("a", 100.0)
+    assert 900.0 < durations.estimate_ms("a") < 1_000.0
+    for _ in range(100):
+        durations.record("a", 100.0)
+    assert durations.estimate_ms("a") < 110.0
+    durations.keep_routes({"b"})
+    assert durations.estimate_ms("a") == 0.0
