--- a/src/eelgrassweir/daemon/http_server.py
+++ b/src/eelgrassweir/daemon/http_server.py
@@ -31,7 +31,13 @@
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
 
 MAX_HEAD_BYTES = 32_768
+# Requests of one connection that run at a time, since the answers behind the
+# first one are held in memory.
 MAX_PIPELINED_REQUESTS = 4
+# Requests of one connection that wait or run, and their bytes. Up to these
+# limits the connection is read, so that its end is noticed.
+MAX_PENDING_REQUESTS = 64
+MAX_PENDING_BYTES = 65_536
 # Safe methods (RFC 9110 section 9.2.1). Pipelined requests of these methods
 # run concurrently, and sending one again does no harm.
 SAFE_METHODS = frozenset(("GET", "HEAD"))
@@ -75,6 +81,7 @@
     request: HttpRequest
     keep_alive: bool
     held: HeldMessage
+    size_bytes: int
     task: "asyncio.Task[None] | None" = None
     response: HttpResponse | None = None
 
@@ -265,7 +272,14 @@
         except httptools.HttpParserError as error:
             self._refuse("bad_request", f"not HTTP/1.1 ({type(error).__name__})")
         self._check_incomplete_head(len(data))
-        # A request that is complete by now needed no deadline.
+        if not self._is_read_paused:
+            self._start_receive_deadline()
+
+    def _start_receive_deadline(self) -> None:
+        """Limit the time for the rest of a request that has begun.
+
+        A request that is complete by now needs no deadline.
+        """
         if self._new_timeout_s and not self._is_write_closed:
             self._set_deadline(self._new_timeout_s)
             self._new_timeout_s = 0.0
@@ -336,14 +350,23 @@
             peer=self._peer,
         )
         held, self._held = self._held, HeldMessage(self._server.held)
+        size_bytes = self._head_bytes + len(self._body)
         self._drop_body()
-        exchange = _Exchange(request, self._parser.should_keep_alive(), held)
-        self._pending.append(exchange)
+        keep_alive = self._parser.should_keep_alive()
+        self._pending.append(_Exchange(request, keep_alive, held, size_bytes))
         self._start_allowed()
-        if len(self._pending) >= MAX_PIPELINED_REQUESTS and self._transport is not None:
+        if self._is_pending_full and self._transport is not None:
             self._is_read_paused = True
             self._transport.pause_reading()
 
+    @property
+    def _is_pending_full(self) -> bool:
+        """Return whether no more requests are read for now."""
+        if len(self._pending) >= MAX_PENDING_REQUESTS:
+            return True
+        size_bytes = sum(exchange.size_bytes for exchange in self._pending)
+        return len(self._pending) > 1 and size_bytes > MAX_PENDING_BYTES
+
     # Answers
 
     def _start_allowed(self) -> None:
@@ -385,13 +408,21 @@
                 self._cancel_pending()
                 self.close()
                 return
-            if self._is_read_paused and self._transport is not None:
-                self._is_read_paused = False
-                self._transport.resume_reading()
+            self._resume_reading()
         if not self._pending and self._can_write:
             self._set_deadline(self._server.idle_timeout_s)
             self._start_timer()
 
+    def _resume_reading(self) -> None:
+        """Read further requests if there is room for them again."""
+        if not self._is_read_paused or self._is_pending_full:
+            return
+        self._is_read_paused = False
+        if self._transport is not None:
+            self._transport.resume_reading()
+        # The time in which this end did not read is not the caller's.
+        self._start_receive_deadline()
+
     def _has_started_request(self) -> bool:
         """Return whether a target may already run a pending request."""
         return any(exchange.task is not None for exchange in self._pending)
@@ -537,13 +568,17 @@
         self._timer_due_s = math.inf
 
     def _check_deadline(self) -> None:
-        """Abort the connection if its deadline has passed."""
+        """End the connection if its deadline has passed."""
         is_due = self._deadline_s <= self._timer_due_s
         self._cancel_timer()
-        if is_due:
-            self.abort()
-        else:
+        if not is_due:
             self._start_timer()
+        elif self._pending and self._can_write and not self._is_write_closed:
+            # Earlier requests of the connection still get their answers.
+            self._clear_deadline()
+            self._refuse("bad_request", "the request was not complete in time")
+        else:
+            self.abort()
 
 
 def make_refusal_response(refusal: Refusal) -> HttpResponse:
