--- a/src/eelgrassweir/mesh/lending.py
+++ b/src/eelgrassweir/mesh/lending.py
@@ -165,7 +165,7 @@
         now_ms = self._clock.now_ms()
         accounts = self._accounts
         accounts.record_demand(team.name, now_ms)
-        if accounts.take(team.name):
+        if accounts.take(team.name, now_ms):
             if accounts.is_low(team.name, now_ms):
                 self._ensure_borrowing(team.name)
             return 0
@@ -179,13 +179,13 @@
                 await asyncio.sleep(retry_after_ms / 1e3)
             else:
                 return retry_after_ms
-            if accounts.take(team.name):
+            if accounts.take(team.name, self._clock.now_ms()):
                 return 0
         return max(1, accounts.backoff_left_ms(team.name, self._clock.now_ms()))
 
     def return_token(self, team: TeamRule) -> None:
         """Return the token of a request that was not run."""
-        self._accounts.add(team.name, 1.0)
+        self._accounts.add(team.name, 1.0, self._clock.now_ms())
 
     def _ensure_borrowing(self, needed_team: str) -> "asyncio.Task[None]":
         """Return the running borrow task; start one if there is none."""
@@ -204,13 +204,14 @@
         unanswered = dict(wanted)
         for member in self.find_reachable_holders():
             held = self._select_held(wanted, member.failure_domain)
+            sent_ms = self._clock.now_ms()
             reply = await self._borrow_from(member, held) if held else None
             if reply is None:
                 continue
             for grant in reply.grants:
                 unanswered.pop(grant.team, None)
                 if grant.tokens:
-                    self._accounts.add(grant.team, grant.tokens)
+                    self._accounts.add(grant.team, grant.tokens, sent_ms)
                     wanted.pop(grant.team, None)
                 else:
                     backoffs_ms[grant.team] = grant.retry_after_ms
@@ -268,7 +269,7 @@
         for team, tokens in list(wanted.items()):
             credit = self._fallback.lend(team, tokens, now_ms)
             if credit.tokens:
-                self._accounts.add(team, credit.tokens)
+                self._accounts.add(team, credit.tokens, now_ms)
                 del wanted[team]
             else:
                 backoffs_ms[team] = credit.retry_after_ms
--- a/src/eelgrassweir/shares/credit.py
+++ b/src/eelgrassweir/shares/credit.py
@@ -6,6 +6,7 @@
 The mesh lends tokens in this way.
 """
 
+import collections
 import math
 from collections.abc import Mapping
 
@@ -30,6 +31,9 @@
 # Buckets start at this fraction of their depth, because a new holder does not
 # know what its predecessor lent.
 INITIAL_LEVEL_FRACTION = 0.4
+# Tokens lapse this long after they were borrowed. Without an end, those that
+# many entries have left over would be spent beside a whole window's tokens.
+TOKEN_LIFETIME_MS = 2_000.0
 # Bounds of the time after which an entry without tokens asks again.
 MIN_RETRY_MS = 60
 MAX_RETRY_MS = 1_000
@@ -142,8 +146,18 @@
         return {team: bucket.level_calls for team, bucket in self._buckets.items()}
 
 
+@attrs.define
+class _LentTokens:
+    """Tokens that were lent together and lapse together."""
+
+    count: float
+    lapse_ms: float
+
+
 @attrs.define
 class _Account:
+    # The oldest first.
+    _lent: collections.deque[_LentTokens] = attrs.field(factory=collections.deque)
     level_calls: float = 0.0
     demand_per_s: float = 0.0
     demand_updated_ms: float = 0.0
@@ -153,6 +167,29 @@
         age_ms = max(0.0, now_ms - self.demand_updated_ms)
         return self.demand_per_s * math.exp(-age_ms / DEMAND_TIME_CONSTANT_MS)
 
+    def add(self, tokens: float, now_ms: float) -> None:
+        """Add tokens that were lent now."""
+        self._lent.append(_LentTokens(tokens, now_ms + TOKEN_LIFETIME_MS))
+        self.level_calls += tokens
+
+    def spend(self, tokens: float) -> None:
+        """Remove tokens that are there, the oldest first."""
+        self.level_calls -= tokens
+        while tokens > 0.0 and self._lent:
+            oldest = self._lent[0]
+            spent = min(tokens, oldest.count)
+            oldest.count -= spent
+            tokens -= spent
+            if oldest.count <= 0.0:
+                self._lent.popleft()
+
+    def drop_lapsed(self, now_ms: float) -> None:
+        """Remove the tokens whose time is over."""
+        while self._lent and self._lent[0].lapse_ms <= now_ms:
+            self.level_calls -= self._lent.popleft().count
+        if not self._lent:
+            self.level_calls = 0.0
+
 
 class CreditAccounts:
     """Spend the tokens that one entry holds and plan what to borrow."""
@@ -168,18 +205,21 @@
         )
         account.demand_updated_ms = now_ms
 
-    def take(self, team: str) -> bool:
+    def take(self, team: str, now_ms: float) -> bool:
         """Spend one token and return whether there was one."""
         account = self._accounts.get(team)
-        if account is None or account.level_calls < 1.0:
+        if account is None:
+            return False
+        account.drop_lapsed(now_ms)
+        if account.level_calls < 1.0:
             return False
-        account.level_calls -= 1.0
+        account.spend(1.0)
         return True
 
-    def add(self, team: str, tokens: float) -> None:
+    def add(self, team: str, tokens: float, now_ms: float) -> None:
         """Add lent tokens, or the token of a request that did not run."""
         account = self._accounts.setdefault(team, _Account())
-        account.level_calls += tokens
+        account.add(tokens, now_ms)
         account.backoff_until_ms = 0.0
 
     def back_off(self, team: str, retry_after_ms: int, now_ms: float) -> None:
@@ -204,6 +244,7 @@
         """
         wanted = {}
         for team, account in self._accounts.items():
+            account.drop_lapsed(now_ms)
             if team != needed and not self._is_low(account, now_ms):
                 continue
             expected_calls = self._demand_ahead_per_s(account, now_ms) * LOOKAHEAD_S
@@ -212,6 +253,8 @@
 
     def state(self, now_ms: float) -> dict[str, dict[str, float]]:
         """Return the tokens and demand of each team for the dump."""
+        for account in self._accounts.values():
+            account.drop_lapsed(now_ms)
         return {
             team: {
                 "level_calls": account.level_calls,
--- a/testing/shares/test_credit.py
+++ b/testing/shares/test_credit.py
@@ -7,6 +7,7 @@
 
 from eelgrassweir.shares.credit import (
     LOOKAHEAD_S,
+    TOKEN_LIFETIME_MS,
     BucketLimits,
     CreditAccounts,
     CreditHolder,
@@ -49,10 +50,10 @@
                     for team, wanted in account.plan_borrow(now_ms, "t").items():
                         credit = holder.lend(team, wanted, now_ms)
                         if credit.tokens:
-                            account.add(team, credit.tokens)
+                            account.add(team, credit.tokens, now_ms)
                         else:
                             account.back_off(team, credit.retry_after_ms, now_ms)
-                if account.take("t"):
+                if account.take("t", now_ms):
                     spent_ms.append(now_ms)
             assert number < entries
     allowed = (rate * WINDOW_S + burst) * factor + 2 * entries + 2
@@ -76,11 +77,12 @@
         now_ms = 2_000.0 + step * 16.0 * 4
         account = accounts[step % 4]
         account.record_demand("t", now_ms)
-        if not account.take("t"):
+        if not account.take("t", now_ms):
             if not account.backoff_left_ms("t", now_ms):
                 for team, wanted in account.plan_borrow(now_ms, "t").items():
-                    account.add(team, holder.lend(team, wanted, now_ms).tokens)
-            refused += not account.take("t")
+                    tokens = holder.lend(team, wanted, now_ms).tokens
+                    account.add(team, tokens, now_ms)
+            refused += not account.take("t", now_ms)
     assert refused == 0
 
 
@@ -121,9 +123,9 @@
     assert accounts.backoff_left_ms("t", 10.0) == 50
     assert not accounts.is_low("t", 10.0)
     assert accounts.backoff_left_ms("t", 60.0) == 0
-    accounts.add("t", 1.0)
-    assert accounts.take("t")
-    assert not accounts.take("t")
+    accounts.add("t", 1.0, 60.0)
+    assert accounts.take("t", 60.0)
+    assert not accounts.take("t", 60.0)
 
 
 @pytest.mark.parametrize("demand_per_s", [4, 40])
@@ -136,3 +138,61 @@
         accounts.record_demand("t", now_ms)
     wanted = accounts.plan_borrow(now_ms, "t")["t"]
     assert wanted >= demand_per_s * LOOKAHEAD_S * 0.8
+
+
+def test_tokens_lapse_some_time_after_they_were_lent() -> None:
+    """Guard against tokens that are spent under a lower limit (review/5).
+
+    They were lent under an earlier one and stayed in the account without an
+    end: 225 to 229 requests ran in a window that allowed 72.8.
+    """
+    accounts = CreditAccounts()
+    accounts.add("t", 3.0, 0.0)
+    accounts.add("t", 2.0, 500.0)
+    assert accounts.take("t", TOKEN_LIFETIME_MS - 1.0)
+    # The rest of the first tokens has lapsed; the later ones have not.
+    assert accounts.state(TOKEN_LIFETIME_MS)["t"]["level_calls"] == 2.0
+    assert accounts.take("t", TOKEN_LIFETIME_MS)
+    assert not accounts.take("t", TOKEN_LIFETIME_MS + 500.0)
+    accounts.add("t", 1.0, 10_000.0)
+    assert accounts.take("t", 10_000.0)
+    assert not accounts.take("t", 10_000.0)
+
+
+def test_tokens_left_where_a_team_has_been_do_not_add_up() -> None:
+    """Guard against a team that exceeds its limit after its callers moved.
+
+    Each entry that they had left kept the tokens for half a second.
+    """
+    rate, burst, entries = 80.0, 80.0, 30
+    holder = CreditHolder()
+    limits = compute_bucket_limits(
+        rate_per_s=rate, burst_calls=burst, window_s=WINDOW_S, factor=1.06
+    )
+    holder.set_limits({"t": limits}, 0.0)
+    accounts = [CreditAccounts() for _ in range(entries)]
+    spent_ms: list[float] = []
+
+    def send(account: CreditAccounts, now_ms: float) -> None:
+        account.record_demand("t", now_ms)
+        if account.is_low("t", now_ms):
+            for team, wanted in account.plan_borrow(now_ms, "t").items():
+                credit = holder.lend(team, wanted, now_ms)
+                account.add(team, credit.tokens, now_ms)
+        if account.take("t", now_ms):
+            spent_ms.append(now_ms)
+
+    now_ms = 0.0
+    for entry in range(entries):
+        for _ in range(int(3 * rate)):
+            now_ms += 1e3 / rate
+            send(accounts[entry], now_ms)
+    for _ in range(100):
+        now_ms += 50.0
+        for account in accounts:
+            send(account, now_ms)
+    first = 0
+    for last, end_ms in enumerate(spent_ms):
+        while spent_ms[first] < end_ms - WINDOW_S * 1e3:
+            first += 1
+        assert last - first + 1 <= (rate * WINDOW_S + burst) * 1.1 + 20
