Ignore heartbeats whose service is not named

Cause: a later start replaces the known backend server whatever service it names, and outranks the server's own heartbeats for good.

Change: a heartbeat whose service neither the settings nor the configuration name is malformed.

Evidence: the new case of test_control.py fails on the code before with status 200 for the odd heartbeat.

--- a/src/eelgrassweir/mesh/app.py
+++ b/src/eelgrassweir/mesh/app.py
@@ -240,6 +240,7 @@
             on_backend_change=self._update_from_backend,
             keep_leave=self.local_entry.keep_leave,
             is_ready=self.is_ready,
+            is_named_service=self.is_named_service,
         )
         self.caller_server = self._make_server(self.entry.handle)
         self.control_server = self._make_server(self.control.handle)
@@ -340,6 +341,12 @@
         """Return whether the daemon reports itself ready to callers."""
         return self.config.current is not None and not self.local_entry.is_stopping
 
+    def is_named_service(self, service: str) -> bool:
+        """Return whether the settings or the configuration name a service."""
+        config = self.config.current
+        is_configured = config is not None and service in config.health_paths
+        return is_configured or service == self.settings.service
+
     def in_flight_calls(self) -> int:
         """Return the number of requests in flight at this daemon.
 
--- a/src/eelgrassweir/mesh/control.py
+++ b/src/eelgrassweir/mesh/control.py
@@ -22,7 +22,8 @@
 
     ``on_backend_change`` is called if a message changed the known state. A
     leave is acknowledged only if ``keep_leave`` returns that the next process
-    of this VM will know of it; it takes the instance.
+    of this VM will know of it; it takes the instance. ``is_named_service``
+    returns whether the settings or the configuration name a service.
     """
 
     def __init__(
@@ -33,16 +34,18 @@
         on_backend_change: Callable[[], None],
         keep_leave: Callable[[str], Awaitable[bool]],
         is_ready: Callable[[], bool],
+        is_named_service: Callable[[str], bool],
     ) -> None:
         self._adapter = adapter
         self._backend = backend
         self._on_backend_change = on_backend_change
         self._keep_leave = keep_leave
         self._is_ready = is_ready
+        self._is_named_service = is_named_service
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Handle one message; status 200 acknowledges it."""
-        message = self._check_start(self._adapter.read_control_message(request))
+        message = self._check(self._adapter.read_control_message(request))
         if isinstance(message, ReadinessCheck):
             return _make_response(200 if self._is_ready() else 503)
         if isinstance(message, Announcement):
@@ -56,12 +59,19 @@
             return _make_response(400, message.reason)
         return _make_response(404, "no such path")
 
-    def _check_start(self, message: ControlMessage | None) -> ControlMessage | None:
-        """Return the message, as malformed if its start is in the future."""
+    def _check(self, message: ControlMessage | None) -> ControlMessage | None:
+        """Return the message, as malformed if it is of another writer.
+
+        Its start may be later than that of the backend server of this VM, and
+        would outrank all announcements of that server.
+        """
         if isinstance(message, Announcement | Deregistration):
             started_wall_ms = message.started_wall_ms or 0
             if not self._backend.is_plausible_start(started_wall_ms):
                 return MalformedMessage("start in the future")
+        is_announcement = isinstance(message, Announcement)
+        if is_announcement and not self._is_named_service(message.service):
+            return MalformedMessage("service that is not named")
         return message
 
     async def _acknowledge(
--- a/testing/mesh/test_control.py
+++ b/testing/mesh/test_control.py
@@ -37,6 +37,26 @@
     assert (remembered["instance"], remembered["known_instance"]) == ("i-0", "i-1")
 
 
+def test_heartbeat_with_an_unnamed_service_takes_no_server_out_of_use() -> None:
+    """Guard against another writer whose heartbeat outranks all later ones.
+
+    It had a later start, so that those of the sound server were ignored.
+    """
+
+    async def scenario() -> None:
+        async with mesh_fleet() as fleet:
+            daemon, backend = await add_target(fleet, "i-1")
+            odd = BackendStandIn("no-such-service", "i-1", address=backend.address)
+            odd.started_wall_ms = daemon.clock.wall_ms() + 1_000
+            response = await daemon.control.handle(odd.make_heartbeat(9))
+            assert response.status == 400
+            response = await daemon.control.handle(backend.make_heartbeat(2))
+            assert response.status == 200
+            assert (await fleet.call(daemon, "/a/")).status == 200
+
+    asyncio.run(scenario())
+
+
 def test_leave_is_stored_before_it_is_acknowledged() -> None:
     """Guard against a leave that is lost with the process that took it."""
 
