--- a/src/eelgrassweir/mesh/control.py
+++ b/src/eelgrassweir/mesh/control.py
@@ -69,8 +69,9 @@
             started_wall_ms = message.started_wall_ms or 0
             if not self._backend.is_plausible_start(started_wall_ms):
                 return MalformedMessage("start in the future")
-        is_announcement = isinstance(message, Announcement)
-        if is_announcement and not self._is_named_service(message.service):
+        if not isinstance(message, Announcement):
+            return message
+        if not self._is_named_service(message.service):
             return MalformedMessage("service that is not named")
         return message
 
