--- a/src/eelgrassweir/daemon/dispatch.py
+++ b/src/eelgrassweir/daemon/dispatch.py
@@ -12,7 +12,8 @@
 from eelgrassweir.admission.backpressure import BackpressureTable
 from eelgrassweir.clock import Clock
 from eelgrassweir.daemon.http_message import HttpRequest, HttpResponse
-from eelgrassweir.daemon.link_client import LinkError, LinkPool
+from eelgrassweir.daemon.link_client import LinkError
+from eelgrassweir.daemon.link_pool import LinkPool
 from eelgrassweir.daemon.metrics import Metrics
 from eelgrassweir.daemon.target import TargetReply, TargetService
 from eelgrassweir.membership.table import MemberTable
--- a/src/eelgrassweir/daemon/request_path.py
+++ b/src/eelgrassweir/daemon/request_path.py
@@ -23,7 +23,8 @@
 from eelgrassweir.daemon.http_message import HttpRequest, HttpResponse
 from eelgrassweir.daemon.http_server import HttpServer, make_refusal_response
 from eelgrassweir.daemon.identity import Identity
-from eelgrassweir.daemon.link_client import LinkOptions, LinkPool
+from eelgrassweir.daemon.link_client import LinkOptions
+from eelgrassweir.daemon.link_pool import LinkPool
 from eelgrassweir.daemon.link_server import LinkServer
 from eelgrassweir.daemon.metrics import Metrics
 from eelgrassweir.daemon.target import TargetService
--- a/src/eelgrassweir/mesh/app.py
+++ b/src/eelgrassweir/mesh/app.py
@@ -15,7 +15,8 @@
 from eelgrassweir.daemon.http_client import BackendClient, ClientOptions
 from eelgrassweir.daemon.http_server import Handler, HttpServer
 from eelgrassweir.daemon.identity import make_identity
-from eelgrassweir.daemon.link_client import LinkOptions, LinkPool, Reply
+from eelgrassweir.daemon.link_client import LinkOptions, Reply
+from eelgrassweir.daemon.link_pool import LinkPool
 from eelgrassweir.daemon.link_server import LinkServer
 from eelgrassweir.daemon.metrics import Metrics
 from eelgrassweir.daemon.supervision import TaskSupervisor
--- a/src/eelgrassweir/mesh/dispatch.py
+++ b/src/eelgrassweir/mesh/dispatch.py
@@ -7,7 +7,8 @@
 
 from eelgrassweir.clock import Clock
 from eelgrassweir.daemon.http_message import HttpRequest, HttpResponse
-from eelgrassweir.daemon.link_client import LinkError, LinkPool
+from eelgrassweir.daemon.link_client import LinkError
+from eelgrassweir.daemon.link_pool import LinkPool
 from eelgrassweir.membership.table import MemberTable
 from eelgrassweir.mesh.link_messages import decode_result, encode_request
 from eelgrassweir.mesh.target import TargetResult, TargetService
--- a/src/eelgrassweir/mesh/feed.py
+++ b/src/eelgrassweir/mesh/feed.py
@@ -10,7 +10,8 @@
 from eliot import log_message, write_traceback
 
 from eelgrassweir.clock import Clock
-from eelgrassweir.daemon.link_client import LinkError, LinkPool
+from eelgrassweir.daemon.link_client import LinkError
+from eelgrassweir.daemon.link_pool import LinkPool
 from eelgrassweir.errors import StepError
 from eelgrassweir.membership.freshness import Freshness
 from eelgrassweir.mesh.adapter import Store
--- a/src/eelgrassweir/mesh/lease_renewal.py
+++ b/src/eelgrassweir/mesh/lease_renewal.py
@@ -7,7 +7,8 @@
 import attrs
 from eliot import log_message
 
-from eelgrassweir.daemon.link_client import LinkError, LinkPool
+from eelgrassweir.daemon.link_client import LinkError
+from eelgrassweir.daemon.link_pool import LinkPool
 from eelgrassweir.errors import StepError
 from eelgrassweir.mesh.adapter import Store
 from eelgrassweir.mesh.source_selector import SourceSelector
--- a/src/eelgrassweir/mesh/leave_replication.py
+++ b/src/eelgrassweir/mesh/leave_replication.py
@@ -10,7 +10,8 @@
 
 from eliot import log_message
 
-from eelgrassweir.daemon.link_client import LinkError, LinkPool
+from eelgrassweir.daemon.link_client import LinkError
+from eelgrassweir.daemon.link_pool import LinkPool
 from eelgrassweir.membership.table import MemberTable
 from eelgrassweir.mesh.backend import MAX_LEAVES, Leave
 from eelgrassweir.proto import link_pb2
--- a/src/eelgrassweir/mesh/lending.py
+++ b/src/eelgrassweir/mesh/lending.py
@@ -11,7 +11,8 @@
 from eliot import log_message
 
 from eelgrassweir.clock import Clock
-from eelgrassweir.daemon.link_client import LinkError, LinkPool
+from eelgrassweir.daemon.link_client import LinkError
+from eelgrassweir.daemon.link_pool import LinkPool
 from eelgrassweir.membership.table import MemberTable
 from eelgrassweir.proto.control_pb2 import (
     DOWN,
--- a/testing/daemon/test_dispatch.py
+++ b/testing/daemon/test_dispatch.py
@@ -10,7 +10,8 @@
 from eelgrassweir.clock import Clock
 from eelgrassweir.daemon.dispatch import Call, Dispatcher
 from eelgrassweir.daemon.http_message import HttpRequest, HttpResponse
-from eelgrassweir.daemon.link_client import LinkPool, Reply
+from eelgrassweir.daemon.link_client import Reply
+from eelgrassweir.daemon.link_pool import LinkPool
 from eelgrassweir.daemon.metrics import Metrics
 from eelgrassweir.daemon.target import TargetService
 from eelgrassweir.membership.table import MemberTable
--- a/testing/daemon/test_held_bytes.py
+++ b/testing/daemon/test_held_bytes.py
@@ -15,7 +15,8 @@
 from eelgrassweir.daemon.http_client import BackendClient, ExchangeError
 from eelgrassweir.daemon.http_message import HttpRequest, HttpResponse
 from eelgrassweir.daemon.http_server import HttpServer
-from eelgrassweir.daemon.link_client import LinkOptions, LinkPool
+from eelgrassweir.daemon.link_client import LinkOptions
+from eelgrassweir.daemon.link_pool import LinkPool
 from eelgrassweir.daemon.link_server import LinkServer
 from eelgrassweir.proto import link_pb2
 
--- a/testing/daemon/test_link.py
+++ b/testing/daemon/test_link.py
@@ -8,7 +8,8 @@
 import pytest
 
 from eelgrassweir.clock import Clock
-from eelgrassweir.daemon.link_client import LinkError, LinkOptions, LinkPool, Reply
+from eelgrassweir.daemon.link_client import LinkError, LinkOptions, Reply
+from eelgrassweir.daemon.link_pool import LinkPool
 from eelgrassweir.daemon.link_server import LinkServer
 from eelgrassweir.proto import link_pb2
 from testing.stand_ins.tcp_proxy import TcpProxy
--- a/testing/mesh/feed_simulation.py
+++ b/testing/mesh/feed_simulation.py
@@ -11,7 +11,8 @@
 import attrs
 
 from eelgrassweir.clock import Clock
-from eelgrassweir.daemon.link_client import LinkError, LinkPool
+from eelgrassweir.daemon.link_client import LinkError
+from eelgrassweir.daemon.link_pool import LinkPool
 from eelgrassweir.errors import StepError
 from eelgrassweir.mesh.adapter import Store
 from eelgrassweir.mesh.directory import MemberDirectory
--- a/testing/mesh/test_feed.py
+++ b/testing/mesh/test_feed.py
@@ -5,7 +5,8 @@
 from collections.abc import Callable
 
 from eelgrassweir.clock import Clock, ManualClock
-from eelgrassweir.daemon.link_client import LinkOptions, LinkPool
+from eelgrassweir.daemon.link_client import LinkOptions
+from eelgrassweir.daemon.link_pool import LinkPool
 from eelgrassweir.membership.table import MemberTable
 from eelgrassweir.mesh.directory import EXPIRY_GRACE_MS, MemberDirectory
 from eelgrassweir.mesh.feed import StoreFeed
--- a/testing/mesh/test_lending.py
+++ b/testing/mesh/test_lending.py
@@ -7,7 +7,8 @@
 from hypothesis import given, settings, strategies as st
 
 from eelgrassweir.clock import ManualClock
-from eelgrassweir.daemon.link_client import LinkOptions, LinkPool
+from eelgrassweir.daemon.link_client import LinkOptions
+from eelgrassweir.daemon.link_pool import LinkPool
 from eelgrassweir.membership.table import MemberTable
 from eelgrassweir.mesh.lending import (
     QuotaTolerance,
--- a/testing/mesh/test_many_teams.py
+++ b/testing/mesh/test_many_teams.py
@@ -12,7 +12,8 @@
 import attrs
 import pytest
 
-from eelgrassweir.daemon.link_client import LinkError, LinkPool
+from eelgrassweir.daemon.link_client import LinkError
+from eelgrassweir.daemon.link_pool import LinkPool
 from eelgrassweir.membership.table import MemberTable
 from eelgrassweir.mesh.lending import QuotaTolerance, TokenLending
 from eelgrassweir.proto.control_pb2 import READY, Member
