Keep a leave without an announcement in a planned stop

Cause: a planned stop removes the entry of the VM unless the known backend server leaves.

Evidence: test_leave_without_an_announcement_is_stored, extended by a planned stop, fails before and passes after.

--- a/src/eelgrassweir/mesh/local_entry.py
+++ b/src/eelgrassweir/mesh/local_entry.py
@@ -11,7 +11,7 @@
 
 from eelgrassweir.errors import StepError
 from eelgrassweir.membership.table import MemberTable
-from eelgrassweir.mesh.backend import BackendTracker
+from eelgrassweir.mesh.backend import BackendTracker, Leave
 from eelgrassweir.mesh.directory import EXPIRY_GRACE_MS
 from eelgrassweir.mesh.leave_replication import LeaveReplication
 from eelgrassweir.mesh.registration import Registration
@@ -88,9 +88,7 @@
         daemons.
         """
         announcement = self._backend.announcement
-        leave = self._backend.leave
-        if announcement is None:
-            leave = self._backend.latest_leave
+        leave = self._find_leave_to_publish()
         # The entry of an earlier process may hold a leave; writing before it
         # is read would lose it.
         if not self._has_read_store or self._backend.is_recovering:
@@ -112,6 +110,12 @@
             entry.leaving_started_wall_ms = leave.latest_started_wall_ms
         self._registration.set_value(entry.SerializeToString(deterministic=True))
 
+    def _find_leave_to_publish(self) -> Leave | None:
+        """Return the leave that the next process must know."""
+        if self._backend.announcement is None:
+            return self._backend.latest_leave
+        return self._backend.leave
+
     async def keep_leave(self, instance: str) -> bool:
         """Return whether the next process of this VM will know of a leave.
 
@@ -144,7 +148,7 @@
 
     async def remove(self) -> None:
         """Remove the entry, unless the next process needs the leave in it."""
-        if self._backend.is_leaving:
+        if self._find_leave_to_publish() is not None:
             return
         try:
             async with asyncio.timeout(REMOVE_TIMEOUT_MS / 1e3):
--- a/testing/mesh/test_leaves.py
+++ b/testing/mesh/test_leaves.py
@@ -325,6 +325,10 @@
             stored = again.directory.members.get("vm-0")
             assert stored is not None
             assert (stored.leaving_instance, stored.state) == ("i-0", DRAINING)
+            # A planned stop keeps it for the process after that.
+            fleet.daemons.remove(again)
+            await again.stop()
+            assert "members/vm-0" in fleet.store.items
 
     asyncio.run(scenario())
 
