Acknowledge heartbeats only once callers and links can connect

Cause: the control listener opened first, then those of links and callers. In between a backend server is told that it takes part, and the daemon publishes its entry, while its callers and other daemons are refused; with a taken port for up to 5 s. The output of the daemon was not kept, so whether its port was taken or only late is not known; both are this gap.

Change: links and callers first, then control and readiness.

Measured: test_listeners.py holds the port of either listener; before the change 2 failed (the heartbeat got 200), now 2 passed.

--- a/src/eelgrassweir/mesh/app.py
+++ b/src/eelgrassweir/mesh/app.py
@@ -284,13 +284,14 @@
     async def _open_listeners(self) -> None:
         """Open all listeners; the daemon serves also without the metrics.
 
-        The platform is told that the daemon is ready after the callers' one.
+        A heartbeat is acknowledged, and the daemon reported as ready, only
+        once callers and other daemons can connect.
         """
         settings = self.settings
         for purpose, server, address in (
-            ("control", self.control_server, settings.control_address),
             ("link", self.link_server, settings.link_address),
             ("callers", self.caller_server, settings.callers_address),
+            ("control", self.control_server, settings.control_address),
             ("ready", self.ready_server, settings.ready_address),
         ):
             await open_listener(purpose, address, server.start, self.clock)
