Let the memory for messages follow that of the VM

What callers saw: on VMs of 300 and 552 MB a body above 24 MiB got 503, though bodyBytes allows 64 MiB; a VM below 200 MB could be ended by its messages.

Cause: the pool was sized for 200 MB wherever the daemon ran; the daemon did not know the memory of its VM.

Change: the deploy file passes limits.memoryMb in an environment variable (the settings template stays, since it is also filled by simpler renderers); the pool is that memory less 100 MB, between 16 and 260 MiB. The backend stand-in gets a pool that holds its own body limit.

--- a/src/eelgrassweir/daemon/held_bytes.py
+++ b/src/eelgrassweir/daemon/held_bytes.py
@@ -8,22 +8,32 @@
 
 import attrs
 
-# Limit of a pool that its owner does not size: most of the 200 MB that small
-# VMs give a daemon, which itself takes about 50 MB.
-DEFAULT_LIMIT_BYTES = 100_663_296
+# Memory of a VM that does not say how much it has: that of a small one.
+DEFAULT_MEMORY_MB = 200
+# Memory of a daemon without its messages, and what its allocator keeps.
+RESERVED_MEMORY_MB = 100
+MIN_LIMIT_BYTES = 16_777_216
 # Part of each message that is not counted, so that usual requests are served
 # while long ones take up the pool. It is bounded by the number of connections.
 SMALL_MESSAGE_BYTES = 16_384
 # A message is copied from the received bytes into an object and from there
 # into the bytes to send, and the copies exist at the same time.
 COPIES = 4
+# Enough for the largest body that a link carries, 64 MiB.
+MAX_LIMIT_BYTES = COPIES * 68_157_440
+
+
+def compute_limit_bytes(memory_mb: float) -> int:
+    """Return the limit of the pool of a daemon that may use so much memory."""
+    free_bytes = int((memory_mb - RESERVED_MEMORY_MB) * 1e6)
+    return min(max(free_bytes, MIN_LIMIT_BYTES), MAX_LIMIT_BYTES)
 
 
 @attrs.define(eq=False)
 class HeldBytes:
     """Memory of the messages in progress, up to ``limit_bytes``."""
 
-    limit_bytes: int = DEFAULT_LIMIT_BYTES
+    limit_bytes: int = compute_limit_bytes(DEFAULT_MEMORY_MB)
     used_bytes: int = 0
     # Sizes of the write buffers of peers that read slowly.
     _unsent: set[Callable[[], int]] = attrs.field(factory=set)
--- a/src/eelgrassweir/mesh/app.py
+++ b/src/eelgrassweir/mesh/app.py
@@ -87,6 +87,7 @@
         adapter: PlatformAdapter,
         store: Store,
         log_output: LogOutput | None = None,
+        held: HeldBytes | None = None,
     ) -> None:
         self.settings = settings
         self._log_output = log_output
@@ -97,7 +98,7 @@
         self.coalescer = WakeupCoalescer(self.clock)
         self.identity = make_identity(settings.vm, self.clock)
         self.metrics = Metrics()
-        self.held = HeldBytes()
+        self.held = held or HeldBytes()
         self.store = store
         self.config = ConfigState(adapter.decode_config, self._apply_config)
         self.directory = MemberDirectory(self.clock, settings.failure_domains)
--- a/src/eelgrassweir/mesh/main.py
+++ b/src/eelgrassweir/mesh/main.py
@@ -4,15 +4,22 @@
 """
 
 import argparse
+import math
 import os
 import pathlib
 import sys
+from collections.abc import Mapping
 
 import uvloop
 from eliot import add_destinations
 from returns.result import Failure, Result
 
 from eelgrassweir.clock import Clock
+from eelgrassweir.daemon.held_bytes import (
+    DEFAULT_MEMORY_MB,
+    HeldBytes,
+    compute_limit_bytes,
+)
 from eelgrassweir.mesh.adapter import PlatformAdapter
 from eelgrassweir.mesh.app import Application
 from eelgrassweir.mesh.log_output import LogOutput
@@ -23,6 +30,8 @@
 
 # The platform names the settings file in this variable.
 SETTINGS_VARIABLE = "EELGRASSWEIR_BOOT"
+# The deploy file gives the memory of the VM in this variable, in MB.
+MEMORY_VARIABLE = "EELGRASSWEIR_MEMORY_MB"
 EXIT_INVALID_SETTINGS = 2
 
 
@@ -40,6 +49,11 @@
     if isinstance(result, Failure):
         print(result.failure(), file=sys.stderr)
         sys.exit(EXIT_INVALID_SETTINGS)
+    try:
+        memory_mb = read_memory_mb(os.environ)
+    except ValueError as error:
+        print(f"{MEMORY_VARIABLE}: {error}", file=sys.stderr)
+        sys.exit(EXIT_INVALID_SETTINGS)
     if options.check:
         print(f"{path}: valid")
         return
@@ -47,7 +61,8 @@
     os.set_blocking(sys.stdout.fileno(), False)
     log_output = LogOutput(sys.stdout.fileno(), settings.vm)
     add_destinations(log_output.write)
-    uvloop.run(serve(settings, log_output))
+    held = HeldBytes(compute_limit_bytes(memory_mb))
+    uvloop.run(serve(settings, log_output, held))
 
 
 def read_settings(path: pathlib.Path) -> Result[MeshSettings, SettingsError]:
@@ -55,6 +70,20 @@
     return load_settings_as(MeshSettings, FIELDS, path)
 
 
+def read_memory_mb(environment: Mapping[str, str]) -> float:
+    """Return the memory in MB that the daemon may use.
+
+    :raises ValueError: if the variable holds no number of MB.
+    """
+    text = environment.get(MEMORY_VARIABLE, "").strip()
+    if not text:
+        return DEFAULT_MEMORY_MB
+    memory_mb = float(text)
+    if not 0 < memory_mb < math.inf:
+        raise ValueError(f"{text} is not above 0")
+    return memory_mb
+
+
 def make_adapter() -> PlatformAdapter:
     """Return the adapter to the platform."""
     return PlatformAdapter(
@@ -71,12 +100,12 @@
     )
 
 
-async def serve(settings: MeshSettings, log_output: LogOutput) -> None:
+async def serve(settings: MeshSettings, log_output: LogOutput, held: HeldBytes) -> None:
     """Run the daemon until SIGTERM or SIGINT."""
     store = PlatformStore(
         settings.store_address, clock=Clock(), timeout_ms=settings.store_timeout_ms
     )
-    await Application(settings, make_adapter(), store, log_output).run()
+    await Application(settings, make_adapter(), store, log_output, held).run()
 
 
 if __name__ == "__main__":
--- a/testing/daemon/test_held_bytes.py
+++ b/testing/daemon/test_held_bytes.py
@@ -8,9 +8,11 @@
 from eelgrassweir.clock import Clock
 from eelgrassweir.daemon.held_bytes import (
     COPIES,
+    MIN_LIMIT_BYTES,
     SMALL_MESSAGE_BYTES,
     HeldBytes,
     HeldMessage,
+    compute_limit_bytes,
 )
 from eelgrassweir.daemon.http_client import BackendClient, ExchangeError
 from eelgrassweir.daemon.http_message import HttpRequest, HttpResponse
@@ -22,6 +24,8 @@
 
 LIMIT_BYTES = 4_000_000
 BODY_LIMIT_BYTES = 2_000_000
+# Limit of a frame between two daemons.
+LARGEST_BODY_BYTES = 67_108_864
 LONG_BODY = b"x" * 600_000
 TIMEOUT_MS = 10_000
 
@@ -44,6 +48,16 @@
     assert other.try_grow(1)
 
 
+def test_limit_follows_the_memory_of_the_vm() -> None:
+    """Guard against refusals of bodies that fit and against VMs that end."""
+    assert compute_limit_bytes(200) == 100_000_000
+    assert compute_limit_bytes(50) == MIN_LIMIT_BYTES
+    for memory_mb in (552, 10_000_000):
+        pool = HeldBytes(compute_limit_bytes(memory_mb))
+        assert pool.message_limit_bytes >= LARGEST_BODY_BYTES
+        assert pool.limit_bytes < memory_mb * 1e6 / 2
+
+
 def test_unsent_bytes_count_until_they_are_sent() -> None:
     """Guard against peers that read slowly and together fill the memory."""
     pool = HeldBytes(LIMIT_BYTES)
--- a/testing/deploy/site.py
+++ b/testing/deploy/site.py
@@ -77,7 +77,9 @@
         """Return the path of the daemon's log."""
         return self.folder / f"{self.name}.log"
 
-    async def run_daemon(self, checkout: Checkout, settings: str) -> None:
+    async def run_daemon(
+        self, checkout: Checkout, settings: str, environment: Mapping[str, str]
+    ) -> None:
         """Start the daemon with the text of its settings file."""
         path = self.folder / f"{self.name}.json"
         path.write_text(settings)
@@ -86,7 +88,11 @@
             self.process = await asyncio.create_subprocess_exec(
                 *role["run"].split(" "),
                 cwd=checkout.path,
-                env=checkout.make_environment() | {"EELGRASSWEIR_BOOT": str(path)},
+                env={
+                    **checkout.make_environment(),
+                    **environment,
+                    "EELGRASSWEIR_BOOT": str(path),
+                },
                 stdout=log,
                 stderr=log,
             )
@@ -109,10 +115,13 @@
 class Site:
     """Daemons as processes, their backend servers and the store."""
 
-    def __init__(self, checkout: Checkout, folder: pathlib.Path) -> None:
+    def __init__(
+        self, checkout: Checkout, folder: pathlib.Path, memory_mb: int = 300
+    ) -> None:
         self.vms: list[SiteVm] = []
         self.store = PlatformStoreStandIn()
         self._store_address = find_free_address()
+        self._memory_mb = memory_mb
         self._checkout = checkout
         self._folder = folder
         self._tasks: list[asyncio.Task[None]] = []
@@ -143,9 +152,13 @@
 
     async def start_daemon(self, vm: SiteVm) -> None:
         """Start the daemon of one VM."""
-        template = ROOT / read_deploy_file()["roles"]["daemon"]["template"]
-        settings = render_template(template.read_text(), self._make_fields(vm))
-        await vm.run_daemon(self._checkout, settings)
+        role = read_deploy_file()["roles"]["daemon"]
+        fields = self._make_fields(vm)
+        settings = render_template((ROOT / role["template"]).read_text(), fields)
+        environment = {
+            name: render_template(text, fields) for name, text in role["env"].items()
+        }
+        await vm.run_daemon(self._checkout, settings, environment)
 
     async def start_store(self) -> None:
         """Start the store at the address in the settings."""
@@ -210,6 +223,7 @@
             "listen": vm.listen,
             "platform": {"address": self._store_address},
             "bounds": BOUNDS,
+            "limits": {"memoryMb": self._memory_mb},
         }
 
 
--- a/testing/deploy/test_memory.py
+++ b/testing/deploy/test_memory.py
@@ -8,12 +8,17 @@
 import pathlib
 import re
 
+import pytest
+
 from testing.deploy.checkout import Checkout
 from testing.deploy.site import Site, SiteVm, exchange, make_request
 from testing.mesh.fleet import make_config_document, make_route
 
-# Most VMs of the grown sites give a daemon so much.
-MEMORY_LIMIT_BYTES = 200_000_000
+# Memory in MB of the VMs of the sites, and whether a body of LONG_BODY_BYTES
+# has to find room.
+MEMORY = pytest.mark.parametrize(
+    ("memory_mb", "holds_long_body"), [(200, False), (300, False), (552, True)]
+)
 READY_LIMIT_S = 20.0
 # Within the limit of the configuration, 64 MiB.
 LONG_BODY_BYTES = 66_060_288
@@ -30,9 +35,9 @@
     return 1_024 * int(match[1])
 
 
-def make_site(built: Checkout, folder: pathlib.Path) -> Site:
+def make_site(built: Checkout, folder: pathlib.Path, memory_mb: int) -> Site:
     """Return a site with one VM of each of two services."""
-    site = Site(built, folder)
+    site = Site(built, folder, memory_mb)
     site.add_vm("a", "notes")
     site.add_vm("b", "lists")
     routes = [
@@ -54,13 +59,14 @@
     return statuses
 
 
+@MEMORY
 def test_long_bodies_leave_other_requests_alone(
-    built: Checkout, tmp_path: pathlib.Path
+    built: Checkout, tmp_path: pathlib.Path, memory_mb: int, holds_long_body: bool
 ) -> None:
     """Guard against a body within the limits that ends a daemon (review/4)."""
 
     async def scenario() -> None:
-        site = make_site(built, tmp_path)
+        site = make_site(built, tmp_path, memory_mb)
         try:
             await site.start_store()
             await site.start_daemons()
@@ -84,17 +90,21 @@
             # The pool is free again.
             status = await exchange(vm.listen["outbound"], medium_request)
             assert status == 200
+            for entry in site.vms:
+                status = await exchange(entry.listen["outbound"], long_request)
+                assert status == (200 if holds_long_body else 503)
             assert not site.list_ended()
             for each in site.vms:
-                assert read_peak_bytes(each) < MEMORY_LIMIT_BYTES
+                assert read_peak_bytes(each) < memory_mb * 1e6
         finally:
             await site.stop()
 
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize("memory_mb", [200, 300, 552])
 def test_answers_without_end_leave_other_requests_alone(
-    built: Checkout, tmp_path: pathlib.Path
+    built: Checkout, tmp_path: pathlib.Path, memory_mb: int
 ) -> None:
     """Guard against a target that fills the memory of its daemon."""
 
@@ -111,7 +121,7 @@
         writer.close()
 
     async def scenario() -> None:
-        site = make_site(built, tmp_path)
+        site = make_site(built, tmp_path, memory_mb)
         faulty = await asyncio.start_server(serve, "127.0.0.1", 0)
         port = faulty.sockets[0].getsockname()[1]
         try:
@@ -133,7 +143,7 @@
             assert set(failed) == {502}
             assert not site.list_ended()
             for each in site.vms:
-                assert read_peak_bytes(each) < MEMORY_LIMIT_BYTES
+                assert read_peak_bytes(each) < memory_mb * 1e6
         finally:
             faulty.close()
             await site.stop()
--- a/testing/mesh/fleet.py
+++ b/testing/mesh/fleet.py
@@ -12,6 +12,7 @@
 import attrs
 
 from eelgrassweir.clock import Clock
+from eelgrassweir.daemon.held_bytes import MAX_LIMIT_BYTES, HeldBytes
 from eelgrassweir.daemon.http_client import BackendClient, ClientOptions
 from eelgrassweir.daemon.http_message import HttpRequest, HttpResponse, find_header
 from eelgrassweir.daemon.http_server import HttpServer
@@ -52,7 +53,10 @@
 
     async def start(self) -> None:
         """Listen on a free port."""
-        self.server = HttpServer(self._handle, body_limit_bytes=MAX_BODY_BYTES)
+        held = HeldBytes(MAX_LIMIT_BYTES)
+        self.server = HttpServer(
+            self._handle, body_limit_bytes=MAX_BODY_BYTES, held=held
+        )
         await self.server.start("127.0.0.1", 0)
         self.address = f"127.0.0.1:{self.server.port}"
 
--- a/testing/mesh/test_process.py
+++ b/testing/mesh/test_process.py
@@ -11,6 +11,12 @@
 import attrs
 import pytest
 
+from eelgrassweir.mesh.main import (
+    EXIT_INVALID_SETTINGS,
+    MEMORY_VARIABLE,
+    main,
+    read_memory_mb,
+)
 from testing.mesh.fleet import (
     BackendStandIn,
     make_config_document,
@@ -24,6 +30,35 @@
 END_LIMIT_S = 5.7
 
 
+@pytest.mark.parametrize(
+    ("text", "memory_mb"), [(None, 200), ("", 200), ("300", 300), ("552.5", 552.5)]
+)
+def test_memory_is_read_from_the_environment(
+    text: str | None, memory_mb: float
+) -> None:
+    """Guard against a daemon that takes another memory for its own."""
+    environment = {} if text is None else {MEMORY_VARIABLE: text}
+    assert read_memory_mb(environment) == memory_mb
+
+
+@pytest.mark.parametrize("text", ["much", "0", "-5", "nan", "inf"])
+def test_daemon_does_not_start_with_a_memory_that_is_none(
+    text: str,
+    tmp_path: pathlib.Path,
+    monkeypatch: pytest.MonkeyPatch,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    """Guard against a bound on memory that nobody meant."""
+    settings = make_mesh_settings("vm-0", "notes", "127.0.0.1:1")
+    path = tmp_path / "settings.json"
+    path.write_text(json.dumps(attrs.asdict(settings)))
+    monkeypatch.setenv(MEMORY_VARIABLE, text)
+    with pytest.raises(SystemExit) as caught:
+        main(["--settings", str(path), "--check"])
+    assert caught.value.code == EXIT_INVALID_SETTINGS
+    assert MEMORY_VARIABLE in capsys.readouterr().err
+
+
 @pytest.mark.processes
 @pytest.mark.parametrize("fault", ["", "silent", "busy"])
 def test_process_ends_within_the_grace_time(tmp_path: pathlib.Path, fault: str) -> None:
