Log the limit of the held messages at the start of a daemon

The pool follows the memory of the VM (commit before); the line of the start says with which limit the daemon runs.

--- a/src/eelgrassweir/mesh/app.py
+++ b/src/eelgrassweir/mesh/app.py
@@ -276,6 +276,7 @@
             service=self.settings.service,
             incarnation=self.identity.incarnation,
             seed=self.seed,
+            held_limit_bytes=self.held.limit_bytes,
         )
         self.tasks.start("feed", self.feed.run)
         self.tasks.start("registration", self.registration.run)
