Keep signals from ending a daemon that is starting

What callers saw: a daemon that got SIGHUP, with which the platform says that the settings file has changed, within some tenths of a second of its start ended by itself; its clients had no entry. SIGTERM at that moment gave -15.

Cause: the handlers were installed once the modules were loaded. Trial on, one start a time: ended by SIGHUP at 0.02, 0.05, 0.1, 0.2 and 0.4 s.

Change: the deploy file starts mesh/__main__.py, which takes over both signals before it loads anything else.

--- a/experiments/processor_time.py
+++ b/experiments/processor_time.py
@@ -192,7 +192,7 @@
     """Start a daemon, under the profiler if there is a directory for it."""
     path = directory / f"{settings.vm}.json"
     path.write_text(json.dumps(attrs.asdict(settings)))
-    arguments = ["-m", "eelgrassweir.mesh.main"]
+    arguments = ["-m", "eelgrassweir.mesh"]
     if profile_directory:
         output = f"{profile_directory}/{settings.vm}.prof"
         arguments = ["-m", "cProfile", "-o", output, *arguments]
--- a/scripts/generate.py
+++ b/scripts/generate.py
@@ -73,7 +73,7 @@
         schema="mesh.schema.json",
         module="mesh_generated.py",
         page="settings-mesh.md",
-        command="python -m eelgrassweir.mesh.main --settings FILE --check",
+        command="python -m eelgrassweir.mesh --settings FILE --check",
     ),
 )
 
--- a/testing/cli/test_explain.py
+++ b/testing/cli/test_explain.py
@@ -174,7 +174,7 @@
             make_config_document(1, [make_route("/a/", "notes", public=False)]),
         )
         process = await asyncio.create_subprocess_exec(
-            *(sys.executable, "-m", "eelgrassweir.mesh.main"),
+            *(sys.executable, "-m", "eelgrassweir.mesh"),
             env=os.environ | {"EELGRASSWEIR_BOOT": str(path), "PYTHONPATH": "src"},
             stdout=asyncio.subprocess.PIPE,
         )
--- a/testing/mesh/test_process.py
+++ b/testing/mesh/test_process.py
@@ -1,6 +1,7 @@
 """Guard against a process that starts incompletely or does not exit."""
 
 import asyncio
+import contextlib
 import json
 import os
 import pathlib
@@ -17,6 +18,7 @@
     main,
     read_memory_mb,
 )
+from testing.deploy.checkout import read_deploy_file
 from testing.mesh.fleet import (
     BackendStandIn,
     make_config_document,
@@ -59,6 +61,44 @@
     assert MEMORY_VARIABLE in capsys.readouterr().err
 
 
+@pytest.mark.processes
+@pytest.mark.parametrize("number", [signal.SIGHUP, signal.SIGTERM])
+def test_signal_does_not_end_a_process_whose_modules_load(
+    tmp_path: pathlib.Path, number: signal.Signals
+) -> None:
+    """Guard against a daemon that is ended by a change of its settings."""
+
+    async def scenario() -> None:
+        store = PlatformStoreStandIn()
+        settings = make_mesh_settings("vm-0", "notes", "127.0.0.1:1")
+        settings = attrs.evolve(settings, store_address=await store.start())
+        path = tmp_path / "settings.json"
+        path.write_text(json.dumps(attrs.asdict(settings)))
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            *read_deploy_file()["roles"]["daemon"]["run"].split(" ")[1:],
+            env=os.environ | {"EELGRASSWEIR_BOOT": str(path), "PYTHONPATH": "src"},
+            stdout=asyncio.subprocess.DEVNULL,
+        )
+        maps_path = pathlib.Path(f"/proc/{process.pid}/maps")
+        try:
+            # The first library is loaded; those of the daemon follow.
+            await wait_until(lambda: "uvloop" in maps_path.read_text())
+            process.send_signal(number)
+            if number is signal.SIGHUP:
+                await wait_until(lambda: store.calls)
+                process.send_signal(signal.SIGTERM)
+            async with asyncio.timeout(END_LIMIT_S):
+                assert await process.wait() == 0
+        finally:
+            with contextlib.suppress(ProcessLookupError):
+                process.kill()
+            await process.wait()
+            await store.stop()
+
+    asyncio.run(scenario())
+
+
 @pytest.mark.processes
 @pytest.mark.parametrize("fault", ["", "silent", "busy"])
 def test_process_ends_within_the_grace_time(tmp_path: pathlib.Path, fault: str) -> None:
@@ -79,7 +119,7 @@
         process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
-            "eelgrassweir.mesh.main",
+            "eelgrassweir.mesh",
             env=os.environ | {"EELGRASSWEIR_BOOT": str(path), "PYTHONPATH": "src"},
             stdout=asyncio.subprocess.PIPE,
         )
--- a/testing/mesh/test_stale_permission.py
+++ b/testing/mesh/test_stale_permission.py
@@ -76,7 +76,7 @@
         process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
-            "eelgrassweir.mesh.main",
+            "eelgrassweir.mesh",
             env=os.environ | {"EELGRASSWEIR_BOOT": str(path), "PYTHONPATH": "src"},
             stdout=asyncio.subprocess.DEVNULL,
         )
--- a/testing/soak/fleet.py
+++ b/testing/soak/fleet.py
@@ -81,7 +81,7 @@
         with self.log_path.open("ab") as log:
             self.log_start_bytes = log.tell()
             self.process = await asyncio.create_subprocess_exec(
-                *(sys.executable, "-m", "eelgrassweir.mesh.main"),
+                *(sys.executable, "-m", "eelgrassweir.mesh"),
                 env=os.environ | {"EELGRASSWEIR_BOOT": str(path), "PYTHONPATH": "src"},
                 stdout=log,
                 stderr=log,
