--- a/src/eelgrassweir/mesh/__main__.py
+++ b/src/eelgrassweir/mesh/__main__.py
@@ -1,7 +1,6 @@
 """Entry point of the daemon on the platform.
 
-A signal that arrives while the modules load, which takes a second and more on
-a busy machine, would otherwise end the process.
+A signal that arrives while the modules load would otherwise end the process.
 """
 
 import signal
