Log unanswered requests, the memory and the end of a daemon

A daemon that is killed by its memory leaves no line about it, a request whose connection ends leaves none at the entry, and an error that ends a daemon goes to stderr only.

Change: request:unanswered, daemon:memory, daemon:failed and loop:error, two metrics. asyncio's own handler wrote to stderr, which may block the event loop.

--- a/src/eelgrassweir/daemon/http_server.py
+++ b/src/eelgrassweir/daemon/http_server.py
@@ -29,6 +29,8 @@
 )
 
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
+# Called with a request whose connection ends without its answer, and why.
+UnansweredHandler = Callable[[HttpRequest, str], None]
 
 MAX_HEAD_BYTES = 32_768
 # Requests of one connection that run at a time, since the answers behind the
@@ -91,7 +93,8 @@
 
     ``render`` converts a refusal by the server itself into an answer. With
     ``sends_idle_refusal`` the server sends a refusal on an idle connection
-    before it closes the connection. ``on_read`` is called for each read.
+    before it closes the connection. ``on_read`` is called for each read, and
+    ``on_unanswered`` for each started request whose answer cannot be sent.
     ``held`` bounds the requests and unsent answers together with the other
     messages that the daemon holds.
     """
@@ -105,9 +108,11 @@
         render: "Callable[[Refusal], HttpResponse] | None" = None,
         sends_idle_refusal: bool = True,
         on_read: "Callable[[], None] | None" = None,
+        on_unanswered: UnansweredHandler | None = None,
         held: HeldBytes | None = None,
     ) -> None:
         self.handler = handler
+        self.on_unanswered = on_unanswered
         self.held = held or HeldBytes()
         self.on_read = on_read
         self.render = render or make_refusal_response
@@ -166,7 +171,7 @@
         if self._server is not None:
             self._server.close()
         for connection in list(self._connections):
-            connection.abort()
+            connection.abort("the daemon stops")
 
     def add_connection(self, connection: "HttpConnection") -> None:
         """Track an open connection."""
@@ -203,6 +208,8 @@
         self._timer_due_s = math.inf
         self._peer = ""
         self._is_write_closed = False
+        # Why this end closes the connection, for the log.
+        self._end_reason = ""
         self._can_write = True
         self._is_read_paused = False
         # The request that is being received.
@@ -240,7 +247,7 @@
         self._cancel_timer()
         self._server.held.remove_unsent(self._count_unsent_bytes)
         self._drop_body()
-        self._cancel_pending()
+        self._cancel_pending(self._end_reason or describe_lost(exc))
 
     def pause_writing(self) -> None:
         """Hold back further answers until the caller accepts bytes again."""
@@ -405,7 +412,7 @@
             is_head = exchange.request.method == "HEAD"
             self._write(encode_response(response, is_head=is_head, close=close))
             if close or (self._has_refused and not self._pending):
-                self._cancel_pending()
+                self._cancel_pending("the connection ends with an earlier answer")
                 self.close()
                 return
             self._resume_reading()
@@ -448,12 +455,14 @@
             exchange.response = self._server.render(SHUTDOWN_REFUSAL)
         self._write_answers()
 
-    def _cancel_pending(self) -> None:
+    def _cancel_pending(self, reason: str) -> None:
         """Cancel the pending requests, whose answers cannot be sent."""
         for exchange in self._pending:
             exchange.held.release()
             if exchange.task is not None:
                 exchange.task.cancel()
+                if self._server.on_unanswered is not None:
+                    self._server.on_unanswered(exchange.request, reason)
         self._pending.clear()
 
     def _drop_body(self) -> None:
@@ -528,11 +537,12 @@
         self._set_deadline(self._server.write_timeout_s)
         self._start_timer()
 
-    def abort(self) -> None:
+    def abort(self, reason: str) -> None:
         """Close immediately; unsent bytes are dropped.
 
         A silent caller never accepts them, and a graceful close would wait.
         """
+        self._end_reason = reason
         if self._transport is not None:
             self._transport.abort()
 
@@ -578,7 +588,14 @@
             self._clear_deadline()
             self._refuse("bad_request", "the request was not complete in time")
         else:
-            self.abort()
+            self.abort("a timeout of the connection has passed")
+
+
+def describe_lost(error: Exception | None) -> str:
+    """Return why a connection ended that this end did not close."""
+    if error is None:
+        return "the caller closed the connection"
+    return f"the connection failed ({type(error).__name__}: {error})"
 
 
 def make_refusal_response(refusal: Refusal) -> HttpResponse:
--- a/src/eelgrassweir/daemon/metrics.py
+++ b/src/eelgrassweir/daemon/metrics.py
@@ -22,6 +22,16 @@
             ["code"],
             registry=self.registry,
         )
+        self.unanswered = Counter(
+            "eelgrassweir_unanswered_total",
+            "Started requests whose connection ended without their answer.",
+            registry=self.registry,
+        )
+        self.peak_memory = Gauge(
+            "eelgrassweir_peak_memory_bytes",
+            "Largest resident size of the process so far.",
+            registry=self.registry,
+        )
         self.retries = Counter(
             "eelgrassweir_retries_total",
             "Attempts after the first, by service.",
--- a/src/eelgrassweir/mesh/app.py
+++ b/src/eelgrassweir/mesh/app.py
@@ -4,6 +4,7 @@
 import functools
 import random
 import signal
+from typing import Any
 
 from eliot import log_message
 
@@ -11,9 +12,9 @@
 from eelgrassweir.admission.throttle import OverloadThrottle
 from eelgrassweir.clock import Clock
 from eelgrassweir.daemon.coalescing import WakeupCoalescer
-from eelgrassweir.daemon.held_bytes import HeldBytes
+from eelgrassweir.daemon.held_bytes import DEFAULT_MEMORY_MB, HeldBytes
 from eelgrassweir.daemon.http_client import BackendClient, ClientOptions
-from eelgrassweir.daemon.http_server import Handler, HttpServer
+from eelgrassweir.daemon.http_server import Handler, HttpServer, UnansweredHandler
 from eelgrassweir.daemon.identity import make_identity
 from eelgrassweir.daemon.link_client import LinkOptions, Reply
 from eelgrassweir.daemon.link_pool import LinkPool
@@ -43,6 +44,7 @@
 from eelgrassweir.mesh.local_entry import LocalEntry
 from eelgrassweir.mesh.log_output import LogOutput
 from eelgrassweir.mesh.member_entry import member_key
+from eelgrassweir.mesh.memory_watch import MemoryWatch, read_peak_bytes
 from eelgrassweir.mesh.planned_stop import finish_requests
 from eelgrassweir.mesh.registration import Registration
 from eelgrassweir.mesh.source_selector import SourceSelector
@@ -88,8 +90,10 @@
         store: Store,
         log_output: LogOutput | None = None,
         held: HeldBytes | None = None,
+        memory_mb: float = DEFAULT_MEMORY_MB,
     ) -> None:
         self.settings = settings
+        self.memory_watch = MemoryWatch(memory_mb * 1e6)
         self._log_output = log_output
         self._adapter = adapter
         self.clock = Clock()
@@ -244,7 +248,9 @@
             is_ready=self.is_ready,
             is_named_service=self.is_named_service,
         )
-        self.caller_server = self._make_server(self.entry.handle)
+        self.caller_server = self._make_server(
+            self.entry.handle, self.entry.record_unanswered
+        )
         self.control_server = self._make_server(self.control.handle)
         self.ready_server = self._make_server(self.control.handle)
         self.admin_server = self._make_server(
@@ -260,6 +266,7 @@
     async def run(self) -> None:
         """Run until SIGTERM or SIGINT, then shut down gracefully."""
         loop = asyncio.get_running_loop()
+        loop.set_exception_handler(log_loop_error)
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stop_requested.set)
         loop.add_signal_handler(signal.SIGHUP, self._log_reload)
@@ -391,6 +398,7 @@
             },
             "in_flight_calls": self.in_flight_calls(),
             "held_bytes": self.held.used_bytes,
+            "peak_memory_bytes": self.memory_watch.peak_bytes,
             "wakeup_pause_ms": self.coalescer.pause_ms,
         }
 
@@ -485,6 +493,7 @@
             self.coalescer.update()
             if self._log_output is not None:
                 self._log_output.flush(self.clock.now_ms())
+            self._watch_memory()
             self.directory.expire_missing()
             self.lending.refresh()
             age_ms = self.feed.freshness.age_ms(self.clock.now_ms())
@@ -495,18 +504,26 @@
             slack = self.settings.budget_slack_calls * RETRY_SLACK_SHARE / daemons
             self.retry_ratio.set_spare_retries(slack)
 
+    def _watch_memory(self) -> None:
+        peak_bytes = read_peak_bytes()
+        self.metrics.peak_memory.set(peak_bytes)
+        self.memory_watch.update(peak_bytes, self.held.used_bytes)
+
     def _log_reload(self) -> None:
         log_message(message_type="daemon:reload", vm=self.settings.vm)
 
     # Connections
 
-    def _make_server(self, handler: Handler) -> HttpServer:
+    def _make_server(
+        self, handler: Handler, on_unanswered: UnansweredHandler | None = None
+    ) -> HttpServer:
         return HttpServer(
             handler,
             body_limit_bytes=BODY_LIMIT_BYTES,
             render=self._adapter.make_refusal_response,
             sends_idle_refusal=False,
             on_read=self.coalescer.record_read,
+            on_unanswered=on_unanswered,
             held=self.held,
         )
 
@@ -529,6 +546,19 @@
         )
 
 
+def log_loop_error(_loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+    """Log an error that no task or protocol of the daemon has handled.
+
+    The handler of asyncio writes to stderr, which may block.
+    """
+    error = context.get("exception")
+    log_message(
+        message_type="loop:error",
+        reason=str(context.get("message")),
+        error=f"{type(error).__name__}: {error}" if error else "",
+    )
+
+
 def compute_watch_ms(settings: MeshSettings) -> int:
     """Return the wait of a watch of the store.
 
--- a/src/eelgrassweir/mesh/entry.py
+++ b/src/eelgrassweir/mesh/entry.py
@@ -30,6 +30,7 @@
 STEP = "entry"
 ANSWERED_MESSAGE_TYPE = "request:answered"
 REFUSED_MESSAGE_TYPE = "request:refused"
+UNANSWERED_MESSAGE_TYPE = "request:unanswered"
 # A call of a running request goes before any root request, because the work
 # done for its parent is lost if it is refused.
 CHILD_PRIORITY = link_pb2.CRITICAL
@@ -168,6 +169,20 @@
         self._log_response(call, authorized, result, started_ms, config.version)
         return result
 
+    def record_unanswered(self, request: HttpRequest, reason: str) -> None:
+        """Count and log a request whose connection ended unanswered."""
+        self._metrics.unanswered.inc()
+        if not self._can_log(UNANSWERED_MESSAGE_TYPE):
+            return
+        caller_request = self._adapter.read_caller_request(request)
+        log_message(
+            message_type=UNANSWERED_MESSAGE_TYPE,
+            request=caller_request.request_id,
+            reason=reason,
+            peer=request.peer,
+            is_stopping=not math.isinf(self.stop_end_ms),
+        )
+
     def _would_outlast_stop(self, route: RouteRule) -> bool:
         """Return whether a planned stop would cut the request off."""
         if math.isinf(self.stop_end_ms):
--- a/src/eelgrassweir/mesh/main.py
+++ b/src/eelgrassweir/mesh/main.py
@@ -11,7 +11,7 @@
 from collections.abc import Mapping
 
 import uvloop
-from eliot import add_destinations
+from eliot import add_destinations, log_message, write_traceback
 from returns.result import Failure, Result
 
 from eelgrassweir.clock import Clock
@@ -62,7 +62,14 @@
     log_output = LogOutput(sys.stdout.fileno(), settings.vm)
     add_destinations(log_output.write)
     held = HeldBytes(compute_limit_bytes(memory_mb))
-    uvloop.run(serve(settings, log_output, held))
+    try:
+        uvloop.run(serve(settings, log_output, held, memory_mb))
+    except Exception as error:
+        write_traceback()
+        reason = f"{type(error).__name__}: {error}"
+        log_message(message_type="daemon:failed", reason=reason)
+        log_output.flush(Clock().now_ms())
+        raise
 
 
 def read_settings(path: pathlib.Path) -> Result[MeshSettings, SettingsError]:
@@ -100,12 +107,17 @@
     )
 
 
-async def serve(settings: MeshSettings, log_output: LogOutput, held: HeldBytes) -> None:
+async def serve(
+    settings: MeshSettings, log_output: LogOutput, held: HeldBytes, memory_mb: float
+) -> None:
     """Run the daemon until SIGTERM or SIGINT."""
     store = PlatformStore(
         settings.store_address, clock=Clock(), timeout_ms=settings.store_timeout_ms
     )
-    await Application(settings, make_adapter(), store, log_output, held).run()
+    application = Application(
+        settings, make_adapter(), store, log_output, held, memory_mb
+    )
+    await application.run()
 
 
 if __name__ == "__main__":
