Serve requests in the absolute form

Callers got 404 for GET http://host/path, which names a route in force. Cause: the request target was matched as a path. The host of the target now replaces the Host field (RFC 9112 section 3.2.2) and the path is matched and forwarded.

--- a/src/eelgrassweir/daemon/http_message.py
+++ b/src/eelgrassweir/daemon/http_message.py
@@ -60,6 +60,23 @@
     return None
 
 
+def split_absolute_form(target: str, headers: Headers) -> tuple[str, Headers]:
+    """Return path and header fields of a request target with a host.
+
+    The host of an absolute form replaces that of the Host field (RFC 9112
+    section 3.2.2). A target in another form is returned as it is.
+    """
+    scheme, separator, rest = target.partition("://")
+    if not separator or scheme.lower() not in ("http", "https"):
+        return target, headers
+    end = min((rest.find(mark) for mark in "/?#" if mark in rest), default=len(rest))
+    host, path = rest[:end], rest[end:]
+    if not path.startswith("/"):
+        path = "/" + path
+    others = tuple(field for field in headers if field[0].lower() != "host")
+    return path, (("Host", host), *others)
+
+
 def encode_response(response: HttpResponse, *, is_head: bool, close: bool) -> bytes:
     """Return the bytes of a response.
 
--- a/src/eelgrassweir/daemon/http_server.py
+++ b/src/eelgrassweir/daemon/http_server.py
@@ -19,6 +19,7 @@
     HttpRequest,
     HttpResponse,
     encode_response,
+    split_absolute_form,
 )
 from eelgrassweir.requests.refusal import (
     Refusal,
@@ -349,10 +350,13 @@
         self._new_timeout_s = 0.0
         if self._can_write:
             self._clear_deadline()
+        path, headers = split_absolute_form(
+            self._path.decode("latin-1"), tuple(self._headers)
+        )
         request = HttpRequest(
             method=self._parser.get_method().decode("ascii"),
-            path=self._path.decode("latin-1"),
-            headers=tuple(self._headers),
+            path=path,
+            headers=headers,
             body=bytes(self._body),
             peer=self._peer,
         )
--- a/testing/daemon/test_http.py
+++ b/testing/daemon/test_http.py
@@ -549,3 +549,40 @@
         await server.stop()
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("target", "path", "host"),
+    [
+        ("http://notes.example/a/1?b=http://c/", "/a/1?b=http://c/", "notes.example"),
+        ("HTTP://notes.example:80/a/1", "/a/1", "notes.example:80"),
+        ("http://notes.example", "/", "notes.example"),
+        ("http://notes.example?a=1", "/?a=1", "notes.example"),
+        ("/a/1?b=http://c/", "/a/1?b=http://c/", "other.example"),
+    ],
+)
+def test_absolute_form_of_a_request_is_that_of_its_host(
+    target: str, path: str, host: str
+) -> None:
+    """Guard against a 404 for the form that clients of a proxy send."""
+    received: list[HttpRequest] = []
+
+    async def handle(request: HttpRequest) -> HttpResponse:
+        received.append(request)
+        return HttpResponse(200, (), b"")
+
+    async def scenario() -> None:
+        server = HttpServer(handle, body_limit_bytes=1_000)
+        await server.start("127.0.0.1", 0)
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        head = f"GET {target} HTTP/1.1\r\nHost: other.example\r\n\r\n"
+        writer.write(head.encode())
+        assert b"200" in await reader.readline()
+        writer.close()
+        await server.stop()
+
+    asyncio.run(scenario())
+    (request,) = received
+    assert request.path == path
+    hosts = [value for name, value in request.headers if name.lower() == "host"]
+    assert hosts == [host]
