Keep SIGHUP from ending a daemon of the product's own interface

The signal is now ignored while the daemon loads and logged once it runs.

testing/promises/test_reload.py failed before (the daemon had ended), passes now.

--- a/src/eelgrassweir/daemon/app.py
+++ b/src/eelgrassweir/daemon/app.py
@@ -134,6 +134,7 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stop_requested.set)
+        loop.add_signal_handler(signal.SIGHUP, self._log_reload)
         await self.start()
         try:
             await self._stop_requested.wait()
@@ -141,6 +142,9 @@
         finally:
             await self.stop()
 
+    def _log_reload(self) -> None:
+        log_message(message_type="daemon:reload", vm=self.settings.vm)
+
     async def start(self) -> None:
         """Start all parts; the request listeners open last."""
         settings = self.settings
--- a/src/eelgrassweir/daemon/main.py
+++ b/src/eelgrassweir/daemon/main.py
@@ -3,6 +3,7 @@
 import argparse
 import asyncio
 import pathlib
+import signal
 import sys
 
 from returns.result import Failure
@@ -15,6 +16,8 @@
 
 def main(arguments: list[str] | None = None) -> None:
     """Check the settings and run the daemon until SIGTERM or SIGINT."""
+    # Its default action would end a daemon that is still loading.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     parser = argparse.ArgumentParser(prog="eelgrassweird")
     parser.add_argument("--settings", type=pathlib.Path, required=True)
     parser.add_argument("--check", action="store_true", help="check and exit")
