Start daemons whose standard streams are closed

What callers saw: where a process is started with stdout closed, no daemon ran, so its clients had no entry, and the process ended by itself at each start.

Cause: main called fileno() of sys.stdout, which is None then. With stdin or stderr closed the daemon ran, but the event loop got descriptor 0 or 2.

Evidence: testing/mesh/test_streams.py on: 4 failed; two ended at the start, two had anon_inode:[eventpoll] as descriptor 0 or 2.

Change: open the null device for closed descriptors 0 to 2 before the daemon's modules are loaded.

Measured: the same tests, 4 passed; testing/mesh/test_process.py passed.

--- a/src/eelgrassweir/mesh/__main__.py
+++ b/src/eelgrassweir/mesh/__main__.py
@@ -9,10 +9,13 @@
 
 
 def run() -> None:
-    """Take over the signals, then load and run the daemon."""
+    """Take over signals and streams, then load and run the daemon."""
     # The settings are read later, so a change of them is not missed.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     signal.signal(signal.SIGTERM, _exit)
+    from eelgrassweir.mesh.standard_streams import open_closed_streams
+
+    open_closed_streams()
     from eelgrassweir.mesh.main import main
 
     main()
