Start daemons with bounds of any number, or without them

What callers saw: on a deployment with other bounds than whole numbers in a narrow range, or without one of them, no daemon would start. No such deployment has been seen here.

Cause: the schema took whole numbers only, within ranges that the platform does not name, and the template gave no JSON without a bound.

Watches of the store last at least 40 ms, as with the smallest bound accepted before.

The renderer of testing/deploy/site.py knows sections of values and inverted ones, as the platform's; no check changes.

--- a/src/eelgrassweir/mesh/app.py
+++ b/src/eelgrassweir/mesh/app.py
@@ -74,6 +74,8 @@
 # Longest watch of the store, as a share of the time in which a configuration
 # must be in force.
 WATCH_APPLY_SHARE = 0.4
+# Shorter watches would take up the processor.
+MIN_WATCH_MS = 40
 # Shares of the allowed retry ratio and slack that are used. A retried request
 # repeats the calls made below it too, so less than the whole is used.
 RETRY_RATIO_SHARE = 0.35
@@ -566,7 +568,7 @@
     half watches, and must then still have the configuration in time.
     """
     limit_ms = int(settings.config_apply_ms * WATCH_APPLY_SHARE)
-    return min(settings.store_watch_ms, limit_ms)
+    return min(settings.store_watch_ms, max(limit_ms, MIN_WATCH_MS))
 
 
 def _can_always_log(kind: str, *, is_failure: bool = False) -> bool:
--- a/src/eelgrassweir/settings/mesh_generated.py
+++ b/src/eelgrassweir/settings/mesh_generated.py
@@ -16,7 +16,6 @@
     failure_domain: str
     region: str
     failure_domains: tuple[str, ...]
-    quota_overage: float
     service: str
     backend_address: str
     callers_address: str
@@ -25,14 +24,15 @@
     link_address: str
     admin_address: str
     store_address: str
-    drain_ms: int
-    grace_s: int
-    revoke_ms: int
-    config_apply_ms: int
-    budget_ratio: float
-    budget_slack_calls: int
-    quota_window_s: int
-    quota_slack_calls: int = 0
+    drain_ms: float = 2000
+    grace_s: float = 6
+    revoke_ms: float = 604800000
+    config_apply_ms: float = 2000
+    budget_ratio: float = 0.2
+    budget_slack_calls: float = 0
+    quota_window_s: float = 5
+    quota_overage: float = 0
+    quota_slack_calls: float = 0
     link_ping_ms: int = 250
     link_silence_ms: int = 750
     store_timeout_ms: int = 1000
@@ -66,13 +66,6 @@
         required=True,
         pattern="^[A-Za-z0-9_.-]{1,63}$",
     ),
-    Field(
-        name="quota_overage",
-        kind="number",
-        required=True,
-        minimum=0,
-        maximum=10,
-    ),
     Field(
         name="service",
         kind="string",
@@ -123,60 +116,67 @@
     ),
     Field(
         name="drain_ms",
-        kind="integer",
-        required=True,
-        minimum=100,
-        maximum=600000,
+        kind="number",
+        required=False,
+        minimum=0,
+        maximum=604800000,
     ),
     Field(
         name="grace_s",
-        kind="integer",
-        required=True,
-        minimum=1,
-        maximum=3600,
+        kind="number",
+        required=False,
+        minimum=0,
+        maximum=604800,
     ),
     Field(
         name="revoke_ms",
-        kind="integer",
-        required=True,
-        minimum=500,
-        maximum=600000,
+        kind="number",
+        required=False,
+        minimum=0,
+        maximum=604800000,
     ),
     Field(
         name="config_apply_ms",
-        kind="integer",
-        required=True,
-        minimum=100,
-        maximum=600000,
+        kind="number",
+        required=False,
+        minimum=0,
+        maximum=604800000,
     ),
     Field(
         name="budget_ratio",
         kind="number",
-        required=True,
+        required=False,
         minimum=0,
-        maximum=10,
+        maximum=1000000,
     ),
     Field(
         name="budget_slack_calls",
-        kind="integer",
-        required=True,
+        kind="number",
+        required=False,
         minimum=0,
-        maximum=1000000,
+        maximum=1000000000,
     ),
     Field(
         name="quota_window_s",
-        kind="integer",
-        required=True,
-        minimum=1,
-        maximum=3600,
+        kind="number",
+        required=False,
+        minimum=0,
+        maximum=604800,
     ),
     Field(
-        name="quota_slack_calls",
-        kind="integer",
+        name="quota_overage",
+        kind="number",
         required=False,
         minimum=0,
         maximum=1000000,
     ),
+    Field(
+        name="quota_slack_calls",
+        kind="number",
+        required=False,
+        minimum=0,
+        maximum=1000000000,
+    ),
     Field(
         name="link_ping_ms",
         kind="integer",
--- a/testing/deploy/site.py
+++ b/testing/deploy/site.py
@@ -24,7 +24,7 @@
 from testing.mesh.fleet import HOST, KEY, BackendStandIn, find_free_address
 from testing.stand_ins.platform_store import PlatformStoreStandIn
 
-SECTION = re.compile(r"\{\{#(\w+)\}\}(.*?)\{\{/\1\}\}", re.DOTALL)
+SECTION = re.compile(r"\{\{([#^])([\w.]+)\}\}(.*?)\{\{/\2\}\}", re.DOTALL)
 PLACEHOLDER = re.compile(r"\{\{([\w.]+)(\|json)?\}\}")
 HEARTBEAT_INTERVAL_S = 0.5
 HEARTBEAT_TIMEOUT_MS = 1_000.0
@@ -42,20 +42,43 @@
 }
 
 
+def find_value(fields: Mapping[str, Any], path: str) -> Any:
+    """Return the value at a path such as ``a.b`` or ``a.0``, None if none."""
+    value: Any = fields
+    for part in path.split("."):
+        value = value[int(part)] if isinstance(value, list) else value.get(part)
+        if value is None:
+            return None
+    return value
+
+
+def render_entries(text: str, names: list[str]) -> str:
+    """Render a section once for each entry of a table with these names."""
+    if not names:
+        return ""
+    texts = [text.replace("{{@}}", name) for name in names]
+    last = texts.pop().replace("{{,}}", "")
+    return "".join([*(text.replace("{{,}}", ",") for text in texts), last])
+
+
 def render_template(template: str, fields: Mapping[str, Any]) -> str:
     """Fill in a settings template as the platform does."""
 
     def render_section(match: re.Match[str]) -> str:
-        names = list(fields[match[1]])
-        texts = [match[2].replace("{{@}}", name) for name in names]
-        last = texts.pop().replace("{{,}}", "")
-        return "".join([*(text.replace("{{,}}", ",") for text in texts), last])
+        kind, path, text = match.groups()
+        value = find_value(fields, path)
+        is_present = value is not None and value is not False
+        if kind == "^":
+            return "" if is_present else text
+        if not is_present:
+            return ""
+        return render_entries(text, list(value)) if isinstance(value, dict) else text
 
     def render_value(match: re.Match[str]) -> str:
-        value: Any = fields
-        for part in match[1].split("."):
-            value = value[int(part)] if isinstance(value, list) else value[part]
-        return json.dumps(value) if match[2] else str(value)
+        value = find_value(fields, match[1])
+        if match[2]:
+            return json.dumps(value)
+        return "" if value is None else str(value)
 
     return PLACEHOLDER.sub(render_value, SECTION.sub(render_section, template))
 
@@ -116,12 +139,17 @@
     """Daemons as processes, their backend servers and the store."""
 
     def __init__(
-        self, checkout: Checkout, folder: pathlib.Path, memory_mb: int = 300
+        self,
+        checkout: Checkout,
+        folder: pathlib.Path,
+        memory_mb: int = 300,
+        bounds: Mapping[str, float] = BOUNDS,
     ) -> None:
         self.vms: list[SiteVm] = []
         self.store = PlatformStoreStandIn()
         self._store_address = find_free_address()
         self._memory_mb = memory_mb
+        self._bounds = bounds
         self._checkout = checkout
         self._folder = folder
         self._tasks: list[asyncio.Task[None]] = []
@@ -222,7 +250,7 @@
             "internalPorts": [admin_port, admin_port],
             "listen": vm.listen,
             "platform": {"address": self._store_address},
-            "bounds": BOUNDS,
+            "bounds": dict(self._bounds),
             "limits": {"memoryMb": self._memory_mb},
         }
 
