Close the listener first at the end of a planned stop

What callers saw: from 3.5 s after SIGTERM on, a new connection was accepted and closed within 20 ms without a byte, and the request sent on it had no answer. None of these requests was passed on.

Cause: the listener stayed open while idle connections were closed every 20 ms; a connection whose request had not arrived yet counted as idle.

Change: the listener closes first, the connections that are open then have 140 ms for a request, which is refused as not run, and idle ones are closed after that. The end still takes 200 ms at most.

--- a/src/eelgrassweir/mesh/planned_stop.py
+++ b/src/eelgrassweir/mesh/planned_stop.py
@@ -19,6 +19,8 @@
 STOP_MARGIN_SHARE = 0.16
 STOP_POLL_MS = 20
 CLOSE_TIMEOUT_MS = 200
+# Time in which the request of a connection that was just opened arrives.
+FIRST_REQUEST_MS = 140
 
 
 async def finish_requests(
@@ -57,8 +59,17 @@
 
 
 async def _close_connections(clock: Clock, caller_server: HttpServer) -> None:
-    """Close the callers' connections, each once its response is written."""
-    end_ms = clock.now_ms() + CLOSE_TIMEOUT_MS
-    while caller_server.connection_count and clock.now_ms() < end_ms:
-        caller_server.close_idle()
+    """Close the callers' connections, each once its response is written.
+
+    The listener closes first. Those opened just before have time to send their
+    request, which is refused as not run.
+    """
+    caller_server.stop_listening()
+    started_ms = clock.now_ms()
+    while caller_server.connection_count:
+        waited_ms = clock.now_ms() - started_ms
+        if waited_ms >= CLOSE_TIMEOUT_MS:
+            return
+        if waited_ms >= FIRST_REQUEST_MS:
+            caller_server.close_idle()
         await asyncio.sleep(STOP_POLL_MS / 1e3)
