Refuse late calls of unknown duration in a planned stop

What callers saw: calls of backend servers from 3.0 to 4.2 s after SIGTERM on routes without answers so far were let in whatever their duration and got 502 after 5.04 s while their target was at work.

Cause: the estimate of a route without answers was 0.

Change: such a route is taken to be as slow as the slowest known one. If none is known, a call after 3 s is refused as not run unless its time ends before the stop does. An estimate counts only up to the time that is left.

Evidence: test_late_calls_of_unknown_duration_are_refused_as_not_run on: 2 failed, [502, 502, 502, 502, 502] instead of 503 in both.

test_estimate_stays_near_the_slowest_recent_requests expects None in place of 0 for "nothing known", and checks the new fallback as well.

Measured: testing/mesh/test_planned_stop.py 6 passed.

--- a/src/eelgrassweir/mesh/entry.py
+++ b/src/eelgrassweir/mesh/entry.py
@@ -142,7 +142,8 @@
         authorized = await self._authorize(config, caller_request, request)
         if isinstance(authorized, Refusal):
             return self._refuse(caller_request, authorized)
-        if self._would_outlast_stop(authorized.route):
+        limit_ms = _compute_limit_ms(authorized.route, caller_request)
+        if self._would_outlast_stop(authorized.route, limit_ms):
             if authorized.team is not None:
                 self._lending.return_token(authorized.team)
             reason = "this VM leaves before the request could end"
@@ -183,12 +184,18 @@
             is_stopping=not math.isinf(self.stop_end_ms),
         )
 
-    def _would_outlast_stop(self, route: RouteRule) -> bool:
-        """Return whether a planned stop would cut the request off."""
+    def _would_outlast_stop(self, route: RouteRule, limit_ms: float) -> bool:
+        """Return whether a planned stop would cut the request off.
+
+        If nothing is known, one that comes late may take all of its time.
+        """
         if math.isinf(self.stop_end_ms):
             return False
         left_ms = self.stop_end_ms - self._clock.now_ms()
-        return self.durations.estimate_ms(route.name) > left_ms
+        estimate_ms = self.durations.estimate_ms(route.name)
+        if estimate_ms is None:
+            estimate_ms = limit_ms if self.is_refusing_roots else 0.0
+        return min(estimate_ms, limit_ms) > left_ms
 
     async def _authorize(
         self, config: RoutingConfig, caller_request: CallerRequest, request: HttpRequest
@@ -281,9 +288,7 @@
         started_ms: float,
     ) -> Call:
         route, team = authorized.route, authorized.team
-        limit_ms = float(route.timeout_ms)
-        if caller_request.remaining_ms is not None:
-            limit_ms = min(limit_ms, caller_request.remaining_ms)
+        limit_ms = _compute_limit_ms(route, caller_request)
         context = link_pb2.CallContext(
             request_id=caller_request.request_id,
             team=team.name if team else "",
@@ -339,6 +344,14 @@
     return is_failure and call.refused_calls_share > REFUSED_CALLS_SHARE
 
 
+def _compute_limit_ms(route: RouteRule, caller_request: CallerRequest) -> float:
+    """Return how long the request may take from its arrival on."""
+    limit_ms = float(route.timeout_ms)
+    if caller_request.remaining_ms is None:
+        return limit_ms
+    return min(limit_ms, caller_request.remaining_ms)
+
+
 def _choose_priority(team: TeamRule | None) -> link_pb2.Priority.ValueType:
     """Return the priority of a request in the queue of its target."""
     if team is None:
--- a/src/eelgrassweir/mesh/run_durations.py
+++ b/src/eelgrassweir/mesh/run_durations.py
@@ -23,9 +23,15 @@
             duration_ms = slow_ms + DECAY_WEIGHT * (duration_ms - slow_ms)
         self._slow_ms[route] = duration_ms
 
-    def estimate_ms(self, route: str) -> float:
-        """Return the expected duration, 0 for a route without answers."""
-        return self._slow_ms.get(route, 0.0)
+    def estimate_ms(self, route: str) -> float | None:
+        """Return the expected duration, None if there were no answers yet.
+
+        A route without answers is taken to be as slow as the slowest one.
+        """
+        slow_ms = self._slow_ms.get(route)
+        if slow_ms is not None:
+            return slow_ms
+        return max(self._slow_ms.values(), default=None)
 
     def keep_routes(self, routes: set[str]) -> None:
         """Forget the routes that the configuration no longer has."""
--- a/testing/mesh/test_planned_stop.py
+++ b/testing/mesh/test_planned_stop.py
@@ -15,12 +15,14 @@
     BackendStandIn,
     make_route,
     mesh_fleet,
+    wait_until,
 )
 
 # Half of the time in which a planned stop lets requests in.
 WORK_S = 2.5
 SEND_INTERVAL_S = 0.25
 SENDING_S = 4.75
+LATE_CALLS = 5
 OPEN_INTERVAL_S = 0.005
 # Connections that were opened last, the very last one left out: the listener
 # may close before it is accepted.
@@ -120,15 +122,47 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize("has_answers", [True, False])
+def test_late_calls_of_unknown_duration_are_refused_as_not_run(
+    has_answers: bool,
+) -> None:
+    """Guard against calls on new routes that are cut at the end of a stop."""
+
+    async def scenario() -> None:
+        async with mesh_fleet() as fleet:
+            leaving = await fleet.add(BackendStandIn("lists", "i-0"))
+            backend = BackendStandIn("notes", "i-1", slots=100, delay_s=WORK_S)
+            await fleet.add(backend)
+            fleet.configure(
+                make_route("/a/", "notes", timeout=8_000),
+                make_route("/new/", "notes", timeout=8_000),
+            )
+            await fleet.wait_until_converged()
+            if has_answers:
+                assert (await fleet.call(leaving, "/a/")).status == 200
+            stop = asyncio.create_task(leaving.drain())
+            # Keeps the stop from ending early.
+            running = asyncio.create_task(fleet.call(leaving, "/a/"))
+            await wait_until(lambda: leaving.entry.is_refusing_roots)
+            calls = (fleet.call(leaving, "/new/") for _ in range(LATE_CALLS))
+            responses = await asyncio.gather(*calls)
+            assert [response.status for response in responses] == [503] * LATE_CALLS
+            await asyncio.gather(running, stop)
+
+    asyncio.run(scenario())
+
+
 def test_estimate_stays_near_the_slowest_recent_requests() -> None:
     """Guard against an estimate that one fast request makes useless."""
     durations = RunDurations()
-    assert durations.estimate_ms("a") == 0.0
+    assert durations.estimate_ms("a") is None
     durations.record("a", 1_000.0)
     durations.record("a", 100.0)
-    assert 900.0 < durations.estimate_ms("a") < 1_000.0
+    assert 900.0 < (durations.estimate_ms("a") or 0.0) < 1_000.0
     for _ in range(100):
         durations.record("a", 100.0)
-    assert durations.estimate_ms("a") < 110.0
+    assert 100.0 <= (durations.estimate_ms("a") or 0.0) < 110.0
+    # A route without answers is taken to be as slow as the slowest one.
+    assert durations.estimate_ms("b") == durations.estimate_ms("a")
     durations.keep_routes({"b"})
-    assert durations.estimate_ms("a") == 0.0
+    assert durations.estimate_ms("a") is None
