Wait for taken ports without end, and for descriptors

What callers saw: the daemon of a VM ended with status 1 at each start while another program had one of its ports for more than 5 s. SIGTERM meanwhile waited for the port. Without free descriptors at the start the daemon went on for good without a listener and without a log line.

Cause: open_listener gave up after 5 s, and a stop began only after the start. create_server skips an address for which it gets no socket.

Change: try until the daemon can listen, log it every 10 s with the reason, and await the stop together with the start. A daemon whose callers have no listener yet ends without the planned stop.

--- a/src/eelgrassweir/daemon/http_server.py
+++ b/src/eelgrassweir/daemon/http_server.py
@@ -21,6 +21,7 @@
     encode_response,
     split_absolute_form,
 )
+from eelgrassweir.daemon.listening import open_server
 from eelgrassweir.requests.refusal import (
     Refusal,
     clear_not_run_if_ticketed,
@@ -132,10 +133,12 @@
         self, host: str, port: int, tls: ssl.SSLContext | None = None
     ) -> None:
         """Listen on ``host`` and ``port``."""
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            lambda: HttpConnection(self), host, port, ssl=tls, backlog=1024
-        )
+        self._server = await open_server(lambda: HttpConnection(self), host, port, tls)
+
+    @property
+    def is_listening(self) -> bool:
+        """Return whether the listener has been opened."""
+        return self._server is not None
 
     def set_closing(self, is_closing: bool = True) -> None:
         """Set whether connections close after their next answer."""
--- a/src/eelgrassweir/daemon/link_server.py
+++ b/src/eelgrassweir/daemon/link_server.py
@@ -17,6 +17,7 @@
     Reply,
 )
 from eelgrassweir.daemon.link_frames import FrameProtocol
+from eelgrassweir.daemon.listening import open_server
 from eelgrassweir.proto import link_pb2
 from eelgrassweir.requests.refusal import make_internal_refusal
 
@@ -64,10 +65,7 @@
         self, host: str, port: int, tls: ssl.SSLContext | None = None
     ) -> None:
         """Listen on ``host`` and ``port``."""
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            lambda: LinkSession(self), host, port, ssl=tls, backlog=1024
-        )
+        self._server = await open_server(lambda: LinkSession(self), host, port, tls)
         self._schedule_check()
 
     @property
--- a/src/eelgrassweir/mesh/app.py
+++ b/src/eelgrassweir/mesh/app.py
@@ -1,9 +1,9 @@
 """Application object of the daemon on the platform: wiring and life cycle."""
 
 import asyncio
+import contextlib
 import functools
 import random
-import signal
 from typing import Any
 
 from eliot import log_message
@@ -47,6 +47,7 @@
 from eelgrassweir.mesh.memory_watch import MemoryWatch, read_peak_bytes
 from eelgrassweir.mesh.planned_stop import finish_requests
 from eelgrassweir.mesh.registration import Registration
+from eelgrassweir.mesh.signals import handle_signals
 from eelgrassweir.mesh.source_selector import SourceSelector
 from eelgrassweir.mesh.target import TargetService
 from eelgrassweir.proto import link_pb2
@@ -267,16 +268,27 @@
 
     async def run(self) -> None:
         """Run until SIGTERM or SIGINT, then shut down gracefully."""
-        loop = asyncio.get_running_loop()
-        loop.set_exception_handler(log_loop_error)
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self._stop_requested.set)
-        loop.add_signal_handler(signal.SIGHUP, self._log_reload)
-        await self.start()
-        await self._stop_requested.wait()
-        await self.drain()
+        asyncio.get_running_loop().set_exception_handler(log_loop_error)
+        handle_signals(self._stop_requested.set, self._log_reload)
+        await self._run_until_stop()
+        # Nobody could send requests to a daemon that waits for its ports.
+        if self.caller_server.is_listening:
+            await self.drain()
         await self.stop()
 
+    async def _run_until_stop(self) -> None:
+        """Start; return when a stop is requested, also during the start."""
+        starting = asyncio.create_task(self.start())
+        stopping = asyncio.create_task(self._stop_requested.wait())
+        await asyncio.wait((starting, stopping), return_when=asyncio.FIRST_COMPLETED)
+        if starting.done():
+            await starting
+            await stopping
+            return
+        starting.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await starting
+
     async def start(self) -> None:
         """Open the listeners and start to follow the store."""
         log_message(
--- a/src/eelgrassweir/mesh/listeners.py
+++ b/src/eelgrassweir/mesh/listeners.py
@@ -10,8 +10,19 @@
 from eelgrassweir.daemon.address import split_address
 
 RETRY_DELAY_MS = 100
-# Below the grace time of a planned stop, which waits for the listeners.
-MAX_WAIT_MS = 5_000
+LOG_INTERVAL_MS = 10_000
+# Errors that end without a change of the settings: the port is taken, the
+# address is not up yet, or descriptors or memory are used up.
+PASSING_ERRORS = frozenset(
+    {
+        errno.EADDRINUSE,
+        errno.EADDRNOTAVAIL,
+        errno.EMFILE,
+        errno.ENFILE,
+        errno.ENOBUFS,
+        errno.ENOMEM,
+    }
+)
 
 
 async def open_listener(
@@ -20,28 +31,33 @@
     start: Callable[[str, int], Awaitable[None]],
     clock: Clock,
 ) -> None:
-    """Start a server at an address, once its port is free.
+    """Start a server at an address, as soon as its port is free.
 
     A port may still be held by the earlier process or by an outgoing
     connection.
 
-    :raises OSError: if the server cannot listen, or its port is not free in
-        time.
+    :raises OSError: if the server cannot listen for a lasting reason.
     """
     host, port = split_address(address)
-    end_ms = clock.now_ms() + MAX_WAIT_MS
-    is_logged = False
+    logged_errno = None
+    logged_ms = 0.0
     while True:
         try:
             await start(host, port)
         except OSError as error:
-            if error.errno != errno.EADDRINUSE or clock.now_ms() >= end_ms:
+            if error.errno not in PASSING_ERRORS:
                 raise
-            if not is_logged:
+            now_ms = clock.now_ms()
+            is_new = error.errno != logged_errno
+            if is_new or now_ms - logged_ms >= LOG_INTERVAL_MS:
                 log_message(
-                    message_type="daemon:port_taken", purpose=purpose, address=address
+                    message_type="daemon:port_taken",
+                    purpose=purpose,
+                    address=address,
+                    reason=str(error),
                 )
-                is_logged = True
+                logged_errno = error.errno
+                logged_ms = now_ms
         else:
             return
         await asyncio.sleep(RETRY_DELAY_MS / 1e3)
