Ignore signals once a planned stop is over

What callers saw: nothing; the platform saw a daemon that ended with -1 or -15 in a planned stop instead of 0, as if it had ended by itself.

Cause: the event loop restores the default action of its signals when it is closed, before the interpreter ends.

Evidence: testing/mesh/test_process.py, a signal each millisecond from SIGTERM to the end: on, 2 failed, with -1 (SIGHUP) and -15.

Change: ignore SIGTERM, SIGINT and SIGHUP as the last step of a stop.

Measured: 2 passed, and the other tests of the file that were run.

--- a/src/eelgrassweir/mesh/app.py
+++ b/src/eelgrassweir/mesh/app.py
@@ -47,7 +47,7 @@
 from eelgrassweir.mesh.memory_watch import MemoryWatch, read_peak_bytes
 from eelgrassweir.mesh.planned_stop import finish_requests
 from eelgrassweir.mesh.registration import Registration
-from eelgrassweir.mesh.signals import handle_signals
+from eelgrassweir.mesh.signals import handle_signals, ignore_signals
 from eelgrassweir.mesh.source_selector import SourceSelector
 from eelgrassweir.mesh.target import TargetService
 from eelgrassweir.proto import link_pb2
@@ -275,6 +275,7 @@
         if self.caller_server.is_listening:
             await self.drain()
         await self.stop()
+        ignore_signals()
 
     async def _run_until_stop(self) -> None:
         """Start; return when a stop is requested, also during the start."""
--- a/src/eelgrassweir/mesh/signals.py
+++ b/src/eelgrassweir/mesh/signals.py
@@ -15,3 +15,15 @@
     for number in STOP_SIGNALS:
         loop.add_signal_handler(number, on_stop)
     loop.add_signal_handler(signal.SIGHUP, on_reload)
+
+
+def ignore_signals() -> None:
+    """Ignore further signals.
+
+    The loop would restore their default action when it is closed, which ends
+    the process with another status than 0.
+    """
+    loop = asyncio.get_running_loop()
+    for number in (*STOP_SIGNALS, signal.SIGHUP):
+        loop.remove_signal_handler(number)
+        signal.signal(number, signal.SIG_IGN)
--- a/testing/mesh/test_process.py
+++ b/testing/mesh/test_process.py
@@ -19,6 +19,7 @@
     read_memory_mb,
 )
 from testing.deploy.checkout import read_deploy_file
+from testing.mesh.daemon_process import run_daemon_process
 from testing.mesh.fleet import (
     BackendStandIn,
     make_config_document,
@@ -99,6 +100,28 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.processes
+@pytest.mark.parametrize("number", [signal.SIGHUP, signal.SIGTERM])
+def test_signal_does_not_change_the_status_of_a_stop(
+    tmp_path: pathlib.Path, number: signal.Signals
+) -> None:
+    """Guard against a planned stop that counts as an end by itself."""
+
+    async def scenario() -> None:
+        settings = make_mesh_settings("vm-0", "notes", "127.0.0.1:1")
+        async with run_daemon_process(settings, tmp_path) as daemon:
+            await daemon.wait_until_answering()
+            daemon.process.send_signal(signal.SIGTERM)
+            async with asyncio.timeout(END_LIMIT_S):
+                while daemon.process.returncode is None:
+                    with contextlib.suppress(ProcessLookupError):
+                        daemon.process.send_signal(number)
+                    await asyncio.sleep(0.001)
+            assert daemon.process.returncode == 0
+
+    asyncio.run(scenario())
+
+
 @pytest.mark.processes
 @pytest.mark.parametrize("fault", ["", "silent", "busy"])
 def test_process_ends_within_the_grace_time(tmp_path: pathlib.Path, fault: str) -> None:
