Do not block on a standard error that nobody reads

What callers saw: with standard error as a full pipe, a daemon that was to end with an error neither ended nor served, and was not started again.

Cause: standard error was blocking; tracebacks of the interpreter and the lines of asyncio's logger go there.

Change: standard output and standard error are non-blocking from the start. Warnings of libraries and errors in finalizers are logged.

--- a/src/eelgrassweir/mesh/main.py
+++ b/src/eelgrassweir/mesh/main.py
@@ -4,11 +4,13 @@
 """
 
 import argparse
+import contextlib
 import math
 import os
 import pathlib
 import sys
 from collections.abc import Mapping
+from typing import NoReturn
 
 import uvloop
 from eliot import add_destinations, log_message, write_traceback
@@ -22,6 +24,7 @@
 )
 from eelgrassweir.mesh.adapter import PlatformAdapter
 from eelgrassweir.mesh.app import Application
+from eelgrassweir.mesh.library_logs import log_library_messages
 from eelgrassweir.mesh.log_output import LogOutput
 from eelgrassweir.platform import configuration, messages
 from eelgrassweir.platform.store import PlatformStore
@@ -44,23 +47,23 @@
     parser.add_argument("--settings", type=pathlib.Path, help="settings file")
     parser.add_argument("--check", action="store_true", help="check and exit")
     options = parser.parse_args(arguments)
+    if not options.check:
+        set_streams_nonblocking()
     path = options.settings or pathlib.Path(os.environ.get(SETTINGS_VARIABLE, ""))
     result = read_settings(path)
     if isinstance(result, Failure):
-        print(result.failure(), file=sys.stderr)
-        sys.exit(EXIT_INVALID_SETTINGS)
+        exit_invalid(str(result.failure()))
     try:
         memory_mb = read_memory_mb(os.environ)
     except ValueError as error:
-        print(f"{MEMORY_VARIABLE}: {error}", file=sys.stderr)
-        sys.exit(EXIT_INVALID_SETTINGS)
+        exit_invalid(f"{MEMORY_VARIABLE}: {error}")
     if options.check:
         print(f"{path}: valid")
         return
     settings = result.unwrap()
-    os.set_blocking(sys.stdout.fileno(), False)
     log_output = LogOutput(sys.stdout.fileno(), settings.vm)
     add_destinations(log_output.write)
+    log_library_messages()
     held = HeldBytes(compute_limit_bytes(memory_mb))
     try:
         uvloop.run(serve(settings, log_output, held, memory_mb))
@@ -72,6 +75,19 @@
         raise
 
 
+def set_streams_nonblocking() -> None:
+    """Keep a pipe that nobody reads from stopping the daemon."""
+    for stream in (sys.stdout, sys.stderr):
+        os.set_blocking(stream.fileno(), False)
+
+
+def exit_invalid(reason: str) -> NoReturn:
+    """End the process because of its settings."""
+    with contextlib.suppress(OSError):
+        print(reason, file=sys.stderr)
+    sys.exit(EXIT_INVALID_SETTINGS)
+
+
 def read_settings(path: pathlib.Path) -> Result[MeshSettings, SettingsError]:
     """Read and check the settings at ``path``."""
     return load_settings_as(MeshSettings, FIELDS, path)
