Ignore signals once the daemon has stopped

What the platform saw: a daemon that got SIGHUP in the last milliseconds of a planned stop ended with -1 in place of 0; with SIGTERM it was -15. Callers saw nothing, as all connections were closed.

Cause: the event loop and the interpreter reset the handlers of signals when they end; a signal then has its default action.

Blocking the signals does not help: other threads take them.

Change: SIGHUP, SIGINT and SIGTERM are ignored after the stop.

--- a/src/eelgrassweir/mesh/main.py
+++ b/src/eelgrassweir/mesh/main.py
@@ -4,9 +4,11 @@
 """
 
 import argparse
+import asyncio
 import math
 import os
 import pathlib
+import signal
 import sys
 from collections.abc import Mapping
 
@@ -33,6 +35,7 @@
 # The deploy file gives the memory of the VM in this variable, in MB.
 MEMORY_VARIABLE = "EELGRASSWEIR_MEMORY_MB"
 EXIT_INVALID_SETTINGS = 2
+HANDLED_SIGNALS = (signal.SIGHUP, signal.SIGINT, signal.SIGTERM)
 
 
 def main(arguments: list[str] | None = None) -> None:
@@ -118,6 +121,18 @@
         settings, make_adapter(), store, log_output, held, memory_mb
     )
     await application.run()
+    _ignore_signals()
+
+
+def _ignore_signals() -> None:
+    """Let no further signal end a process that has stopped.
+
+    The event loop and the interpreter reset only handlers when they end.
+    """
+    loop = asyncio.get_running_loop()
+    for number in HANDLED_SIGNALS:
+        loop.remove_signal_handler(number)
+        signal.signal(number, signal.SIG_IGN)
 
 
 if __name__ == "__main__":
--- a/testing/mesh/test_process.py
+++ b/testing/mesh/test_process.py
@@ -18,6 +18,7 @@
     main,
     read_memory_mb,
 )
+from eelgrassweir.settings.mesh_generated import MeshSettings
 from testing.deploy.checkout import read_deploy_file
 from testing.mesh.fleet import (
     BackendStandIn,
@@ -30,6 +31,21 @@
 
 # Grace time of the settings (6 s) less a margin for the exit of the process.
 END_LIMIT_S = 5.7
+SIGNAL_INTERVAL_S = 0.002
+
+
+async def start_process(
+    folder: pathlib.Path, settings: MeshSettings
+) -> asyncio.subprocess.Process:
+    """Start a daemon as the deploy file says, with settings in a folder."""
+    path = folder / "settings.json"
+    path.write_text(json.dumps(attrs.asdict(settings)))
+    return await asyncio.create_subprocess_exec(
+        sys.executable,
+        *read_deploy_file()["roles"]["daemon"]["run"].split(" ")[1:],
+        env=os.environ | {"EELGRASSWEIR_BOOT": str(path), "PYTHONPATH": "src"},
+        stdout=asyncio.subprocess.DEVNULL,
+    )
 
 
 @pytest.mark.parametrize(
@@ -72,14 +88,7 @@
         store = PlatformStoreStandIn()
         settings = make_mesh_settings("vm-0", "notes", "127.0.0.1:1")
         settings = attrs.evolve(settings, store_address=await store.start())
-        path = tmp_path / "settings.json"
-        path.write_text(json.dumps(attrs.asdict(settings)))
-        process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            *read_deploy_file()["roles"]["daemon"]["run"].split(" ")[1:],
-            env=os.environ | {"EELGRASSWEIR_BOOT": str(path), "PYTHONPATH": "src"},
-            stdout=asyncio.subprocess.DEVNULL,
-        )
+        process = await start_process(tmp_path, settings)
         maps_path = pathlib.Path(f"/proc/{process.pid}/maps")
         try:
             # The first library is loaded; those of the daemon follow.
@@ -99,6 +108,37 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.processes
+@pytest.mark.parametrize("number", [signal.SIGHUP, signal.SIGTERM])
+def test_signals_do_not_end_a_process_that_stops(
+    tmp_path: pathlib.Path, number: signal.Signals
+) -> None:
+    """Guard against a stop that a signal cuts off at its end."""
+
+    async def scenario() -> None:
+        store = PlatformStoreStandIn()
+        settings = make_mesh_settings("vm-0", "notes", "127.0.0.1:1")
+        settings = attrs.evolve(settings, store_address=await store.start())
+        process = await start_process(tmp_path, settings)
+        try:
+            await wait_until(lambda: store.calls)
+            process.send_signal(signal.SIGTERM)
+            async with asyncio.timeout(END_LIMIT_S):
+                while process.returncode is None:
+                    # Process.send_signal may take the exit status itself.
+                    with contextlib.suppress(ProcessLookupError):
+                        os.kill(process.pid, number)
+                    await asyncio.sleep(SIGNAL_INTERVAL_S)
+            assert process.returncode == 0
+        finally:
+            with contextlib.suppress(ProcessLookupError):
+                process.kill()
+            await process.wait()
+            await store.stop()
+
+    asyncio.run(scenario())
+
+
 @pytest.mark.processes
 @pytest.mark.parametrize("fault", ["", "silent", "busy"])
 def test_process_ends_within_the_grace_time(tmp_path: pathlib.Path, fault: str) -> None:
