Stop without waiting for a taken port

What callers saw: a daemon that gets SIGTERM while it waits for a taken port waits on for up to 5 s while it serves callers at the listeners that are open. Then it ends with status 1, or its stop of up to 5.3 s begins; both exceed the grace time, and requests in flight are lost.

Cause: the request to stop was looked at only after the start.

Evidence: test_stop_does_not_wait_for_a_taken_port on: status 1 in place of 0.

Change: a requested stop ends the start.

--- a/src/eelgrassweir/mesh/app.py
+++ b/src/eelgrassweir/mesh/app.py
@@ -1,6 +1,7 @@
 """Application object of the daemon on the platform: wiring and life cycle."""
 
 import asyncio
+import contextlib
 import functools
 import random
 import signal
@@ -270,11 +271,21 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stop_requested.set)
         loop.add_signal_handler(signal.SIGHUP, self._log_reload)
-        await self.start()
+        await self._start_unless_stopped()
         await self._stop_requested.wait()
         await self.drain()
         await self.stop()
 
+    async def _start_unless_stopped(self) -> None:
+        """Start; a stop that is requested does not wait for a taken port."""
+        start = asyncio.create_task(self.start())
+        stop = asyncio.create_task(self._stop_requested.wait())
+        await asyncio.wait((start, stop), return_when=asyncio.FIRST_COMPLETED)
+        stop.cancel()
+        start.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await start
+
     async def start(self) -> None:
         """Open the listeners and start to follow the store."""
         log_message(
--- a/testing/mesh/test_process.py
+++ b/testing/mesh/test_process.py
@@ -20,6 +20,7 @@
 )
 from eelgrassweir.settings.mesh_generated import MeshSettings
 from testing.deploy.checkout import read_deploy_file
+from testing.deploy.site import take_port
 from testing.mesh.fleet import (
     BackendStandIn,
     make_config_document,
@@ -108,6 +109,30 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.processes
+def test_stop_does_not_wait_for_a_taken_port(tmp_path: pathlib.Path) -> None:
+    """Guard against a start that uses up the grace time of a stop."""
+
+    async def scenario() -> None:
+        store = PlatformStoreStandIn()
+        settings = make_mesh_settings("vm-0", "notes", "127.0.0.1:1")
+        settings = attrs.evolve(settings, store_address=await store.start())
+        with contextlib.closing(take_port(settings.ready_address)):
+            process = await start_process(tmp_path, settings)
+            try:
+                await wait_until(lambda: store.calls)
+                process.send_signal(signal.SIGTERM)
+                async with asyncio.timeout(END_LIMIT_S):
+                    assert await process.wait() == 0
+            finally:
+                with contextlib.suppress(ProcessLookupError):
+                    process.kill()
+                await process.wait()
+                await store.stop()
+
+    asyncio.run(scenario())
+
+
 @pytest.mark.processes
 @pytest.mark.parametrize("number", [signal.SIGHUP, signal.SIGTERM])
 def test_signals_do_not_end_a_process_that_stops(
