Accept waiting connections before a stop closes the listener

What callers saw: a daemon that had paused for 1.07 s at the end of its stop reset three connections 1.09 s after their requests were sent. It had not accepted them.

Cause: the listener closed in the first step after the pause, and the system resets what waits to be accepted.

The new test fails on the code before with ConnectionResetError. Why the daemon paused is not traced.

Measured: the new test passes.

--- a/src/eelgrassweir/mesh/planned_stop.py
+++ b/src/eelgrassweir/mesh/planned_stop.py
@@ -55,17 +55,19 @@
     # A request that arrives while the connections close would be cut off.
     entry.is_refusing_all = True
     caller_server.fail_pending_requests()
-    await _close_connections(clock, caller_server)
+    await close_connections(clock, caller_server)
 
 
-async def _close_connections(clock: Clock, caller_server: HttpServer) -> None:
+async def close_connections(clock: Clock, caller_server: HttpServer) -> None:
     """Close the callers' connections, each once its response is written.
 
     The listener closes first. Those opened just before have time to send their
     request, which is refused as not run.
     """
-    caller_server.stop_listening()
     started_ms = clock.now_ms()
+    # Connections that were not accepted yet would be reset.
+    await asyncio.sleep(STOP_POLL_MS / 1e3)
+    caller_server.stop_listening()
     while caller_server.connection_count:
         waited_ms = clock.now_ms() - started_ms
         if waited_ms >= CLOSE_TIMEOUT_MS:
--- a/testing/mesh/test_planned_stop.py
+++ b/testing/mesh/test_planned_stop.py
@@ -2,11 +2,15 @@
 
 import asyncio
 import contextlib
+import socket
 
 import pytest
 
+from eelgrassweir.clock import Clock
 from eelgrassweir.daemon.http_client import ExchangeError, SendStatus
-from eelgrassweir.daemon.http_message import HttpResponse
+from eelgrassweir.daemon.http_message import HttpRequest, HttpResponse
+from eelgrassweir.daemon.http_server import HttpServer
+from eelgrassweir.mesh.planned_stop import close_connections
 from eelgrassweir.mesh.run_durations import RunDurations
 from testing.mesh.fleet import (
     HOST,
@@ -122,6 +126,30 @@
     asyncio.run(scenario())
 
 
+def test_connections_that_wait_to_be_accepted_get_an_answer() -> None:
+    """Guard against a stop behind a pause that resets unread requests."""
+
+    async def refuse(_request: HttpRequest) -> HttpResponse:
+        return HttpResponse(503, (), b"")
+
+    async def scenario() -> None:
+        server = HttpServer(refuse, body_limit_bytes=0)
+        await server.start("127.0.0.1", 0)
+        loop = asyncio.get_running_loop()
+        # The event loop accepts none of them before the stop begins.
+        waiting = [socket.create_connection(("127.0.0.1", server.port)) for _ in "abc"]
+        for connection in waiting:
+            connection.sendall(b"GET /a/ HTTP/1.1\r\nHost: x\r\n\r\n")
+            connection.setblocking(False)
+        await close_connections(Clock(), server)
+        await server.stop()
+        for connection in waiting:
+            assert (await loop.sock_recv(connection, 99)).startswith(b"HTTP/1.1 503")
+            connection.close()
+
+    asyncio.run(scenario())
+
+
 @pytest.mark.parametrize("has_answers", [True, False])
 def test_late_calls_of_unknown_duration_are_refused_as_not_run(
     has_answers: bool,
