--- a/testing/mesh/test_process.py
+++ b/testing/mesh/test_process.py
@@ -19,6 +19,7 @@
     read_memory_mb,
 )
 from testing.deploy.checkout import read_deploy_file
+from testing.deploy.site import take_port
 from testing.mesh.daemon_process import run_daemon_process
 from testing.mesh.fleet import (
     BackendStandIn,
@@ -122,6 +123,26 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.processes
+def test_stop_does_not_wait_for_a_taken_port(tmp_path: pathlib.Path) -> None:
+    """Guard against a start that uses up the grace time of a stop."""
+
+    async def scenario() -> None:
+        store = PlatformStoreStandIn()
+        settings = make_mesh_settings("vm-0", "notes", "127.0.0.1:1")
+        settings = attrs.evolve(settings, store_address=await store.start())
+        taken = take_port(settings.ready_address)
+        with contextlib.closing(taken):
+            async with run_daemon_process(settings, tmp_path) as daemon:
+                await wait_until(lambda: store.calls)
+                daemon.process.send_signal(signal.SIGTERM)
+                async with asyncio.timeout(END_LIMIT_S):
+                    assert await daemon.process.wait() == 0
+        await store.stop()
+
+    asyncio.run(scenario())
+
+
 @pytest.mark.processes
 @pytest.mark.parametrize("fault", ["", "silent", "busy"])
 def test_process_ends_within_the_grace_time(tmp_path: pathlib.Path, fault: str) -> None:
