Drop the messages of an exchange when it ends

A daemon told 200 MB was killed by the system while its backend server gave long answers, and the requests of all its callers were lost.

A connection to the backend server kept its last request, its last answer and the future with the answer until its next exchange, and no longer counted them. They are dropped when the exchange ends.

--- a/src/eelgrassweir/daemon/http_client.py
+++ b/src/eelgrassweir/daemon/http_client.py
@@ -396,9 +396,13 @@
             host = find_header(request.headers, "host") or host
         self._transport.write(encode_request(request, host))
         try:
-            return await self._done
+            response = await self._done
+            # Idle connections and those in cycles would keep the answer.
+            self._done = None
+            return response
         finally:
             self._held_answer.release()
+            self._request = self._response = None
             # The parser refers to this object, so it is freed late.
             self._start_message()
             if self._timer is not None:
