Return the memory of long messages when they end

A daemon may exceed the memory of its VM and be killed although its messages are within their bound: glibc takes large buffers from its heap once one of that size was freed, and small objects keep the gaps.

--- a/src/eelgrassweir/mesh/main.py
+++ b/src/eelgrassweir/mesh/main.py
@@ -21,6 +21,7 @@
     compute_limit_bytes,
 )
 from eelgrassweir.mesh.adapter import PlatformAdapter
+from eelgrassweir.mesh.allocator import map_large_buffers
 from eelgrassweir.mesh.app import Application
 from eelgrassweir.mesh.log_output import LogOutput
 from eelgrassweir.platform import configuration, messages
@@ -61,6 +62,7 @@
     os.set_blocking(sys.stdout.fileno(), False)
     log_output = LogOutput(sys.stdout.fileno(), settings.vm)
     add_destinations(log_output.write)
+    map_large_buffers()
     held = HeldBytes(compute_limit_bytes(memory_mb))
     try:
         uvloop.run(serve(settings, log_output, held, memory_mb))
