Count the answers that callers do not read

40 callers that read none of three answers of 4 MB took a daemon told 200 MB to 546 MB: it is killed, and all its requests are lost. Callers that read slowly lost the end of their answers after 10 s.

Answers behind an unfinished one of their connection were not counted in the pool of messages, nothing made room when callers did not read, and the timeout of a silent caller ran although it read on.

Answers count until the caller has accepted them. When a message finds no room, connections whose callers have accepted no bytes for 0.5 s or more are ended, the longest first, and answers behind an unfinished one are replaced by 502. An answer of the backend server waits up to 1 s for room. Accepted bytes extend the timeout.

Not solved: while many long answers arrive at once, some fail with 502 although their callers read.

--- a/src/eelgrassweir/daemon/held_bytes.py
+++ b/src/eelgrassweir/daemon/held_bytes.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from typing import Protocol
 
 import attrs
 
@@ -21,6 +22,10 @@
 COPIES = 4
 # Enough for the largest body that a link carries, 64 MiB.
 MAX_LIMIT_BYTES = COPIES * 68_157_440
+# A peer that has accepted no bytes for this time makes room for a message.
+MIN_STALLED_S = 0.5
+# Part of the pool that received bytes without room may take beside it.
+WAITING_PART = 8
 
 
 def compute_limit_bytes(memory_mb: float) -> int:
@@ -29,6 +34,22 @@
     return min(max(free_bytes, MIN_LIMIT_BYTES), MAX_LIMIT_BYTES)
 
 
+class SlowPeer(Protocol):
+    """Connection that holds bytes which its peer has not accepted."""
+
+    size_bytes: int
+
+    @property
+    def is_slow(self) -> bool:
+        """Return whether the peer has not accepted what was written."""
+
+    def get_stalled_s(self) -> float:
+        """Return the time for which the peer has accepted no bytes."""
+
+    def give_way(self) -> None:
+        """Drop the bytes or the connection, and stop counting them."""
+
+
 @attrs.define(eq=False)
 class HeldBytes:
     """Memory of the messages in progress, up to ``limit_bytes``."""
@@ -37,16 +58,55 @@
     used_bytes: int = 0
     # Sizes of the write buffers of peers that read slowly.
     _unsent: set[Callable[[], int]] = attrs.field(factory=set)
+    # Peers whose connections may be ended for the sake of other messages.
+    _slow_peers: set[SlowPeer] = attrs.field(factory=set)
 
     @property
     def message_limit_bytes(self) -> int:
         """Return the size of the largest message that can be held."""
         return self.limit_bytes // COPIES
 
-    def can_hold(self, size_bytes: int) -> bool:
-        """Return whether so much more memory may be used."""
+    def can_hold(self, size_bytes: int, *, drops_waiting: bool = False) -> bool:
+        """Return whether so much more memory may be used.
+
+        Peers that have accepted no bytes for some time make room, and with
+        ``drops_waiting`` also answers that wait for earlier ones.
+        """
+        missing_bytes = self._count_missing(size_bytes)
+        return missing_bytes <= 0 or self._make_room(missing_bytes, drops_waiting)
+
+    def has_room_to_wait(self) -> bool:
+        """Return whether received bytes without room may be kept for now."""
+        return self._count_missing(0) <= self.limit_bytes // WAITING_PART
+
+    def _count_missing(self, size_bytes: int) -> int:
         unsent_bytes = sum(get_bytes() for get_bytes in self._unsent)
-        return self.used_bytes + unsent_bytes + size_bytes <= self.limit_bytes
+        return self.used_bytes + unsent_bytes + size_bytes - self.limit_bytes
+
+    def _make_room(self, missing_bytes: int, drops_waiting: bool) -> bool:
+        """Let stalled peers give way, the longest first, if it is enough."""
+        stalled_s = {peer: peer.get_stalled_s() for peer in self._slow_peers}
+        peers = [
+            peer
+            for peer in stalled_s
+            if stalled_s[peer] >= MIN_STALLED_S or (drops_waiting and not peer.is_slow)
+        ]
+        if sum(peer.size_bytes for peer in peers) < missing_bytes:
+            return False
+        for peer in sorted(peers, key=stalled_s.__getitem__, reverse=True):
+            if missing_bytes <= 0:
+                break
+            missing_bytes -= peer.size_bytes
+            peer.give_way()
+        return True
+
+    def add_slow_peer(self, peer: SlowPeer) -> None:
+        """Let a connection make room while it holds bytes for its peer."""
+        self._slow_peers.add(peer)
+
+    def remove_slow_peer(self, peer: SlowPeer) -> None:
+        """Forget a connection whose peer has accepted all bytes."""
+        self._slow_peers.discard(peer)
 
     def add_unsent(self, get_bytes: Callable[[], int]) -> None:
         """Count the write buffer of a connection from now on."""
@@ -65,10 +125,12 @@
     _size_bytes: int = 0
     _counted_bytes: int = 0
 
-    def try_grow(self, size_bytes: int) -> bool:
+    def try_grow(self, size_bytes: int, *, drops_waiting: bool = False) -> bool:
         """Return whether so many more bytes of the message may be held."""
         more_bytes = self._count_more(size_bytes)
-        if more_bytes and not self._pool.can_hold(more_bytes):
+        if more_bytes and not self._pool.can_hold(
+            more_bytes, drops_waiting=drops_waiting
+        ):
             return False
         self._add(size_bytes, more_bytes)
         return True
--- a/src/eelgrassweir/daemon/http_client.py
+++ b/src/eelgrassweir/daemon/http_client.py
@@ -17,7 +17,11 @@
 from eelgrassweir.clock import Clock
 from eelgrassweir.daemon.address import split_address
 from eelgrassweir.daemon.deadlines import Deadlines
-from eelgrassweir.daemon.held_bytes import COPIES, HeldBytes, HeldMessage
+from eelgrassweir.daemon.held_bytes import (
+    COPIES,
+    HeldBytes,
+    HeldMessage,
+)
 from eelgrassweir.daemon.http_message import (
     Headers,
     HttpRequest,
@@ -48,6 +52,11 @@
 SUSPECT_MIN_MS = 40.0
 # Size of a response head; a faulty server may send one without end.
 MAX_HEAD_BYTES = 65_536
+# An answer without room for its next bytes waits so long for it, in steps,
+# before its exchange fails.
+MAX_PAUSE_S = 1.0
+PAUSE_STEP_S = 0.02
+NO_MEMORY = "no memory left for an incomplete answer"
 # Start of a status line. Within a reason phrase or a header value it is that
 # of the next response, which follows a response that was cut off.
 STATUS_LINE_START = "HTTP/1."
@@ -349,6 +358,8 @@
         self._options = options
         # What this exchange has received.
         self._held_answer = HeldMessage(held)
+        self._held = held
+        self._paused_s = 0.0
         self._exchange_count = 0
         self._request: HttpRequest | None = None
         self._is_mismatched = False
@@ -391,6 +402,7 @@
         self._response = None
         self._is_desynchronized = False
         self._request = request
+        self._paused_s = 0.0
         host = self._address
         if self._options.forwards_host:
             host = find_header(request.headers, "host") or host
@@ -520,8 +532,39 @@
         if self._head_bytes > MAX_HEAD_BYTES:
             self._fail(f"head above {MAX_HEAD_BYTES} bytes")
         elif not self._held_answer.try_grow(read_bytes):
-            reason = "no memory left for an incomplete answer"
-            self._fail(reason, is_too_large=True)
+            # The bytes are held already; no more are read.
+            self._held_answer.grow(read_bytes)
+            self._pause_reading()
+
+    def _pause_reading(self) -> None:
+        """Read on once there may be room for the rest of the answer."""
+        if not self._held.has_room_to_wait():
+            if not self._held.can_hold(0, drops_waiting=True):
+                self._fail(NO_MEMORY, is_too_large=True)
+        elif self._transport is not None and not self._transport.is_closing():
+            self._transport.pause_reading()
+            self._wait_for_room()
+
+    def _wait_for_room(self) -> None:
+        loop = asyncio.get_running_loop()
+        loop.call_later(PAUSE_STEP_S, self._resume_reading)
+
+    def _resume_reading(self) -> None:
+        """Read on if there is room; fail if there is none for too long."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        if self._done is None or self._done.done():
+            return
+        # The server may have sent; this end does not read.
+        self._has_received_since_check = True
+        self._paused_s += PAUSE_STEP_S
+        is_last_attempt = self._paused_s >= MAX_PAUSE_S
+        if self._held.can_hold(0, drops_waiting=is_last_attempt):
+            self._transport.resume_reading()
+        elif is_last_attempt:
+            self._fail(NO_MEMORY, is_too_large=True)
+        else:
+            self._wait_for_room()
 
     def _is_abandoned(self) -> bool:
         """Return whether the last request ended without an answer."""
--- a/src/eelgrassweir/daemon/http_server.py
+++ b/src/eelgrassweir/daemon/http_server.py
@@ -21,6 +21,7 @@
     encode_response,
     split_absolute_form,
 )
+from eelgrassweir.daemon.unsent_answers import UnsentAnswers
 from eelgrassweir.requests.refusal import (
     Refusal,
     clear_not_run_if_ticketed,
@@ -67,6 +68,15 @@
     peer="",
 )
 
+# Sent in place of an answer that waits for an earlier one of its connection.
+NO_MEMORY_REFUSAL = Refusal(
+    code="outcome_unknown",
+    not_run=False,
+    reason="no memory left for an answer behind an unfinished one",
+    step="respond",
+    peer="",
+)
+
 # Sent for a request that has no answer yet when the daemon has to stop.
 SHUTDOWN_REFUSAL = Refusal(
     code="outcome_unknown",
@@ -87,6 +97,9 @@
     size_bytes: int
     task: "asyncio.Task[None] | None" = None
     response: HttpResponse | None = None
+    is_written: bool = False
+    # Counted bytes of an answer that waits for earlier ones.
+    waiting_bytes: int = 0
 
 
 class HttpServer:
@@ -215,6 +228,15 @@
         self._is_read_paused = False
         # The request that is being received.
         self._held = HeldMessage(server.held)
+        self._unsent = UnsentAnswers(
+            server.held,
+            get_buffer_bytes=self._count_unsent_bytes,
+            on_progress=self._extend_write_deadline,
+            end=self.abort,
+            drop_waiting=self._drop_waiting_answers,
+        )
+        # Answers that were written since the caller fell behind.
+        self._unaccepted_bytes = 0
         self._reset()
 
     def _reset(self) -> None:
@@ -246,24 +268,25 @@
         self._server.remove_connection(self)
         self._transport = None
         self._cancel_timer()
-        self._server.held.remove_unsent(self._count_unsent_bytes)
+        self._unsent.clear()
         self._drop_body()
         self._cancel_pending(self._end_reason or describe_lost(exc))
 
     def pause_writing(self) -> None:
         """Hold back further answers until the caller accepts bytes again."""
         self._can_write = False
-        self._server.held.add_unsent(self._count_unsent_bytes)
-        if not self._is_write_closed:
-            # Abort the connection of a caller that accepts no bytes.
-            self._set_deadline(self._server.write_timeout_s)
-            self._start_timer()
+        self._unsent.watch()
+        # Abort the connection of a caller that accepts no bytes.
+        self._extend_write_deadline()
+        self._start_timer()
 
     def resume_writing(self) -> None:
         """Resume writing answers."""
         self._can_write = True
-        self._server.held.remove_unsent(self._count_unsent_bytes)
+        self._unsent.remove(self._unaccepted_bytes)
+        self._unaccepted_bytes = 0
         if not self._is_write_closed:
+            self._unsent.unwatch()
             self._clear_deadline()
             self._write_answers()
 
@@ -400,6 +423,9 @@
     async def _answer(self, exchange: _Exchange) -> None:
         exchange.response = await self._handle(exchange.request)
         self._write_answers()
+        if not exchange.is_written and self._transport is not None:
+            exchange.waiting_bytes = len(exchange.response.body)
+            self._unsent.add(exchange.waiting_bytes)
 
     def _write_answers(self) -> None:
         """Write the available answers in the order of their requests."""
@@ -409,7 +435,9 @@
                 self._start_allowed()
                 return
             exchange = self._pending.popleft()
+            exchange.is_written = True
             exchange.held.release()
+            self._unsent.remove(exchange.waiting_bytes)
             close = not exchange.keep_alive or (
                 self._server.is_closing and not self._has_started_request()
             )
@@ -469,6 +497,14 @@
                     self._server.on_unanswered(exchange.request, reason)
         self._pending.clear()
 
+    def _drop_waiting_answers(self) -> None:
+        """Refuse the requests whose answers wait for earlier ones."""
+        for exchange in self._pending:
+            if exchange.waiting_bytes:
+                self._unsent.remove(exchange.waiting_bytes)
+                exchange.waiting_bytes = 0
+                exchange.response = self._server.render(NO_MEMORY_REFUSAL)
+
     def _drop_body(self) -> None:
         """Free the received body; the parser keeps this object alive."""
         self._body = bytearray()
@@ -514,6 +550,9 @@
         ):
             return
         self._transport.write(data)
+        if not self._can_write:
+            self._unaccepted_bytes += len(data)
+            self._unsent.add(len(data))
 
     @property
     def is_busy(self) -> bool:
@@ -536,10 +575,12 @@
             )
             self._set_deadline(timeout_s)
             self._start_timer()
-            return
-        self._transport.close()
-        self._set_deadline(self._server.write_timeout_s)
-        self._start_timer()
+        else:
+            self._transport.close()
+            self._extend_write_deadline()
+            self._start_timer()
+        if not self._is_flushed:
+            self._unsent.watch()
 
     def abort(self, reason: str) -> None:
         """Close immediately; unsent bytes are dropped.
@@ -563,6 +604,10 @@
         """Abort the connection after this time, unless the deadline moves."""
         self._deadline_s = asyncio.get_running_loop().time() + timeout_s
 
+    def _extend_write_deadline(self) -> None:
+        """Wait for a caller that has accepted bytes of its answers."""
+        self._set_deadline(self._server.write_timeout_s)
+
     def _clear_deadline(self) -> None:
         self._deadline_s = math.inf
 
--- a/src/eelgrassweir/daemon/link_frames.py
+++ b/src/eelgrassweir/daemon/link_frames.py
@@ -8,7 +8,11 @@
 from eliot import log_message
 from google.protobuf.message import DecodeError
 
-from eelgrassweir.daemon.held_bytes import SMALL_MESSAGE_BYTES, HeldBytes, HeldMessage
+from eelgrassweir.daemon.held_bytes import (
+    SMALL_MESSAGE_BYTES,
+    HeldBytes,
+    HeldMessage,
+)
 from eelgrassweir.proto import link_pb2
 
 LENGTH = struct.Struct(">I")
@@ -112,7 +116,8 @@
         if self._held_frame is not None:
             return True
         frame = HeldMessage(self._held)
-        if not frame.try_grow(length):
+        # While it waits, the other requests of the link wait too.
+        if not frame.try_grow(length, drops_waiting=True):
             return False
         self._held_frame = frame
         return True
