Close links on bytes of another program, and bound one turn of a link

Cause: an empty frame was ignored, all frames of a read (64,000 of them in 256 kB) were handled in one go, streams with a number in use were started, and replies to a peer that reads nothing had no bound of their own.

Frames of unknown kinds behind a hello are still ignored. 32 frames of one connection are handled per turn of the event loop.

--- a/src/eelgrassweir/daemon/link_frames.py
+++ b/src/eelgrassweir/daemon/link_frames.py
@@ -16,6 +16,10 @@
 # closed.
 MAX_PAUSE_MS = 500.0
 PAUSE_STEP_MS = 20.0
+# Frames of one connection that are handled before others get their turn.
+MAX_FRAMES_PER_TURN = 32
+# Size of the first frame, which holds two names.
+MAX_HELLO_BYTES = 4_096
 
 
 def encode_frame(frame: link_pb2.Frame) -> tuple[bytes, bytes]:
@@ -27,9 +31,11 @@
 class FrameProtocol(asyncio.Protocol):
     """Decode a byte stream into frames, which subclasses handle.
 
-    A frame that is malformed or above the limit closes the connection. One for
-    which ``held`` has no room stops the reading for a while. ``on_read`` is
-    called for each read.
+    Both sides of a link begin with one hello. Another first frame, a second
+    hello, and a frame that is malformed, empty or above the limit close the
+    connection. A frame of an unknown kind is ignored, since a newer daemon may
+    have sent it. A frame for which ``held`` has no room stops the reading for
+    a while. ``on_read`` is called for each read.
     """
 
     def __init__(
@@ -46,7 +52,9 @@
         # The frame that is being received, once its length is known.
         self._held_frame: HeldMessage | None = None
         self._paused_ms = 0.0
+        self._has_hello = False
         self.is_read_paused = False
+        self.is_write_paused = False
         self.transport: asyncio.Transport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -64,10 +72,12 @@
 
     def pause_writing(self) -> None:
         """Count what the peer does not accept as held."""
+        self.is_write_paused = True
         self._held.add_unsent(self._count_unsent_bytes)
 
     def resume_writing(self) -> None:
         """Stop counting the write buffer, which is nearly empty."""
+        self.is_write_paused = False
         self._held.remove_unsent(self._count_unsent_bytes)
 
     def data_received(self, data: bytes) -> None:
@@ -79,26 +89,57 @@
             self._decode_frames()
 
     def _decode_frames(self) -> None:
-        while len(self._buffer) >= LENGTH.size:
-            (length,) = LENGTH.unpack_from(self._buffer)
-            if length > self._frame_limit_bytes:
-                self.close()
+        """Handle the complete frames, but no more than those of one turn."""
+        for _ in range(MAX_FRAMES_PER_TURN):
+            payload = self._read_payload()
+            if payload is None:
                 return
-            if not self._try_hold_frame(length):
-                self._pause_reading()
-                return
-            end = LENGTH.size + length
-            if len(self._buffer) < end:
-                return
-            payload = self._take_payload(end)
             try:
                 frame = link_pb2.Frame.FromString(payload)
             except DecodeError:
-                self.close()
+                self.reject("a frame cannot be decoded")
                 return
             del payload
             self._release_frame()
+            if not self._try_handle(frame):
+                return
+        if len(self._buffer) >= LENGTH.size:
+            self._continue_next_turn()
+
+    def _read_payload(self) -> bytes | None:
+        """Return the content of the next frame, None if there is none now."""
+        if len(self._buffer) < LENGTH.size:
+            return None
+        (length,) = LENGTH.unpack_from(self._buffer)
+        limit_bytes = self._frame_limit_bytes if self._has_hello else MAX_HELLO_BYTES
+        if not 0 < length <= limit_bytes:
+            self.reject(f"a frame of {length} bytes")
+            return None
+        if not self._try_hold_frame(length):
+            self._pause_reading()
+            return None
+        end = LENGTH.size + length
+        if len(self._buffer) < end:
+            return None
+        return self._take_payload(end)
+
+    def _try_handle(self, frame: link_pb2.Frame) -> bool:
+        """Handle one frame; return whether the connection is still open."""
+        is_hello = frame.HasField("hello")
+        if is_hello is self._has_hello:
+            self.reject("a second hello" if is_hello else "no hello")
+            return False
+        self._has_hello = True
+        try:
             self.frame_received(frame)
+        except Exception as error:
+            self.reject(f"{type(error).__name__}: {error}")
+        return self.transport is not None and not self.transport.is_closing()
+
+    def reject(self, reason: str) -> None:
+        """Close a connection whose bytes are not those of a link."""
+        log_message(message_type="link:rejected", reason=reason)
+        self.close()
 
     def _take_payload(self, end: int) -> bytes:
         """Remove the first frame from the buffer and return its content."""
@@ -131,22 +172,32 @@
             self.close()
             return
         self._paused_ms += PAUSE_STEP_MS
-        if not self.is_read_paused:
-            self.is_read_paused = True
-            self.transport.pause_reading()
+        self._stop_reading()
         loop = asyncio.get_running_loop()
         loop.call_later(PAUSE_STEP_MS / 1e3, self._resume_reading)
 
+    def _continue_next_turn(self) -> None:
+        """Handle the other frames after what else the event loop has to do."""
+        self._paused_ms = 0.0
+        self._stop_reading()
+        asyncio.get_running_loop().call_soon(self._resume_reading)
+
+    def _stop_reading(self) -> None:
+        if self.transport is not None and not self.is_read_paused:
+            self.is_read_paused = True
+            self.transport.pause_reading()
+
     def _resume_reading(self) -> None:
+        """Handle what was read before, and read on if that is done."""
         if self.transport is None or self.transport.is_closing():
             return
-        paused_ms = self._paused_ms
+        self.is_read_paused = False
         self._decode_frames()
-        if self._paused_ms > paused_ms or self.transport is None:
+        if self.is_read_paused or self.transport is None:
             return
         self._paused_ms = 0.0
-        self.is_read_paused = False
-        self.transport.resume_reading()
+        if not self.transport.is_closing():
+            self.transport.resume_reading()
 
     def _count_unsent_bytes(self) -> int:
         """Return the size of the frames that the peer has not accepted."""
--- a/src/eelgrassweir/daemon/link_server.py
+++ b/src/eelgrassweir/daemon/link_server.py
@@ -27,6 +27,11 @@
 # A caller that receives nothing for the silence limit abandons its requests.
 # Several checks in a row leave a margin for a pause of this process.
 MAX_SILENT_CHECKS = 3
+# Followers and renewals of one link at a time. A daemon has one of each.
+MAX_CONTROL_TASKS = 64
+# Frames for a peer that does not read them. A caller stops sending to a silent
+# link, so it has far fewer replies to get.
+MAX_UNSENT_FRAMES = 4_096
 
 RequestHandler = Callable[[link_pb2.Request, str], Awaitable[Reply]]
 # Returns a serialized BorrowReply for a serialized BorrowRequest.
@@ -132,6 +137,8 @@
         self._last_received_ms = server.clock.now_ms()
         # Consecutive checks that found the link silent.
         self._silent_checks = 0
+        # Frames written while the peer accepts no bytes.
+        self._unsent_frames = 0
 
     @property
     def busy_count(self) -> int:
@@ -180,6 +187,19 @@
         for task in (*self._tasks.values(), *self._control_tasks.values()):
             task.cancel()
 
+    def resume_writing(self) -> None:
+        """Stop counting the frames that the peer did not accept."""
+        super().resume_writing()
+        self._unsent_frames = 0
+
+    def send(self, frame: link_pb2.Frame) -> bool:
+        """Send one frame; close the link of a peer that leaves many unread."""
+        if self.is_write_paused:
+            self._unsent_frames += 1
+            if self._unsent_frames > MAX_UNSENT_FRAMES:
+                self.reject("the peer reads no replies")
+        return super().send(frame)
+
     def frame_received(self, frame: link_pb2.Frame) -> None:
         """Start or cancel a request, or answer a ping or a borrow request."""
         kind = frame.WhichOneof("kind")
@@ -193,10 +213,12 @@
                 if task is not None:
                     task.cancel()
         elif kind == "follow":
-            self._start_control(frame.follow.stream_id, self._follow(frame.follow))
+            if self._can_start_control(frame.follow.stream_id):
+                self._start_control(frame.follow.stream_id, self._follow(frame.follow))
         elif kind == "renew_lease":
             request = frame.renew_lease
-            self._start_control(request.stream_id, self._renew_lease(request))
+            if self._can_start_control(request.stream_id):
+                self._start_control(request.stream_id, self._renew_lease(request))
         elif kind == "borrow" and self._server.borrow_handler is not None:
             reply = self._server.borrow_handler(frame.borrow.request)
             lent = link_pb2.Lent(stream_id=frame.borrow.stream_id, reply=reply)
@@ -210,6 +232,16 @@
         elif kind == "hello":
             self._peer_vm = frame.hello.vm
 
+    def _can_start_control(self, stream_id: int) -> bool:
+        """Return whether there is room; close the link if there is none."""
+        if stream_id in self._control_tasks:
+            self.reject(f"stream {stream_id} is in use")
+        elif len(self._control_tasks) >= MAX_CONTROL_TASKS:
+            self.reject("too many followers and renewals")
+        else:
+            return True
+        return False
+
     def _start_control(self, stream_id: int, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
         self._control_tasks[stream_id] = task
@@ -230,6 +262,9 @@
         self.send(link_pb2.Frame(renewal=renewal))
 
     def _start_request(self, request: link_pb2.Request) -> None:
+        if request.stream_id in self._tasks:
+            self.reject(f"stream {request.stream_id} is in use")
+            return
         task = asyncio.get_running_loop().create_task(self._run(request))
         self._tasks[request.stream_id] = task
         if self._server.options.waits_for_runs and not request.context.idempotent:
--- a/testing/daemon/test_link.py
+++ b/testing/daemon/test_link.py
@@ -1,6 +1,7 @@
 """Guard against replies that are lost, mixed up or of another incarnation."""
 
 import asyncio
+import contextlib
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 
@@ -9,6 +10,7 @@
 
 from eelgrassweir.clock import Clock
 from eelgrassweir.daemon.link_client import LinkError, LinkOptions, Reply
+from eelgrassweir.daemon.link_frames import LENGTH, encode_frame
 from eelgrassweir.daemon.link_pool import LinkPool
 from eelgrassweir.daemon.link_server import LinkServer
 from eelgrassweir.proto import link_pb2
@@ -25,6 +27,17 @@
     return link_pb2.Response(status=200, body=request.path.encode())
 
 
+def encode(*frames: link_pb2.Frame) -> bytes:
+    """Return the bytes of frames in turn."""
+    return b"".join(part for frame in frames for part in encode_frame(frame))
+
+
+async def read_frame(reader: asyncio.StreamReader) -> link_pb2.Frame:
+    """Read the next frame."""
+    (length,) = LENGTH.unpack(await reader.readexactly(LENGTH.size))
+    return link_pb2.Frame.FromString(await reader.readexactly(length))
+
+
 @asynccontextmanager
 async def open_link(
     handler: Callable[[link_pb2.Request, str], Awaitable[Reply]] = echo,
@@ -231,3 +244,100 @@
             assert not reply.not_run
 
     asyncio.run(scenario())
+
+
+HELLO = link_pb2.Frame(hello=link_pb2.Hello(vm="b", incarnation="2"))
+PING = link_pb2.Frame(ping=link_pb2.Ping(id=7))
+FOLLOW = link_pb2.Frame(follow=link_pb2.Follow(stream_id=1))
+REQUEST = link_pb2.Frame(request=link_pb2.Request(stream_id=1, path="60000"))
+
+
+WRONG_BYTES = {
+    "empty frame": b"\0\0\0\0",
+    "no hello": encode(PING),
+    "two hellos": encode(HELLO, HELLO),
+    "empty frame behind a hello": encode(HELLO) + b"\0\0\0\0",
+    "request in progress": encode(HELLO, REQUEST, REQUEST),
+    "follower in progress": encode(HELLO, FOLLOW, FOLLOW),
+    "long hello": b"\0\0\x10\1",
+    "no protobuf": encode(HELLO) + b"\0\0\0\1\xff",
+}
+
+
+@pytest.mark.parametrize("sent", WRONG_BYTES.values(), ids=WRONG_BYTES)
+def test_wrong_bytes_close_a_link(sent: bytes) -> None:
+    """Guard against a program that is no daemon and keeps one busy."""
+
+    async def follow(_request: link_pb2.Follow) -> link_pb2.Update:
+        await asyncio.sleep(60)
+        return link_pb2.Update()
+
+    async def scenario() -> None:
+        options = attrs.evolve(OPTIONS, silence_ms=60_000)
+        server = LinkServer(options, echo, Clock(), follow_handler=follow)
+        await server.start("127.0.0.1", 0)
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        writer.write(sent)
+        async with asyncio.timeout(5):
+            with contextlib.suppress(ConnectionResetError):
+                while await reader.read(1_024):
+                    pass
+        writer.close()
+        await server.stop()
+
+    asyncio.run(scenario())
+
+
+def test_frames_beyond_a_turn_are_answered_in_order() -> None:
+    """Guard against frames that stay unread behind many others."""
+
+    async def scenario() -> None:
+        async with open_link() as (_, address):
+            host, _, port = address.rpartition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            pings = [link_pb2.Frame(ping=link_pb2.Ping(id=n)) for n in range(1_000)]
+            writer.write(encode(HELLO, *pings))
+            async with asyncio.timeout(5):
+                greeting = await read_frame(reader)
+                pongs = [await read_frame(reader) for _ in pings]
+            assert greeting.HasField("hello")
+            assert [frame.pong.id for frame in pongs] == list(range(1_000))
+            writer.close()
+
+    asyncio.run(scenario())
+
+
+def test_link_of_a_peer_that_reads_nothing_is_closed() -> None:
+    """Guard against replies without end in the memory of a daemon."""
+
+    async def scenario() -> None:
+        async with open_link() as (_, address):
+            host, _, port = address.rpartition(":")
+            _, writer = await asyncio.open_connection(host, int(port))
+            writer.write(encode(HELLO))
+            with pytest.raises(ConnectionError):
+                async with asyncio.timeout(20):
+                    while True:
+                        writer.write(encode(PING) * 10_000)
+                        await writer.drain()
+            writer.close()
+
+    asyncio.run(scenario())
+
+
+def test_frame_of_an_unknown_kind_is_ignored() -> None:
+    """Guard against links that a newer daemon cannot use."""
+    # Field 99, which is of no kind, with two bytes.
+    unknown = b"\0\0\0\5\x9a\6\2ab"
+
+    async def scenario() -> None:
+        async with open_link() as (_, address):
+            host, _, port = address.rpartition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(encode(HELLO) + unknown + encode(PING))
+            async with asyncio.timeout(5):
+                assert (await read_frame(reader)).HasField("hello")
+                assert (await read_frame(reader)).pong.id == 7
+            writer.close()
+
+    asyncio.run(scenario())
