Ignore offers of another protocol in requests

What callers saw: behind a request with Connection: Upgrade, as HTTP/2 clients send it in clear text, a kept connection was closed and its requests had no answer. The target ran that request without its body.

Cause: httptools ends such a message at its head and raises HttpParserUpgrade; the request was queued, the rest refused.

Change: a new parser reads the head without Upgrade, then the body and what follows. CONNECT is refused before it is run.

--- a/src/eelgrassweir/daemon/http_server.py
+++ b/src/eelgrassweir/daemon/http_server.py
@@ -277,15 +277,45 @@
         if self._has_refused or self._is_write_closed:
             return
         try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._refuse("bad_request", "upgrade of the protocol is not served")
+            self._feed_parser(data)
         except httptools.HttpParserError as error:
             self._refuse("bad_request", f"not HTTP/1.1 ({type(error).__name__})")
         self._check_incomplete_head(len(data))
         if not self._is_read_paused:
             self._start_receive_deadline()
 
+    def _feed_parser(self, data: bytes) -> None:
+        """Parse bytes; an offer of another protocol is ignored.
+
+        The parser stops behind a head with such an offer (RFC 9110 section
+        7.8), also if a body follows. A new one reads the head without it.
+        """
+        while data:
+            try:
+                self._parser.feed_data(data)
+            except httptools.HttpParserUpgrade as upgrade:
+                if self._has_refused:
+                    return
+                if self._parser.get_method() == b"CONNECT":
+                    self._refuse("bad_request", "tunnels are not served")
+                    return
+                data = self._encode_head_without_offer() + data[upgrade.args[0] :]
+                self._parser = httptools.HttpRequestParser(self)
+            else:
+                return
+
+    def _encode_head_without_offer(self) -> bytes:
+        """Return the head that was read last without its Upgrade fields."""
+        method = self._parser.get_method()
+        version = self._parser.get_http_version().encode("ascii")
+        lines = [b"%b %b HTTP/%b" % (method, self._path, version)]
+        lines += [
+            f"{name}: {value}".encode("latin-1")
+            for name, value in self._headers
+            if name.lower() != "upgrade"
+        ]
+        return b"\r\n".join([*lines, b"", b""])
+
     def _start_receive_deadline(self) -> None:
         """Limit the time for the rest of a request that has begun.
 
@@ -326,6 +356,9 @@
 
     def on_headers_complete(self) -> None:
         """Answer ``Expect: 100-continue`` and wait for the body."""
+        if self._parser.should_upgrade():
+            # The head is read again without the offer.
+            return
         self._has_head = True
         self._new_timeout_s = self._server.receive_timeout_s
         for name, value in self._headers:
@@ -347,7 +380,7 @@
 
     def on_message_complete(self) -> None:
         """Queue the complete request."""
-        if self._has_refused:
+        if self._has_refused or self._parser.should_upgrade():
             return
         self._is_receiving = False
         self._new_timeout_s = 0.0
