Do not run requests behind a refused one

What callers saw: a request sent behind one that the daemon refuses while it reads it, in the same read, ran at its target and had no answer; the connection was closed after the refusal.

Cause: the mark of the refusal was reset at the start of each message.

Change: keep the mark for the life of the connection.

--- a/src/eelgrassweir/daemon/http_server.py
+++ b/src/eelgrassweir/daemon/http_server.py
@@ -212,6 +212,8 @@
         self._timer_due_s = math.inf
         self._peer = ""
         self._is_write_closed = False
+        # A refusal is the last answer of a connection.
+        self._has_refused = False
         # Why this end closes the connection, for the log.
         self._end_reason = ""
         self._can_write = True
@@ -229,7 +231,6 @@
         self._read_head_bytes = 0
         self._has_head = False
         self._body = bytearray()
-        self._has_refused = False
         self._is_receiving = False
 
     # asyncio.Protocol
--- a/testing/mesh/test_request_forms.py
+++ b/testing/mesh/test_request_forms.py
@@ -104,3 +104,27 @@
             assert [run.body for run in backend.runs] == bodies
 
     asyncio.run(scenario())
+
+
+def test_request_behind_a_refused_one_is_not_run() -> None:
+    """Guard against a request that runs although its connection is closed."""
+
+    async def scenario() -> None:
+        async with mesh_fleet() as fleet:
+            daemon, backend = await add_target(fleet)
+            host, port = daemon.settings.callers_address.split(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            head = f"HTTP/1.1\r\nHost: {HOST}\r\nX-Credential: {KEY}\r\n"
+            long_field = f"X-Long: {'x' * 100_000}\r\n"
+            writer.write(f"GET /a/1 {head}{long_field}\r\nGET /a/2 {head}\r\n".encode())
+            async with asyncio.timeout(5.0):
+                answers = await reader.read()
+            assert answers.startswith(b"HTTP/1.1 400 ")
+            writer.close()
+            await writer.wait_closed()
+            # The target serves the next request after any of the first two.
+            response = await fleet.call(daemon, "/a/3", ("X-Credential", KEY))
+            assert response.status == 200
+            assert [run.path for run in backend.runs] == ["/a/3"]
+
+    asyncio.run(scenario())
