Fail calls whose reply is of another kind with a link error

What callers saw: with a program that is no daemon as one target of a service, and frames of another kind as its replies, 502 for 17 of 90 safe requests, though other targets were ready.

Cause: replies were matched by stream number only, and an assertion failed behind the link; the dispatcher took it for an error of its own, tried no other target, and the link stayed open.

Change: such a reply closes the link and is a link error that may have been sent.

--- a/src/eelgrassweir/daemon/link_client.py
+++ b/src/eelgrassweir/daemon/link_client.py
@@ -69,6 +69,16 @@
     held: HeldBytes = attrs.field(factory=HeldBytes)
 
 
+# Kinds of replies to each kind of request.
+REPLY_TYPES: dict[type[StreamRequest], tuple[type[StreamReply], ...]] = {
+    link_pb2.Request: (link_pb2.Response, link_pb2.Refusal),
+    link_pb2.Borrow: (link_pb2.Lent,),
+    link_pb2.Follow: (link_pb2.Update,),
+    link_pb2.RenewLease: (link_pb2.Renewal,),
+    link_pb2.ShareLeaves: (link_pb2.KnownLeaves,),
+}
+
+
 class LinkConnection(FrameProtocol):
     """Connection that sends requests and matches replies by stream id."""
 
@@ -219,6 +229,10 @@
         try:
             reply = await future
             is_answered = True
+            if not isinstance(reply, REPLY_TYPES[type(stream_request)]):
+                self.reject("a reply of another kind than its request")
+                reason = "reply of another kind"
+                raise LinkError("link call", self._address, reason)
             return reply
         finally:
             deadline.cancel()
--- a/testing/daemon/test_link.py
+++ b/testing/daemon/test_link.py
@@ -341,3 +341,38 @@
             writer.close()
 
     asyncio.run(scenario())
+
+
+def test_reply_of_another_kind_is_a_link_error() -> None:
+    """Guard against a call that fails in a way that no caller handles."""
+    closed = asyncio.Event()
+
+    async def answer_wrongly(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        hello = link_pb2.Hello(vm="b", incarnation="1")
+        writer.write(encode(link_pb2.Frame(hello=hello)))
+        await read_frame(reader)
+        stream_id = (await read_frame(reader)).request.stream_id
+        renewal = link_pb2.Renewal(stream_id=stream_id)
+        writer.write(encode(link_pb2.Frame(renewal=renewal)))
+        with contextlib.suppress(ConnectionResetError):
+            await reader.read()
+        writer.close()
+        closed.set()
+
+    async def scenario() -> None:
+        server = await asyncio.start_server(answer_wrongly, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        pool = LinkPool(OPTIONS, Clock())
+        with pytest.raises(LinkError) as caught:
+            request = link_pb2.Request(path="0")
+            await pool.call(f"127.0.0.1:{port}", "1", request, timeout_ms=5_000)
+        assert caught.value.maybe_sent
+        assert not caught.value.is_timeout
+        async with asyncio.timeout(5):
+            await closed.wait()
+        pool.close()
+        server.close()
+
+    asyncio.run(scenario())
