Count the objects of header fields

A daemon told 200 MB reached 201 MB with 400 incomplete heads of 5,500 tiny fields within the limit, and 277 MB with 300 answers of 12,000. Above its memory it is killed, and the requests of all its callers are lost.

The pool of messages counted the bytes of an answer's head, none of a request's, and not the objects, which take many times their bytes.

Each field counts 64 bytes, those of a request from 64 fields on, so usual heads cost nothing more. A request without room gets 503 as not run.

--- a/src/eelgrassweir/daemon/held_bytes.py
+++ b/src/eelgrassweir/daemon/held_bytes.py
@@ -20,6 +20,10 @@
 # A message is copied from the received bytes into an object and from there
 # into the bytes to send, and the copies exist at the same time.
 COPIES = 4
+# Memory of the objects of one header field, beside its bytes, in each copy.
+FIELD_OVERHEAD_BYTES = 64
+# Usual heads have fewer fields and are not counted.
+FIELDS_PER_COUNT = 64
 # Enough for the largest body that a link carries, 64 MiB.
 MAX_LIMIT_BYTES = COPIES * 68_157_440
 # A peer that has accepted no bytes for this time makes room for a message.
--- a/src/eelgrassweir/daemon/http_client.py
+++ b/src/eelgrassweir/daemon/http_client.py
@@ -19,6 +19,7 @@
 from eelgrassweir.daemon.deadlines import Deadlines
 from eelgrassweir.daemon.held_bytes import (
     COPIES,
+    FIELD_OVERHEAD_BYTES,
     HeldBytes,
     HeldMessage,
 )
@@ -471,6 +472,8 @@
         self._has_length = False
         self._is_mismatched = False
         self._is_close_delimited = False
+        # Header fields whose objects are not counted yet.
+        self._uncounted_fields = 0
 
     # asyncio.Protocol
 
@@ -531,9 +534,12 @@
             self._head_bytes += read_bytes
         if self._head_bytes > MAX_HEAD_BYTES:
             self._fail(f"head above {MAX_HEAD_BYTES} bytes")
-        elif not self._held_answer.try_grow(read_bytes):
+            return
+        more_bytes = read_bytes + FIELD_OVERHEAD_BYTES * self._uncounted_fields
+        self._uncounted_fields = 0
+        if not self._held_answer.try_grow(more_bytes):
             # The bytes are held already; no more are read.
-            self._held_answer.grow(read_bytes)
+            self._held_answer.grow(more_bytes)
             self._pause_reading()
 
     def _pause_reading(self) -> None:
@@ -591,6 +597,7 @@
         if field.lower() in ("content-length", "transfer-encoding"):
             self._has_length = True
         self._headers.append((field, value.decode("latin-1")))
+        self._uncounted_fields += 1
 
     def on_headers_complete(self) -> None:
         """Complete answers without a body and check the framing of others."""
--- a/src/eelgrassweir/daemon/http_server.py
+++ b/src/eelgrassweir/daemon/http_server.py
@@ -14,7 +14,12 @@
 import httptools
 from eliot import write_traceback
 
-from eelgrassweir.daemon.held_bytes import HeldBytes, HeldMessage
+from eelgrassweir.daemon.held_bytes import (
+    FIELD_OVERHEAD_BYTES,
+    FIELDS_PER_COUNT,
+    HeldBytes,
+    HeldMessage,
+)
 from eelgrassweir.daemon.http_message import (
     HttpRequest,
     HttpResponse,
@@ -342,7 +347,17 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header field."""
         self._add_head_bytes(len(name) + len(value))
+        if self._has_refused:
+            return
         self._headers.append((name.decode("latin-1"), value.decode("latin-1")))
+        if len(self._headers) % FIELDS_PER_COUNT == 0:
+            self._count_fields()
+
+    def _count_fields(self) -> None:
+        """Count the last header fields, or refuse them without room."""
+        if not self._held.try_grow(FIELDS_PER_COUNT * FIELD_OVERHEAD_BYTES):
+            reason = "no memory left for the head of the request"
+            self._refuse("overloaded", reason, NO_MEMORY_RETRY_AFTER_MS)
 
     def on_headers_complete(self) -> None:
         """Answer ``Expect: 100-continue`` and wait for the body."""
