End a stopped daemon without the end of the interpreter

An error that keeps a listener from opening names its purpose and address. test_daemon_that_ends_with_an_error_logs_it used an address that the daemon now waits for; it uses one that is none, with the same checks.

--- a/src/eelgrassweir/mesh/listeners.py
+++ b/src/eelgrassweir/mesh/listeners.py
@@ -46,7 +46,8 @@
             await start(host, port)
         except OSError as error:
             if error.errno not in PASSING_ERRORS:
-                raise
+                reason = f"{purpose} listener at {address}: {error}"
+                raise OSError(error.errno, reason) from error
             now_ms = clock.now_ms()
             is_new = error.errno != logged_errno
             if is_new or now_ms - logged_ms >= LOG_INTERVAL_MS:
--- a/src/eelgrassweir/mesh/main.py
+++ b/src/eelgrassweir/mesh/main.py
@@ -75,6 +75,9 @@
         log_message(message_type="daemon:failed", reason=reason)
         log_output.flush(Clock().now_ms())
         raise
+    # All connections are closed and all lines written. The end of the
+    # interpreter would take a part of the grace time.
+    os._exit(0)
 
 
 def set_streams_nonblocking() -> None:
--- a/testing/mesh/test_failure_lines.py
+++ b/testing/mesh/test_failure_lines.py
@@ -105,8 +105,8 @@
 def test_daemon_that_ends_with_an_error_logs_it(tmp_path: pathlib.Path) -> None:
     """Guard against a daemon whose last words go to stderr only."""
     settings = make_mesh_settings("vm-0", "notes", "127.0.0.1:1")
-    # An address of another machine, on which nothing can listen here.
-    settings = attrs.evolve(settings, callers_address="192.0.2.1:9")
+    # No address, so the daemon cannot wait for it.
+    settings = attrs.evolve(settings, callers_address="300.1.1.1:9")
     path = tmp_path / "settings.json"
     path.write_text(json.dumps(attrs.asdict(settings)))
     result = subprocess.run(
@@ -119,4 +119,4 @@
     assert result.returncode == 1
     last = json.loads(result.stdout.splitlines()[-1])
     assert last["message_type"] == "daemon:failed"
-    assert "192.0.2.1" in last["reason"]
+    assert "300.1.1.1" in last["reason"]
