--- a/src/eelgrassweir/daemon/http_server.py
+++ b/src/eelgrassweir/daemon/http_server.py
@@ -14,7 +14,12 @@
 import httptools
 from eliot import write_traceback
 
-from eelgrassweir.daemon.held_bytes import HeldBytes, HeldMessage
+from eelgrassweir.daemon.held_bytes import (
+    FIELD_OVERHEAD_BYTES,
+    FIELDS_PER_COUNT,
+    HeldBytes,
+    HeldMessage,
+)
 from eelgrassweir.daemon.http_message import (
     HttpRequest,
     HttpResponse,
@@ -22,6 +27,7 @@
     split_absolute_form,
 )
 from eelgrassweir.daemon.listening import open_server
+from eelgrassweir.daemon.unsent_answers import UnsentAnswers
 from eelgrassweir.requests.refusal import (
     Refusal,
     clear_not_run_if_ticketed,
@@ -68,6 +74,15 @@
     peer="",
 )
 
+# Sent in place of an answer that waits for an earlier one of its connection.
+NO_MEMORY_REFUSAL = Refusal(
+    code="outcome_unknown",
+    not_run=False,
+    reason="no memory left for an answer behind an unfinished one",
+    step="respond",
+    peer="",
+)
+
 # Sent for a request that has no answer yet when the daemon has to stop.
 SHUTDOWN_REFUSAL = Refusal(
     code="outcome_unknown",
@@ -88,6 +103,9 @@
     size_bytes: int
     task: "asyncio.Task[None] | None" = None
     response: HttpResponse | None = None
+    is_written: bool = False
+    # Counted bytes of an answer that waits for earlier ones.
+    waiting_bytes: int = 0
 
 
 class HttpServer:
@@ -212,12 +230,23 @@
         self._timer_due_s = math.inf
         self._peer = ""
         self._is_write_closed = False
+        # A refusal is the last answer of a connection.
+        self._has_refused = False
         # Why this end closes the connection, for the log.
         self._end_reason = ""
         self._can_write = True
         self._is_read_paused = False
         # The request that is being received.
         self._held = HeldMessage(server.held)
+        self._unsent = UnsentAnswers(
+            server.held,
+            get_buffer_bytes=self._count_unsent_bytes,
+            on_progress=self._extend_write_deadline,
+            end=self.abort,
+            drop_waiting=self._drop_waiting_answers,
+        )
+        # Answers that were written since the caller fell behind.
+        self._unaccepted_bytes = 0
         self._reset()
 
     def _reset(self) -> None:
@@ -229,7 +258,6 @@
         self._read_head_bytes = 0
         self._has_head = False
         self._body = bytearray()
-        self._has_refused = False
         self._is_receiving = False
 
     # asyncio.Protocol
@@ -249,24 +277,25 @@
         self._server.remove_connection(self)
         self._transport = None
         self._cancel_timer()
-        self._server.held.remove_unsent(self._count_unsent_bytes)
+        self._unsent.clear()
         self._drop_body()
         self._cancel_pending(self._end_reason or describe_lost(exc))
 
     def pause_writing(self) -> None:
         """Hold back further answers until the caller accepts bytes again."""
         self._can_write = False
-        self._server.held.add_unsent(self._count_unsent_bytes)
-        if not self._is_write_closed:
-            # Abort the connection of a caller that accepts no bytes.
-            self._set_deadline(self._server.write_timeout_s)
-            self._start_timer()
+        self._unsent.watch()
+        # Abort the connection of a caller that accepts no bytes.
+        self._extend_write_deadline()
+        self._start_timer()
 
     def resume_writing(self) -> None:
         """Resume writing answers."""
         self._can_write = True
-        self._server.held.remove_unsent(self._count_unsent_bytes)
+        self._unsent.remove(self._unaccepted_bytes)
+        self._unaccepted_bytes = 0
         if not self._is_write_closed:
+            self._unsent.unwatch()
             self._clear_deadline()
             self._write_answers()
 
@@ -277,15 +306,45 @@
         if self._has_refused or self._is_write_closed:
             return
         try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._refuse("bad_request", "upgrade of the protocol is not served")
+            self._feed_parser(data)
         except httptools.HttpParserError as error:
             self._refuse("bad_request", f"not HTTP/1.1 ({type(error).__name__})")
         self._check_incomplete_head(len(data))
         if not self._is_read_paused:
             self._start_receive_deadline()
 
+    def _feed_parser(self, data: bytes) -> None:
+        """Parse bytes; an offer of another protocol is ignored.
+
+        The parser stops behind a head with such an offer (RFC 9110 section
+        7.8), also if a body follows. A new one reads the head without it.
+        """
+        while data:
+            try:
+                self._parser.feed_data(data)
+            except httptools.HttpParserUpgrade as upgrade:
+                if self._has_refused:
+                    return
+                if self._parser.get_method() == b"CONNECT":
+                    self._refuse("bad_request", "tunnels are not served")
+                    return
+                data = self._encode_head_without_offer() + data[upgrade.args[0] :]
+                self._parser = httptools.HttpRequestParser(self)
+            else:
+                return
+
+    def _encode_head_without_offer(self) -> bytes:
+        """Return the head that was read last without its Upgrade fields."""
+        method = self._parser.get_method()
+        version = self._parser.get_http_version().encode("ascii")
+        lines = [b"%b %b HTTP/%b" % (method, self._path, version)]
+        lines += [
+            f"{name}: {value}".encode("latin-1")
+            for name, value in self._headers
+            if name.lower() != "upgrade"
+        ]
+        return b"\r\n".join([*lines, b"", b""])
+
     def _start_receive_deadline(self) -> None:
         """Limit the time for the rest of a request that has begun.
 
@@ -322,10 +381,23 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header field."""
         self._add_head_bytes(len(name) + len(value))
+        if self._has_refused:
+            return
         self._headers.append((name.decode("latin-1"), value.decode("latin-1")))
+        if len(self._headers) % FIELDS_PER_COUNT == 0:
+            self._count_fields()
+
+    def _count_fields(self) -> None:
+        """Count the last header fields, or refuse them without room."""
+        if not self._held.try_grow(FIELDS_PER_COUNT * FIELD_OVERHEAD_BYTES):
+            reason = "no memory left for the head of the request"
+            self._refuse("overloaded", reason, NO_MEMORY_RETRY_AFTER_MS)
 
     def on_headers_complete(self) -> None:
         """Answer ``Expect: 100-continue`` and wait for the body."""
+        if self._parser.should_upgrade():
+            # The head is read again without the offer.
+            return
         self._has_head = True
         self._new_timeout_s = self._server.receive_timeout_s
         for name, value in self._headers:
@@ -347,7 +419,7 @@
 
     def on_message_complete(self) -> None:
         """Queue the complete request."""
-        if self._has_refused:
+        if self._has_refused or self._parser.should_upgrade():
             return
         self._is_receiving = False
         self._new_timeout_s = 0.0
@@ -403,6 +475,9 @@
     async def _answer(self, exchange: _Exchange) -> None:
         exchange.response = await self._handle(exchange.request)
         self._write_answers()
+        if not exchange.is_written and self._transport is not None:
+            exchange.waiting_bytes = len(exchange.response.body)
+            self._unsent.add(exchange.waiting_bytes)
 
     def _write_answers(self) -> None:
         """Write the available answers in the order of their requests."""
@@ -412,7 +487,9 @@
                 self._start_allowed()
                 return
             exchange = self._pending.popleft()
+            exchange.is_written = True
             exchange.held.release()
+            self._unsent.remove(exchange.waiting_bytes)
             close = not exchange.keep_alive or (
                 self._server.is_closing and not self._has_started_request()
             )
@@ -472,6 +549,14 @@
                     self._server.on_unanswered(exchange.request, reason)
         self._pending.clear()
 
+    def _drop_waiting_answers(self) -> None:
+        """Refuse the requests whose answers wait for earlier ones."""
+        for exchange in self._pending:
+            if exchange.waiting_bytes:
+                self._unsent.remove(exchange.waiting_bytes)
+                exchange.waiting_bytes = 0
+                exchange.response = self._server.render(NO_MEMORY_REFUSAL)
+
     def _drop_body(self) -> None:
         """Free the received body; the parser keeps this object alive."""
         self._body = bytearray()
@@ -517,6 +602,9 @@
         ):
             return
         self._transport.write(data)
+        if not self._can_write:
+            self._unaccepted_bytes += len(data)
+            self._unsent.add(len(data))
 
     @property
     def is_busy(self) -> bool:
@@ -539,10 +627,12 @@
             )
             self._set_deadline(timeout_s)
             self._start_timer()
-            return
-        self._transport.close()
-        self._set_deadline(self._server.write_timeout_s)
-        self._start_timer()
+        else:
+            self._transport.close()
+            self._extend_write_deadline()
+            self._start_timer()
+        if not self._is_flushed:
+            self._unsent.watch()
 
     def abort(self, reason: str) -> None:
         """Close immediately; unsent bytes are dropped.
@@ -566,6 +656,10 @@
         """Abort the connection after this time, unless the deadline moves."""
         self._deadline_s = asyncio.get_running_loop().time() + timeout_s
 
+    def _extend_write_deadline(self) -> None:
+        """Wait for a caller that has accepted bytes of its answers."""
+        self._set_deadline(self._server.write_timeout_s)
+
     def _clear_deadline(self) -> None:
         self._deadline_s = math.inf
 
--- a/src/eelgrassweir/mesh/main.py
+++ b/src/eelgrassweir/mesh/main.py
@@ -23,6 +23,7 @@
     compute_limit_bytes,
 )
 from eelgrassweir.mesh.adapter import PlatformAdapter
+from eelgrassweir.mesh.allocator import map_large_buffers
 from eelgrassweir.mesh.app import Application
 from eelgrassweir.mesh.library_logs import log_library_messages
 from eelgrassweir.mesh.log_output import LogOutput
@@ -64,6 +65,7 @@
     log_output = LogOutput(sys.stdout.fileno(), settings.vm)
     add_destinations(log_output.write)
     log_library_messages()
+    map_large_buffers()
     held = HeldBytes(compute_limit_bytes(memory_mb))
     try:
         uvloop.run(serve(settings, log_output, held, memory_mb))
@@ -73,6 +75,9 @@
         log_message(message_type="daemon:failed", reason=reason)
         log_output.flush(Clock().now_ms())
         raise
+    # All connections are closed and all lines written. The end of the
+    # interpreter would take a part of the grace time.
+    os._exit(0)
 
 
 def set_streams_nonblocking() -> None:
