--- a/src/eelgrassweir/daemon/http_server.py
+++ b/src/eelgrassweir/daemon/http_server.py
@@ -144,6 +144,8 @@
         self.write_timeout_s = min(idle_timeout_s, WRITE_TIMEOUT_S)
         self.body_limit_bytes = body_limit_bytes
         self.is_closing = False
+        # Connections so far.
+        self.accepted_count = 0
         self._connections: set[HttpConnection] = set()
         self._server: asyncio.Server | None = None
 
@@ -198,6 +200,7 @@
     def add_connection(self, connection: "HttpConnection") -> None:
         """Track an open connection."""
         self._connections.add(connection)
+        self.accepted_count += 1
 
     def remove_connection(self, connection: "HttpConnection") -> None:
         """Stop tracking a closed connection."""
@@ -620,6 +623,10 @@
         if self._transport is None or self._is_write_closed:
             return
         self._is_write_closed = True
+        if self._is_read_paused:
+            # Bytes left unread would reset the connection.
+            self._is_read_paused = False
+            self._transport.resume_reading()
         if self._transport.can_write_eof():
             self._transport.write_eof()
             timeout_s = (
--- a/src/eelgrassweir/daemon/link_client.py
+++ b/src/eelgrassweir/daemon/link_client.py
@@ -297,6 +297,7 @@
             self._last_received_ms = now_ms
         if self._is_reply_due:
             if now_ms - self._last_received_ms > self._options.silence_ms:
+                self.shrink_stalled_frame()
                 self._suspect()
             inactive_since_ms = min(self._last_received_ms, self._last_used_ms)
             if now_ms - inactive_since_ms >= self._options.ping_ms:
--- a/src/eelgrassweir/daemon/link_frames.py
+++ b/src/eelgrassweir/daemon/link_frames.py
@@ -55,6 +55,7 @@
         self._buffer = bytearray()
         # The frame that is being received, once its length is known.
         self._held_frame: HeldMessage | None = None
+        self._is_frame_stalled = False
         self._paused_ms = 0.0
         self._has_hello = False
         self.is_read_paused = False
@@ -154,16 +155,30 @@
 
     def _try_hold_frame(self, length: int) -> bool:
         """Return whether there is room for the whole frame."""
-        if self._held_frame is not None:
+        if self._held_frame is not None and not self._is_frame_stalled:
             return True
+        self._release_frame()
         frame = HeldMessage(self._held)
         # While it waits, the other requests of the link wait too.
         if not frame.try_grow(length, drops_waiting=True):
             return False
         self._held_frame = frame
+        self._paused_ms = 0.0
         return True
 
+    def shrink_stalled_frame(self) -> None:
+        """Count only what has arrived of a frame whose peer is silent.
+
+        The room for the whole frame is taken again when more of it arrives.
+        """
+        if self._held_frame is None or self._is_frame_stalled:
+            return
+        self._held_frame.release()
+        self._held_frame.grow(len(self._buffer))
+        self._is_frame_stalled = True
+
     def _release_frame(self) -> None:
+        self._is_frame_stalled = False
         if self._held_frame is not None:
             self._held_frame.release()
             self._held_frame = None
--- a/src/eelgrassweir/daemon/link_server.py
+++ b/src/eelgrassweir/daemon/link_server.py
@@ -153,6 +153,8 @@
         silent_ms = now_ms - self._last_received_ms
         is_silent = silent_ms > self._server.options.silence_ms
         self._silent_checks = self._silent_checks + 1 if is_silent else 0
+        if is_silent:
+            self.shrink_stalled_frame()
         if silent_ms > SILENCE_TIMEOUT_MS:
             self.close()
         elif self._tasks and self._silent_checks > MAX_SILENT_CHECKS:
--- a/src/eelgrassweir/mesh/app.py
+++ b/src/eelgrassweir/mesh/app.py
@@ -269,14 +269,25 @@
     async def run(self) -> None:
         """Run until SIGTERM or SIGINT, then shut down gracefully."""
         asyncio.get_running_loop().set_exception_handler(log_loop_error)
-        handle_signals(self._stop_requested.set, self._log_reload)
+        handle_signals(self.request_stop, self._log_reload)
         await self._run_until_stop()
-        # Nobody could send requests to a daemon that waits for its ports.
-        if self.caller_server.is_listening:
+        if self._may_have_requests():
             await self.drain()
         await self.stop()
         ignore_signals()
 
+    def request_stop(self) -> None:
+        """Let ``run`` stop the daemon gracefully."""
+        self._stop_requested.set()
+
+    def _may_have_requests(self) -> bool:
+        """Return whether callers or, over links, other daemons send requests.
+
+        A daemon that waits for its ports may have neither.
+        """
+        has_backend = self.backend.announcement is not None
+        return self.caller_server.is_listening or has_backend
+
     async def _run_until_stop(self) -> None:
         """Start; return when a stop is requested, also during the start."""
         starting = asyncio.create_task(self.start())
--- a/src/eelgrassweir/mesh/planned_stop.py
+++ b/src/eelgrassweir/mesh/planned_stop.py
@@ -19,8 +19,12 @@
 STOP_MARGIN_SHARE = 0.16
 STOP_POLL_MS = 20
 CLOSE_TIMEOUT_MS = 200
-# Time in which the request of a connection that was just opened arrives.
-FIRST_REQUEST_MS = 140
+# Longest time in which connections that wait are accepted before the listener
+# closes.
+MAX_ACCEPT_MS = 80
+# Time from the end of the stop in which the request of a connection that was
+# just opened arrives.
+FIRST_REQUEST_MS = 160
 
 
 async def finish_requests(
@@ -65,8 +69,7 @@
     request, which is refused as not run.
     """
     started_ms = clock.now_ms()
-    # Connections that were not accepted yet would be reset.
-    await asyncio.sleep(STOP_POLL_MS / 1e3)
+    await _accept_waiting(clock, caller_server)
     caller_server.stop_listening()
     while caller_server.connection_count:
         waited_ms = clock.now_ms() - started_ms
@@ -75,3 +78,13 @@
         if waited_ms >= FIRST_REQUEST_MS:
             caller_server.close_idle()
         await asyncio.sleep(STOP_POLL_MS / 1e3)
+
+
+async def _accept_waiting(clock: Clock, caller_server: HttpServer) -> None:
+    """Accept the connections that wait; the system would reset them."""
+    end_ms = clock.now_ms() + MAX_ACCEPT_MS
+    while clock.now_ms() < end_ms:
+        accepted_count = caller_server.accepted_count
+        await asyncio.sleep(STOP_POLL_MS / 1e3)
+        if caller_server.accepted_count == accepted_count:
+            return
--- a/src/eelgrassweir/settings/loader.py
+++ b/src/eelgrassweir/settings/loader.py
@@ -1,5 +1,6 @@
 """Read and check a daemon's settings file, for the daemons' entry points."""
 
+import contextlib
 import json
 import pathlib
 import re
@@ -59,6 +60,7 @@
     """
     if not isinstance(document, dict):
         return Failure(SettingsError("file", _show(document), "one JSON object"))
+    document = read_text_numbers(fields, document)
     known = {field.name: field for field in fields}
     for name, value in document.items():
         if name not in known:
@@ -77,6 +79,26 @@
     return Success(settings_class(**values))
 
 
+def read_text_numbers(
+    fields: Sequence[Field], document: dict[str, Any]
+) -> dict[str, Any]:
+    """Return a document whose numbers are no texts.
+
+    A template gives a number as a text, which is empty if there is none. Other
+    texts are left as they are.
+    """
+    names = {field.name for field in fields if field.kind == "number"}
+    read = {}
+    for name, value in document.items():
+        if name in names and isinstance(value, str):
+            if not value.strip():
+                continue
+            with contextlib.suppress(ValueError):
+                value = json.loads(value)
+        read[name] = value
+    return read
+
+
 def _show(value: Any) -> str:
     return json.dumps(value)[:200]
 
--- a/testing/daemon/test_link.py
+++ b/testing/daemon/test_link.py
@@ -9,6 +9,7 @@
 import pytest
 
 from eelgrassweir.clock import Clock
+from eelgrassweir.daemon.held_bytes import HeldBytes
 from eelgrassweir.daemon.link_client import LinkError, LinkOptions, Reply
 from eelgrassweir.daemon.link_frames import LENGTH, encode_frame
 from eelgrassweir.daemon.link_pool import LinkPool
@@ -376,3 +377,25 @@
         server.close()
 
     asyncio.run(scenario())
+
+
+def test_peer_that_falls_silent_within_a_frame_leaves_the_memory_to_others() -> None:
+    """Guard against links that are closed for want of memory nobody uses."""
+
+    async def scenario() -> None:
+        held = HeldBytes(limit_bytes=40_000_000)
+        options = attrs.evolve(OPTIONS, held=held, body_limit_bytes=20_000_000)
+        server = LinkServer(options, echo, Clock())
+        await server.start("127.0.0.1", 0)
+        _, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        hello = link_pb2.Frame(hello=link_pb2.Hello(vm="b", incarnation="1"))
+        writer.write(encode(hello) + LENGTH.pack(10_000_000) + b"x" * 10)
+        async with asyncio.timeout(5.0):
+            while not held.used_bytes:
+                await asyncio.sleep(0.01)
+            while held.used_bytes:
+                await asyncio.sleep(0.01)
+        writer.close()
+        await server.stop()
+
+    asyncio.run(scenario())
--- a/testing/mesh/test_planned_stop.py
+++ b/testing/mesh/test_planned_stop.py
@@ -4,19 +4,23 @@
 import contextlib
 import socket
 
+import attrs
 import pytest
 
 from eelgrassweir.clock import Clock
 from eelgrassweir.daemon.http_client import ExchangeError, SendStatus
 from eelgrassweir.daemon.http_message import HttpRequest, HttpResponse
 from eelgrassweir.daemon.http_server import HttpServer
+from eelgrassweir.mesh import app
 from eelgrassweir.mesh.planned_stop import close_connections
 from eelgrassweir.mesh.run_durations import RunDurations
+from testing.deploy.site import take_port
 from testing.mesh.fleet import (
     HOST,
     KEY,
     LIMIT_S,
     BackendStandIn,
+    make_mesh_settings,
     make_route,
     mesh_fleet,
     wait_until,
@@ -126,7 +130,8 @@
     asyncio.run(scenario())
 
 
-def test_connections_that_wait_to_be_accepted_get_an_answer() -> None:
+@pytest.mark.parametrize("count", [3, 300])
+def test_connections_that_wait_to_be_accepted_get_an_answer(count: int) -> None:
     """Guard against a stop behind a pause that resets unread requests."""
 
     async def refuse(_request: HttpRequest) -> HttpResponse:
@@ -137,7 +142,8 @@
         await server.start("127.0.0.1", 0)
         loop = asyncio.get_running_loop()
         # The event loop accepts none of them before the stop begins.
-        waiting = [socket.create_connection(("127.0.0.1", server.port)) for _ in "abc"]
+        address = ("127.0.0.1", server.port)
+        waiting = [socket.create_connection(address) for _ in range(count)]
         for connection in waiting:
             connection.sendall(b"GET /a/ HTTP/1.1\r\nHost: x\r\n\r\n")
             connection.setblocking(False)
@@ -194,3 +200,36 @@
     assert durations.estimate_ms("b") == durations.estimate_ms("a")
     durations.keep_routes({"b"})
     assert durations.estimate_ms("a") is None
+
+
+def test_stop_of_a_daemon_without_callers_waits_for_its_runs(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guard against runs of other entries that a stop in the start cuts."""
+    # The signals are those of the test process.
+    monkeypatch.setattr(app, "handle_signals", lambda on_stop, on_reload: None)
+    monkeypatch.setattr(app, "ignore_signals", lambda: None)
+
+    async def scenario() -> None:
+        async with mesh_fleet() as fleet:
+            entry = await fleet.add(BackendStandIn("lists", "i-0"))
+            backend = BackendStandIn("notes", "i-1", delay_s=1.0)
+            await backend.start()
+            settings = make_mesh_settings("vm-9", "notes", backend.address)
+            settings = attrs.evolve(settings, store_address=fleet.store_address)
+            daemon = fleet.make_daemon(settings)
+            fleet.configure(make_route("/a/", "notes", kind="unsafe"))
+            with contextlib.closing(take_port(settings.callers_address)):
+                running = asyncio.create_task(daemon.run())
+                await wait_until(lambda: daemon.config.current is not None)
+                await daemon.control.handle(backend.make_heartbeat())
+                await wait_until(lambda: entry.directory.members.ready("notes"))
+                call = asyncio.create_task(fleet.call(entry, "/a/"))
+                await wait_until(lambda: backend.runs)
+                daemon.request_stop()
+                assert (await call).status == 200
+                await running
+            assert backend.server is not None
+            await backend.server.stop()
+
+    asyncio.run(scenario())
