--- a/testing/deploy/test_planned_work.py
+++ b/testing/deploy/test_planned_work.py
@@ -139,7 +139,7 @@
         assert not lost
         # Callers of a daemon that stops send again as soon as it refuses.
         stopped = {vm.listen["outbound"] for vm in site.vms[:3]}
-        others = [outcome for outcome in outcomes if outcome.entry not in stopped]
-        assert {outcome.status for outcome in others} == {200}
+        untouched = [outcome for outcome in outcomes if outcome.entry not in stopped]
+        assert {outcome.status for outcome in untouched} == {200}
 
     asyncio.run(scenario())
