Let the waits of an answer for room add up again

Cause: reset the time that an answer has waited for room, so that one without end was let go on until its deadline, in turn with others.

--- a/src/eelgrassweir/daemon/http_client.py
+++ b/src/eelgrassweir/daemon/http_client.py
@@ -566,7 +566,6 @@
         self._paused_s += PAUSE_STEP_S
         is_last_attempt = self._paused_s >= MAX_PAUSE_S
         if self._held.can_hold(0, drops_waiting=is_last_attempt):
-            self._paused_s = 0.0
             self._transport.resume_reading()
         elif is_last_attempt:
             self._fail(NO_MEMORY, is_too_large=True)
