--- a/src/eelgrassweir/daemon/link_client.py
+++ b/src/eelgrassweir/daemon/link_client.py
@@ -49,7 +49,9 @@
 
     A link that receives nothing for ``silence_ms`` while it has requests is
     closed. It is pinged after ``ping_ms`` without traffic. ``on_read`` is
-    called for each read.
+    called for each read, ``on_cancel_sent`` with the request id and the
+    address of the peer, ``on_cancel_received`` with the request id, the VM of
+    the peer and the time in ms since the request was read.
 
     With ``waits_for_runs``, a silent link is only closed once it has no
     non-idempotent requests: these cannot be repeated, and their peer may be
@@ -64,6 +66,8 @@
     tls: ssl.SSLContext | None = None
     connect_timeout_ms: int = CONNECT_TIMEOUT_MS
     on_read: Callable[[], None] | None = None
+    on_cancel_sent: Callable[[str, str], None] | None = None
+    on_cancel_received: Callable[[str, str, float], None] | None = None
     waits_for_runs: bool = False
     # Memory of the frames, shared with the other connections of the daemon.
     held: HeldBytes = attrs.field(factory=HeldBytes)
@@ -240,8 +244,17 @@
             self._waiting_stream_ids.discard(stream_id)
             self._run_stream_ids.discard(stream_id)
             if not is_answered:
-                cancel = link_pb2.Cancel(stream_id=stream_id)
-                self.send(link_pb2.Frame(cancel=cancel))
+                self._send_cancel(stream_request)
+
+    def _send_cancel(self, stream_request: StreamRequest) -> None:
+        """Tell the peer that nobody waits for the reply any more."""
+        cancel = link_pb2.Cancel(stream_id=stream_request.stream_id)
+        is_sent = self.send(link_pb2.Frame(cancel=cancel))
+        on_cancel_sent = self._options.on_cancel_sent
+        if not is_sent or on_cancel_sent is None:
+            return
+        if isinstance(stream_request, link_pb2.Request):
+            on_cancel_sent(stream_request.context.request_id, self._address)
 
     def _expire(self, stream_id: int, timeout_ms: float) -> None:
         """Fail a call whose reply did not arrive in time."""
--- a/src/eelgrassweir/daemon/link_server.py
+++ b/src/eelgrassweir/daemon/link_server.py
@@ -115,6 +115,15 @@
         self._sessions.discard(session)
 
 
+@attrs.frozen(eq=False)
+class _RunningRequest:
+    """One request of a link that is in progress."""
+
+    task: asyncio.Task[None]
+    request_id: str
+    read_ms: float
+
+
 class LinkSession(FrameProtocol):
     """Serving end of one link; runs its requests concurrently."""
 
@@ -125,7 +134,7 @@
             on_read=server.options.on_read,
         )
         self._server = server
-        self._tasks: dict[int, asyncio.Task[None]] = {}
+        self._running: dict[int, _RunningRequest] = {}
         # Followers that wait for news, and renewals of their leases. They do
         # not delay a planned stop.
         self._control_tasks: dict[int, asyncio.Task[None]] = {}
@@ -143,7 +152,7 @@
         """Return the requests in progress, or 1 while bytes are unsent."""
         if self.transport is None:
             return 0
-        return len(self._tasks) or int(self.transport.get_write_buffer_size() > 0)
+        return len(self._running) or int(self.transport.get_write_buffer_size() > 0)
 
     def close_if_silent(self, now_ms: float) -> None:
         """Close a link that its peer has abandoned."""
@@ -157,13 +166,13 @@
             self.shrink_stalled_frame()
         if silent_ms > SILENCE_TIMEOUT_MS:
             self.close()
-        elif self._tasks and self._silent_checks > MAX_SILENT_CHECKS:
+        elif self._running and self._silent_checks > MAX_SILENT_CHECKS:
             self._abandon()
 
     def _abandon(self) -> None:
         """Cancel what the caller can repeat; close if nothing is left."""
-        for stream_id in self._tasks.keys() - self._run_stream_ids:
-            self._tasks.pop(stream_id).cancel()
+        for stream_id in self._running.keys() - self._run_stream_ids:
+            self._running.pop(stream_id).task.cancel()
         if not self._run_stream_ids:
             self.close()
 
@@ -184,7 +193,9 @@
         """Cancel the requests of this link, since their caller is gone."""
         super().connection_lost(exc)
         self._server.remove_session(self)
-        for task in (*self._tasks.values(), *self._control_tasks.values()):
+        for running in self._running.values():
+            running.task.cancel()
+        for task in self._control_tasks.values():
             task.cancel()
 
     def resume_writing(self) -> None:
@@ -206,12 +217,7 @@
         if kind == "request":
             self._start_request(frame.request)
         elif kind == "cancel":
-            # A task that is cancelled before its start does not remove itself.
-            stream_id = frame.cancel.stream_id
-            for tasks in (self._tasks, self._control_tasks):
-                task = tasks.pop(stream_id, None)
-                if task is not None:
-                    task.cancel()
+            self._cancel(frame.cancel.stream_id)
         elif kind == "follow":
             if self._can_start_control(frame.follow.stream_id):
                 self._start_control(frame.follow.stream_id, self._follow(frame.follow))
@@ -232,6 +238,21 @@
         elif kind == "hello":
             self._peer_vm = frame.hello.vm
 
+    def _cancel(self, stream_id: int) -> None:
+        """Cancel a request that the peer no longer waits for."""
+        # A task that is cancelled before its start does not remove itself.
+        control_task = self._control_tasks.pop(stream_id, None)
+        if control_task is not None:
+            control_task.cancel()
+        running = self._running.pop(stream_id, None)
+        if running is None:
+            return
+        running.task.cancel()
+        on_cancel_received = self._server.options.on_cancel_received
+        if on_cancel_received is not None:
+            age_ms = self._server.clock.now_ms() - running.read_ms
+            on_cancel_received(running.request_id, self._peer_vm, age_ms)
+
     def _can_start_control(self, stream_id: int) -> bool:
         """Return whether there is room; close the link if there is none."""
         if stream_id in self._control_tasks:
@@ -262,11 +283,14 @@
         self.send(link_pb2.Frame(renewal=renewal))
 
     def _start_request(self, request: link_pb2.Request) -> None:
-        if request.stream_id in self._tasks:
+        if request.stream_id in self._running:
             self.reject(f"stream {request.stream_id} is in use")
             return
-        task = asyncio.get_running_loop().create_task(self._run(request))
-        self._tasks[request.stream_id] = task
+        self._running[request.stream_id] = _RunningRequest(
+            task=asyncio.get_running_loop().create_task(self._run(request)),
+            request_id=request.context.request_id,
+            read_ms=self._server.clock.now_ms(),
+        )
         if self._server.options.waits_for_runs and not request.context.idempotent:
             self._run_stream_ids.add(request.stream_id)
 
@@ -277,7 +301,7 @@
             reply = await self._handle(request)
         finally:
             held.release()
-            self._tasks.pop(request.stream_id, None)
+            self._running.pop(request.stream_id, None)
             self._run_stream_ids.discard(request.stream_id)
         reply.stream_id = request.stream_id
         if isinstance(reply, link_pb2.Response):
--- a/src/eelgrassweir/daemon/metrics.py
+++ b/src/eelgrassweir/daemon/metrics.py
@@ -61,6 +61,12 @@
             registry=self.registry,
             buckets=LATENCY_BUCKETS_S,
         )
+        self.loop_lag = Histogram(
+            "eelgrassweir_loop_lag_seconds",
+            "Lateness of the event loop at its periodic tasks.",
+            registry=self.registry,
+            buckets=LATENCY_BUCKETS_S,
+        )
         self.store_calls = Gauge(
             "eelgrassweir_store_calls",
             "Calls of the platform's store since the start.",
--- a/src/eelgrassweir/mesh/app.py
+++ b/src/eelgrassweir/mesh/app.py
@@ -58,6 +58,11 @@
 from eelgrassweir.store.items import Change, Item, Removal, Snapshot
 
 TICK_INTERVAL_MS = 100
+# Lateness of a tick from which it is logged.
+MIN_LOGGED_LAG_MS = 100.0
+LAG_MESSAGE_TYPE = "loop:late"
+CANCEL_SENT_MESSAGE_TYPE = "link:cancel_sent"
+CANCEL_RECEIVED_MESSAGE_TYPE = "link:cancel_received"
 # Body limit of the servers until a configuration sets one.
 BODY_LIMIT_BYTES = 67_108_864
 LINK_CONNECT_TIMEOUT_MS = 300
@@ -98,6 +103,7 @@
         self.settings = settings
         self.memory_watch = MemoryWatch(memory_mb * 1e6)
         self._log_output = log_output
+        self._can_log = log_output.can_log if log_output else _can_always_log
         self._adapter = adapter
         self.clock = Clock()
         self.seed = settings.seed or random.SystemRandom().getrandbits(62)
@@ -117,6 +123,8 @@
             body_limit_bytes=BODY_LIMIT_BYTES,
             connect_timeout_ms=LINK_CONNECT_TIMEOUT_MS,
             on_read=self.coalescer.record_read,
+            on_cancel_sent=self._log_cancel_sent,
+            on_cancel_received=self._log_cancel_received,
             waits_for_runs=True,
             held=self.held,
         )
@@ -167,7 +175,7 @@
             registration=self.registration,
             replication=self.leave_replication,
         )
-        can_log = log_output.can_log if log_output else _can_always_log
+        can_log = self._can_log
         # Calls of the local backend server that are refused.
         refused_calls = FailureRate()
         failed_calls = FailureRate()
@@ -515,7 +523,9 @@
     async def _run_periodic_tasks(self) -> None:
         """Run the periodic work until cancelled."""
         while True:
+            slept_ms = self.clock.now_ms()
             await asyncio.sleep(TICK_INTERVAL_MS / 1e3)
+            self._record_lag(self.clock.now_ms() - slept_ms - TICK_INTERVAL_MS)
             self.coalescer.update()
             if self._log_output is not None:
                 self._log_output.flush(self.clock.now_ms())
@@ -530,6 +540,16 @@
             slack = self.settings.budget_slack_calls * RETRY_SLACK_SHARE / daemons
             self.retry_ratio.set_spare_retries(slack)
 
+    def _record_lag(self, lag_ms: float) -> None:
+        """Show how late the event loop runs what is due."""
+        self.metrics.loop_lag.observe(max(0.0, lag_ms) / 1e3)
+        if lag_ms >= MIN_LOGGED_LAG_MS and self._can_log(LAG_MESSAGE_TYPE):
+            log_message(
+                message_type=LAG_MESSAGE_TYPE,
+                lag_ms=round(lag_ms),
+                in_flight=self.in_flight_calls(),
+            )
+
     def _watch_memory(self) -> None:
         peak_bytes = read_peak_bytes()
         self.metrics.peak_memory.set(peak_bytes)
@@ -538,6 +558,21 @@
     def _log_reload(self) -> None:
         log_message(message_type="daemon:reload", vm=self.settings.vm)
 
+    def _log_cancel_sent(self, request_id: str, peer: str) -> None:
+        if self._can_log(CANCEL_SENT_MESSAGE_TYPE):
+            log_message(
+                message_type=CANCEL_SENT_MESSAGE_TYPE, request=request_id, peer=peer
+            )
+
+    def _log_cancel_received(self, request_id: str, peer: str, age_ms: float) -> None:
+        if self._can_log(CANCEL_RECEIVED_MESSAGE_TYPE):
+            log_message(
+                message_type=CANCEL_RECEIVED_MESSAGE_TYPE,
+                request=request_id,
+                peer=peer,
+                age_ms=round(age_ms),
+            )
+
     # Connections
 
     def _make_server(
--- a/src/eelgrassweir/mesh/target.py
+++ b/src/eelgrassweir/mesh/target.py
@@ -1,5 +1,6 @@
 """Admit requests to the local backend server and run them on it."""
 
+import asyncio
 import random
 
 import attrs
@@ -21,6 +22,7 @@
 STEP = "target"
 RAN_MESSAGE_TYPE = "target:ran"
 FAILED_MESSAGE_TYPE = "target:failed"
+CANCELLED_MESSAGE_TYPE = "target:cancelled"
 # Some backend servers slow down when nearly all their slots are in use.
 USED_SLOTS_SHARE = 0.95
 DRAINING_RETRY_AFTER_MS = 50
@@ -165,9 +167,25 @@
             is_ok = isinstance(result.result, HttpResponse)
             outcome = Outcome.OK if is_ok else Outcome.FAILED
             return result
+        except asyncio.CancelledError:
+            self._log_cancelled(context, admission)
+            raise
         finally:
             self.gate.leave(admission, outcome)
 
+    def _log_cancelled(
+        self, context: link_pb2.CallContext, admission: Admission
+    ) -> None:
+        """Log that the connection of a running request is closed."""
+        if not self._can_log(CANCELLED_MESSAGE_TYPE):
+            return
+        log_message(
+            message_type=CANCELLED_MESSAGE_TYPE,
+            request=context.request_id,
+            queued_ms=round(admission.queued_ms),
+            running_ms=round(self._clock.now_ms() - admission.started_ms),
+        )
+
     async def _exchange(
         self,
         context: link_pb2.CallContext,
--- a/testing/mesh/test_failure_lines.py
+++ b/testing/mesh/test_failure_lines.py
@@ -7,6 +7,7 @@
 import pathlib
 import subprocess
 import sys
+import time
 from collections.abc import Iterator
 from typing import Any
 
@@ -14,11 +15,12 @@
 from eliot import add_destinations, remove_destination
 
 from eelgrassweir.daemon.address import split_address
-from eelgrassweir.mesh.app import log_loop_error
+from eelgrassweir.mesh.app import Application, log_loop_error
 from eelgrassweir.mesh.memory_watch import MemoryWatch
 from testing.deploy.checkout import read_deploy_file
 from testing.mesh.fleet import (
     HOST,
+    BackendStandIn,
     add_target,
     make_mesh_settings,
     mesh_fleet,
@@ -48,10 +50,7 @@
         async with mesh_fleet() as fleet:
             daemon, backend = await add_target(fleet)
             backend.hold = asyncio.Event()
-            host, port = split_address(daemon.settings.callers_address)
-            _, writer = await asyncio.open_connection(host, port)
-            head = f"GET /a/ HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: left\r\n\r\n"
-            writer.write(head.encode())
+            writer = await send_request(daemon, "left")
             await wait_until(lambda: backend.runs)
             writer.close()
             await wait_until(lambda: not daemon.entry.in_flight_calls)
@@ -65,6 +64,60 @@
     assert not line["is_stopping"]
 
 
+def test_end_of_a_request_has_a_line_at_each_step() -> None:
+    """Guard against work after an end whose delay no log line explains."""
+
+    async def scenario() -> None:
+        async with mesh_fleet() as fleet:
+            entry = await fleet.add(BackendStandIn("lists", "i-1"))
+            target, backend = await add_target(fleet)
+            backend.hold = asyncio.Event()
+            writer = await send_request(entry, "left")
+            await wait_until(lambda: backend.runs)
+            writer.close()
+            await wait_until(lambda: not target.target.running_calls)
+            assert b"eelgrassweir_loop_lag_seconds_count" in await read_metrics(entry)
+
+    with collect_lines() as lines:
+        asyncio.run(scenario())
+    named = [line for line in lines if line.get("request") == "left"]
+    assert [line["message_type"] for line in named] == [
+        "request:unanswered",
+        "link:cancel_sent",
+        "link:cancel_received",
+        "target:cancelled",
+    ]
+    assert all(line["age_ms"] < 1e3 for line in named if "age_ms" in line)
+
+
+def test_late_event_loop_has_a_line() -> None:
+    """Guard against a daemon that is behind without a word."""
+
+    async def scenario() -> None:
+        async with mesh_fleet() as fleet:
+            await add_target(fleet)
+            time.sleep(0.5)
+            await wait_until(lambda: find_lines(lines, "loop:late"))
+
+    with collect_lines() as lines:
+        asyncio.run(scenario())
+    assert find_lines(lines, "loop:late")[0]["lag_ms"] >= 100
+
+
+def find_lines(lines: list[dict[str, Any]], kind: str) -> list[dict[str, Any]]:
+    """Return the lines of a message type."""
+    return [line for line in lines if line["message_type"] == kind]
+
+
+async def send_request(daemon: Application, request_id: str) -> asyncio.StreamWriter:
+    """Send a request to a daemon and return its connection."""
+    host, port = split_address(daemon.settings.callers_address)
+    _, writer = await asyncio.open_connection(host, port)
+    head = f"GET /a/ HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {request_id}\r\n\r\n"
+    writer.write(head.encode())
+    return writer
+
+
 async def read_metrics(daemon: Any) -> bytes:
     """Return the metrics of a daemon as text."""
     host, port = split_address(daemon.settings.admin_address)
