--- a/src/eelgrassweir/daemon/link_client.py
+++ b/src/eelgrassweir/daemon/link_client.py
@@ -120,7 +120,9 @@
         """Send the VM and incarnation of this daemon."""
         super().connection_made(transport)
         hello = link_pb2.Hello(
-            vm=self._options.vm, incarnation=self._options.incarnation
+            vm=self._options.vm,
+            incarnation=self._options.incarnation,
+            sent_ms=self._clock.now_ms(),
         )
         self.send(link_pb2.Frame(hello=hello))
 
@@ -211,10 +213,13 @@
     async def _send_and_wait(
         self, stream_request: StreamRequest, timeout_ms: float
     ) -> StreamReply:
+        now_ms = self._clock.now_ms()
         if not self._is_reply_due:
             # Silence is measured from the first waiting request on.
-            self._last_received_ms = self._clock.now_ms()
-        self._last_used_ms = self._clock.now_ms()
+            self._last_received_ms = now_ms
+        self._last_used_ms = now_ms
+        if isinstance(stream_request, link_pb2.Request):
+            stream_request.sent_ms = now_ms
         stream_id = self._next_stream_id
         self._next_stream_id += 1
         stream_request.stream_id = stream_id
--- a/src/eelgrassweir/daemon/link_pool.py
+++ b/src/eelgrassweir/daemon/link_pool.py
@@ -48,8 +48,12 @@
         """
         started_ms = self._clock.now_ms()
         link = await self._get_link(address, incarnation, timeout_ms)
-        remaining_ms = timeout_ms - (self._clock.now_ms() - started_ms)
-        return await link.call(request, timeout_ms=max(remaining_ms, 1.0))
+        remaining_ms = max(timeout_ms - (self._clock.now_ms() - started_ms), 1.0)
+        # Opening the link may have taken a part of the time.
+        request.context.remaining_ms = min(
+            request.context.remaining_ms, int(remaining_ms)
+        )
+        return await link.call(request, timeout_ms=remaining_ms)
 
     async def borrow(
         self, address: str, incarnation: str, request: bytes, *, timeout_ms: float
--- a/src/eelgrassweir/daemon/link_server.py
+++ b/src/eelgrassweir/daemon/link_server.py
@@ -18,6 +18,7 @@
 )
 from eelgrassweir.daemon.link_frames import FrameProtocol
 from eelgrassweir.daemon.listening import open_server
+from eelgrassweir.daemon.transit_time import TransitTime
 from eelgrassweir.proto import link_pb2
 from eelgrassweir.requests.refusal import make_internal_refusal
 
@@ -142,6 +143,7 @@
         self._run_stream_ids: set[int] = set()
         self._peer_vm = ""
         self._last_received_ms = server.clock.now_ms()
+        self._transit_time = TransitTime()
         # Consecutive checks that found the link silent.
         self._silent_checks = 0
         # Frames written while the peer accepts no bytes.
@@ -237,6 +239,7 @@
             self.send(link_pb2.Frame(pong=link_pb2.Pong(id=frame.ping.id)))
         elif kind == "hello":
             self._peer_vm = frame.hello.vm
+            self._measure_wait_ms(frame.hello.sent_ms)
 
     def _cancel(self, stream_id: int) -> None:
         """Cancel a request that the peer no longer waits for."""
@@ -286,6 +289,9 @@
         if request.stream_id in self._running:
             self.reject(f"stream {request.stream_id} is in use")
             return
+        wait_ms = self._measure_wait_ms(request.sent_ms)
+        remaining_ms = request.context.remaining_ms - int(wait_ms)
+        request.context.remaining_ms = max(remaining_ms, 0)
         self._running[request.stream_id] = _RunningRequest(
             task=asyncio.get_running_loop().create_task(self._run(request)),
             request_id=request.context.request_id,
@@ -294,6 +300,14 @@
         if self._server.options.waits_for_runs and not request.context.idempotent:
             self._run_stream_ids.add(request.stream_id)
 
+    def _measure_wait_ms(self, sent_ms: float) -> float:
+        """Return how long a message waited before it was read."""
+        if not sent_ms:
+            # Daemons of earlier versions do not send it.
+            return 0.0
+        now_ms = self._server.clock.now_ms()
+        return self._transit_time.measure_wait_ms(sent_ms, now_ms)
+
     async def _run(self, request: link_pb2.Request) -> None:
         held = HeldMessage(self._server.options.held)
         held.grow(len(request.body))
--- a/testing/daemon/test_link.py
+++ b/testing/daemon/test_link.py
@@ -42,11 +42,12 @@
 @asynccontextmanager
 async def open_link(
     handler: Callable[[link_pb2.Request, str], Awaitable[Reply]] = echo,
+    options: LinkOptions = OPTIONS,
 ) -> AsyncIterator[tuple[LinkPool, str]]:
     """Start a link server; yield a pool that calls it and its address."""
-    server = LinkServer(OPTIONS, handler, Clock())
+    server = LinkServer(options, handler, Clock())
     await server.start("127.0.0.1", 0)
-    pool = LinkPool(OPTIONS, Clock())
+    pool = LinkPool(options, Clock())
     try:
         yield pool, f"127.0.0.1:{server.port}"
     finally:
