--- a/src/eelgrassweir/daemon/coalescing.py
+++ b/src/eelgrassweir/daemon/coalescing.py
@@ -14,6 +14,9 @@
 MIN_READS_PER_S = 1_200.0
 MAX_READS_PER_S = 3_000.0
 MAX_PAUSE_MS = 1.5
+# Turns of the event loop from a read to the pause. Within them a request that
+# was read is started, runs and is sent on.
+TURNS_BEFORE_PAUSE = 4
 
 
 class WakeupCoalescer:
@@ -39,9 +42,7 @@
         if not self.pause_ms or self._is_scheduled:
             return
         self._is_scheduled = True
-        loop = asyncio.get_running_loop()
-        # The iteration before the pause sends what this wake-up writes.
-        loop.call_soon(loop.call_soon, self._pause)
+        self._count_down(TURNS_BEFORE_PAUSE)
 
     def update(self) -> None:
         """Set the pause from the rate of reads since the last update."""
@@ -53,6 +54,13 @@
         self._reads = 0
         self._updated_ms = now_ms
 
+    def _count_down(self, turns: int) -> None:
+        loop = asyncio.get_running_loop()
+        if turns > 1:
+            loop.call_soon(self._count_down, turns - 1)
+        else:
+            loop.call_soon(self._pause)
+
     def _pause(self) -> None:
         self._is_scheduled = False
         self._sleep_s(self.pause_ms / 1e3)
--- a/src/eelgrassweir/daemon/http_server.py
+++ b/src/eelgrassweir/daemon/http_server.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import collections
+import functools
 import math
 import ssl
 from collections.abc import Awaitable, Callable
@@ -27,6 +28,7 @@
     split_absolute_form,
 )
 from eelgrassweir.daemon.listening import open_server
+from eelgrassweir.daemon.start_queue import QueuedStart, StartQueue
 from eelgrassweir.daemon.unsent_answers import UnsentAnswers
 from eelgrassweir.requests.refusal import (
     Refusal,
@@ -101,6 +103,7 @@
     keep_alive: bool
     held: HeldMessage
     size_bytes: int
+    queued: QueuedStart | None = None
     task: "asyncio.Task[None] | None" = None
     response: HttpResponse | None = None
     is_written: bool = False
@@ -116,7 +119,8 @@
     before it closes the connection. ``on_read`` is called for each read, and
     ``on_unanswered`` for each started request whose answer cannot be sent.
     ``held`` bounds the requests and unsent answers together with the other
-    messages that the daemon holds.
+    messages that the daemon holds. ``start_queue`` starts requests with the
+    others of the daemon, by the priority from ``get_priority``.
     """
 
     def __init__(
@@ -130,8 +134,12 @@
         on_read: "Callable[[], None] | None" = None,
         on_unanswered: UnansweredHandler | None = None,
         held: HeldBytes | None = None,
+        start_queue: StartQueue | None = None,
+        get_priority: Callable[[HttpRequest], int] | None = None,
     ) -> None:
         self.handler = handler
+        self.start_queue = start_queue or StartQueue()
+        self.get_priority = get_priority or get_equal_priority
         self.on_unanswered = on_unanswered
         self.held = held or HeldBytes()
         self.on_read = on_read
@@ -469,12 +477,18 @@
                 return
             if index and exchange.request.method not in SAFE_METHODS:
                 return
-            if exchange.task is None:
-                loop = asyncio.get_running_loop()
-                exchange.task = loop.create_task(self._answer(exchange))
+            if exchange.queued is None:
+                exchange.queued = self._server.start_queue.add(
+                    functools.partial(self._start, exchange),
+                    priority=self._server.get_priority(exchange.request),
+                )
             if exchange.request.method not in SAFE_METHODS:
                 return
 
+    def _start(self, exchange: _Exchange, _waited_ms: float) -> None:
+        loop = asyncio.get_running_loop()
+        exchange.task = loop.create_task(self._answer(exchange))
+
     async def _answer(self, exchange: _Exchange) -> None:
         exchange.response = await self._handle(exchange.request)
         self._write_answers()
@@ -546,10 +560,13 @@
         """Cancel the pending requests, whose answers cannot be sent."""
         for exchange in self._pending:
             exchange.held.release()
+            if exchange.queued is None:
+                continue
+            exchange.queued.cancel()
             if exchange.task is not None:
                 exchange.task.cancel()
-                if self._server.on_unanswered is not None:
-                    self._server.on_unanswered(exchange.request, reason)
+            if self._server.on_unanswered is not None:
+                self._server.on_unanswered(exchange.request, reason)
         self._pending.clear()
 
     def _drop_waiting_answers(self) -> None:
@@ -699,6 +716,11 @@
             self.abort("a timeout of the connection has passed")
 
 
+def get_equal_priority(_request: HttpRequest) -> int:
+    """Return one priority for all requests."""
+    return 0
+
+
 def describe_lost(error: Exception | None) -> str:
     """Return why a connection ended that this end did not close."""
     if error is None:
--- a/src/eelgrassweir/daemon/link_client.py
+++ b/src/eelgrassweir/daemon/link_client.py
@@ -13,6 +13,7 @@
 from eelgrassweir.daemon.deadlines import Deadlines
 from eelgrassweir.daemon.held_bytes import HeldBytes
 from eelgrassweir.daemon.link_frames import FrameProtocol
+from eelgrassweir.daemon.start_queue import StartQueue
 from eelgrassweir.errors import StepError
 from eelgrassweir.proto import link_pb2
 
@@ -71,6 +72,8 @@
     waits_for_runs: bool = False
     # Memory of the frames, shared with the other connections of the daemon.
     held: HeldBytes = attrs.field(factory=HeldBytes)
+    # Order of the requests that the daemon starts, of links and of callers.
+    start_queue: StartQueue = attrs.field(factory=StartQueue)
 
 
 # Kinds of replies to each kind of request.
--- a/src/eelgrassweir/daemon/link_frames.py
+++ b/src/eelgrassweir/daemon/link_frames.py
@@ -20,8 +20,9 @@
 # closed.
 MAX_PAUSE_MS = 500.0
 PAUSE_STEP_MS = 20.0
-# Frames of one connection that are handled before others get their turn.
-MAX_FRAMES_PER_TURN = 32
+# Frames of one connection that are handled before others get their turn: more
+# than one read has of usual requests, so that their cancels are seen in time.
+MAX_FRAMES_PER_TURN = 1_024
 # Size of the first frame, which holds two names.
 MAX_HELLO_BYTES = 4_096
 
--- a/src/eelgrassweir/daemon/link_server.py
+++ b/src/eelgrassweir/daemon/link_server.py
@@ -1,6 +1,7 @@
 """Serving side of links: runs the requests of other daemons."""
 
 import asyncio
+import functools
 import ssl
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
@@ -18,6 +19,7 @@
 )
 from eelgrassweir.daemon.link_frames import FrameProtocol
 from eelgrassweir.daemon.listening import open_server
+from eelgrassweir.daemon.start_queue import QueuedStart
 from eelgrassweir.daemon.transit_time import TransitTime
 from eelgrassweir.proto import link_pb2
 from eelgrassweir.requests.refusal import make_internal_refusal
@@ -116,13 +118,23 @@
         self._sessions.discard(session)
 
 
-@attrs.frozen(eq=False)
+@attrs.define(eq=False)
 class _RunningRequest:
-    """One request of a link that is in progress."""
+    """One request of a link, from its read to its reply."""
 
-    task: asyncio.Task[None]
     request_id: str
     read_ms: float
+    held: HeldMessage
+    queued: QueuedStart | None = None
+    task: asyncio.Task[None] | None = None
+
+    def cancel(self) -> None:
+        """Drop the request or cancel its run."""
+        if self.queued is not None:
+            self.queued.cancel()
+        if self.task is not None:
+            self.task.cancel()
+        self.held.release()
 
 
 class LinkSession(FrameProtocol):
@@ -174,7 +186,7 @@
     def _abandon(self) -> None:
         """Cancel what the caller can repeat; close if nothing is left."""
         for stream_id in self._running.keys() - self._run_stream_ids:
-            self._running.pop(stream_id).task.cancel()
+            self._running.pop(stream_id).cancel()
         if not self._run_stream_ids:
             self.close()
 
@@ -196,7 +208,7 @@
         super().connection_lost(exc)
         self._server.remove_session(self)
         for running in self._running.values():
-            running.task.cancel()
+            running.cancel()
         for task in self._control_tasks.values():
             task.cancel()
 
@@ -243,14 +255,14 @@
 
     def _cancel(self, stream_id: int) -> None:
         """Cancel a request that the peer no longer waits for."""
-        # A task that is cancelled before its start does not remove itself.
         control_task = self._control_tasks.pop(stream_id, None)
         if control_task is not None:
             control_task.cancel()
         running = self._running.pop(stream_id, None)
         if running is None:
             return
-        running.task.cancel()
+        running.cancel()
+        self._run_stream_ids.discard(stream_id)
         on_cancel_received = self._server.options.on_cancel_received
         if on_cancel_received is not None:
             age_ms = self._server.clock.now_ms() - running.read_ms
@@ -290,15 +302,28 @@
             self.reject(f"stream {request.stream_id} is in use")
             return
         wait_ms = self._measure_wait_ms(request.sent_ms)
-        remaining_ms = request.context.remaining_ms - int(wait_ms)
-        request.context.remaining_ms = max(remaining_ms, 0)
-        self._running[request.stream_id] = _RunningRequest(
-            task=asyncio.get_running_loop().create_task(self._run(request)),
+        _reduce_remaining(request, wait_ms)
+        options = self._server.options
+        running = _RunningRequest(
             request_id=request.context.request_id,
             read_ms=self._server.clock.now_ms(),
+            held=HeldMessage(options.held),
         )
-        if self._server.options.waits_for_runs and not request.context.idempotent:
+        running.held.grow(len(request.body))
+        self._running[request.stream_id] = running
+        if options.waits_for_runs and not request.context.idempotent:
             self._run_stream_ids.add(request.stream_id)
+        running.queued = options.start_queue.add(
+            functools.partial(self._start, request, running),
+            priority=request.context.priority,
+        )
+
+    def _start(
+        self, request: link_pb2.Request, running: _RunningRequest, waited_ms: float
+    ) -> None:
+        _reduce_remaining(request, waited_ms)
+        work = self._run(request, running)
+        running.task = asyncio.get_running_loop().create_task(work)
 
     def _measure_wait_ms(self, sent_ms: float) -> float:
         """Return how long a message waited before it was read."""
@@ -308,13 +333,11 @@
         now_ms = self._server.clock.now_ms()
         return self._transit_time.measure_wait_ms(sent_ms, now_ms)
 
-    async def _run(self, request: link_pb2.Request) -> None:
-        held = HeldMessage(self._server.options.held)
-        held.grow(len(request.body))
+    async def _run(self, request: link_pb2.Request, running: _RunningRequest) -> None:
         try:
             reply = await self._handle(request)
         finally:
-            held.release()
+            running.held.release()
             self._running.pop(request.stream_id, None)
             self._run_stream_ids.discard(request.stream_id)
         reply.stream_id = request.stream_id
@@ -333,6 +356,12 @@
             return link_pb2.Refusal(**attrs.asdict(refusal, filter=_is_sent))
 
 
+def _reduce_remaining(request: link_pb2.Request, waited_ms: float) -> None:
+    """Take the time that a request has waited from the time left for it."""
+    remaining_ms = request.context.remaining_ms - int(waited_ms)
+    request.context.remaining_ms = max(remaining_ms, 0)
+
+
 def _is_sent(attribute: "attrs.Attribute[object]", _value: object) -> bool:
     """Exclude the ticket, which only answers to callers contain."""
     return attribute.name != "ticket"
--- /dev/null
+++ b/src/eelgrassweir/daemon/start_queue.py
@@ -0,0 +1,81 @@
+"""Start of the requests that a daemon has read, in turns of its event loop.
+
+The HTTP servers and the link server of a daemon share one queue.
+"""
+
+import asyncio
+import collections
+from collections.abc import Callable
+
+import attrs
+
+from eelgrassweir.clock import Clock
+
+# Requests that start in one turn. Between two turns everything is read that
+# has arrived, so that a daemon that is behind learns of ends in time.
+MAX_STARTS_PER_TURN = 16
+
+
+@attrs.define(eq=False)
+class QueuedStart:
+    """A request that waits for its start, unless it is cancelled before.
+
+    ``start`` is called with the time in ms that the request has waited.
+    """
+
+    start: Callable[[float], None] | None
+    queued_ms: float
+
+    def cancel(self) -> None:
+        """Drop the request, since nobody waits for its answer."""
+        self.start = None
+
+
+class StartQueue:
+    """Start requests once what has arrived with them is read.
+
+    A close or a cancel that follows its request at once is then known, and the
+    request is dropped. Requests of a higher priority start first, and those of
+    one priority in the order of their arrival.
+    """
+
+    def __init__(self, clock: Clock | None = None) -> None:
+        self._clock = clock or Clock()
+        self._waiting: dict[int, collections.deque[QueuedStart]] = {}
+        self._is_scheduled = False
+
+    def add(self, start: Callable[[float], None], *, priority: int = 0) -> QueuedStart:
+        """Let a request start in one of the next turns."""
+        queued = QueuedStart(start, self._clock.now_ms())
+        self._waiting.setdefault(priority, collections.deque()).append(queued)
+        if not self._is_scheduled:
+            self._is_scheduled = True
+            loop = asyncio.get_running_loop()
+            # What has arrived by now is read before the second callback.
+            loop.call_soon(loop.call_soon, self._run_turn)
+        return queued
+
+    def _run_turn(self) -> None:
+        """Start the next requests; the others follow in later turns."""
+        now_ms = self._clock.now_ms()
+        for _ in range(MAX_STARTS_PER_TURN):
+            queued = self._pop()
+            if queued is None:
+                self._is_scheduled = False
+                return
+            start, queued.start = queued.start, None
+            assert start is not None
+            start(now_ms - queued.queued_ms)
+        asyncio.get_running_loop().call_soon(self._run_turn)
+
+    def _pop(self) -> QueuedStart | None:
+        """Remove and return the next request that is not cancelled."""
+        while self._waiting:
+            priority = max(self._waiting)
+            waiting = self._waiting[priority]
+            queued = waiting.popleft()
+            if not waiting:
+                del self._waiting[priority]
+            if queued.start is not None:
+                return queued
+        return None
--- a/src/eelgrassweir/mesh/adapter.py
+++ b/src/eelgrassweir/mesh/adapter.py
@@ -77,6 +77,7 @@
     config_key: str
     decode_config: Callable[[bytes], Result[RoutingConfig, StepError]]
     read_caller_request: Callable[[HttpRequest], CallerRequest]
+    has_key: Callable[[HttpRequest], bool]
     read_control_message: Callable[[HttpRequest], ControlMessage | None]
     make_backend_headers: Callable[[Headers, BackendFields], Headers]
     match_response: Callable[[HttpRequest, Headers], ResponseMatch]
--- a/src/eelgrassweir/mesh/app.py
+++ b/src/eelgrassweir/mesh/app.py
@@ -4,6 +4,7 @@
 import contextlib
 import functools
 import random
+from collections.abc import Callable
 from typing import Any
 
 from eliot import log_message
@@ -14,12 +15,14 @@
 from eelgrassweir.daemon.coalescing import WakeupCoalescer
 from eelgrassweir.daemon.held_bytes import DEFAULT_MEMORY_MB, HeldBytes
 from eelgrassweir.daemon.http_client import BackendClient, ClientOptions
+from eelgrassweir.daemon.http_message import HttpRequest
 from eelgrassweir.daemon.http_server import Handler, HttpServer, UnansweredHandler
 from eelgrassweir.daemon.identity import make_identity
 from eelgrassweir.daemon.link_client import LinkOptions, Reply
 from eelgrassweir.daemon.link_pool import LinkPool
 from eelgrassweir.daemon.link_server import LinkServer
 from eelgrassweir.daemon.metrics import Metrics
+from eelgrassweir.daemon.start_queue import StartQueue
 from eelgrassweir.daemon.supervision import TaskSupervisor
 from eelgrassweir.mesh.adapter import PlatformAdapter, Store
 from eelgrassweir.mesh.admin import AdminService
@@ -29,7 +32,7 @@
 from eelgrassweir.mesh.directory import MemberDirectory
 from eelgrassweir.mesh.discovery import discover_backend
 from eelgrassweir.mesh.dispatch import Dispatcher
-from eelgrassweir.mesh.entry import EntryService
+from eelgrassweir.mesh.entry import CHILD_PRIORITY, EntryService
 from eelgrassweir.mesh.feed import StoreFeed
 from eelgrassweir.mesh.follow_service import FollowService
 from eelgrassweir.mesh.lease_renewal import LeaseRenewer
@@ -51,6 +54,7 @@
 from eelgrassweir.mesh.source_selector import SourceSelector
 from eelgrassweir.mesh.target import TargetService
 from eelgrassweir.proto import link_pb2
+from eelgrassweir.proto.link_pb2 import NORMAL
 from eelgrassweir.retries.budget import RetryRatio
 from eelgrassweir.routing.picker import TargetPicker
 from eelgrassweir.routing.rules import RoutingConfig
@@ -115,6 +119,7 @@
         self.store = store
         self.config = ConfigState(adapter.decode_config, self._apply_config)
         self.directory = MemberDirectory(self.clock, settings.failure_domains)
+        self.start_queue = StartQueue(self.clock)
         link_options = LinkOptions(
             vm=settings.vm,
             incarnation=self.identity.incarnation,
@@ -127,6 +132,7 @@
             on_cancel_received=self._log_cancel_received,
             waits_for_runs=True,
             held=self.held,
+            start_queue=self.start_queue,
         )
         self.links = LinkPool(link_options, self.clock)
         self.sources = SourceSelector(
@@ -260,7 +266,7 @@
             is_named_service=self.is_named_service,
         )
         self.caller_server = self._make_server(
-            self.entry.handle, self.entry.record_unanswered
+            self.entry.handle, self.entry.record_unanswered, self._get_priority
         )
         self.control_server = self._make_server(self.control.handle)
         self.ready_server = self._make_server(self.control.handle)
@@ -575,8 +581,15 @@
 
     # Connections
 
+    def _get_priority(self, request: HttpRequest) -> int:
+        """Return the priority of a request in the start queue."""
+        return NORMAL if self._adapter.has_key(request) else CHILD_PRIORITY
+
     def _make_server(
-        self, handler: Handler, on_unanswered: UnansweredHandler | None = None
+        self,
+        handler: Handler,
+        on_unanswered: UnansweredHandler | None = None,
+        get_priority: Callable[[HttpRequest], int] | None = None,
     ) -> HttpServer:
         return HttpServer(
             handler,
@@ -586,6 +599,8 @@
             on_read=self.coalescer.record_read,
             on_unanswered=on_unanswered,
             held=self.held,
+            start_queue=self.start_queue,
+            get_priority=get_priority,
         )
 
     def _connect_backend(self, address: str) -> BackendClient:
--- a/src/eelgrassweir/mesh/main.py
+++ b/src/eelgrassweir/mesh/main.py
@@ -118,6 +118,7 @@
         config_key=configuration.CONFIG_KEY,
         decode_config=configuration.decode_config,
         read_caller_request=messages.read_caller_request,
+        has_key=messages.has_key,
         read_control_message=messages.read_control_message,
         make_backend_headers=messages.make_backend_headers,
         match_response=messages.match_response,
--- a/src/eelgrassweir/platform/messages.py
+++ b/src/eelgrassweir/platform/messages.py
@@ -79,6 +79,11 @@
     )
 
 
+def has_key(request: HttpRequest) -> bool:
+    """Return whether a request carries a key."""
+    return find_header(request.headers, KEY) is not None
+
+
 def make_backend_headers(headers: Headers, fields: BackendFields) -> Headers:
     """Return the headers of a request to a backend server."""
     reserved = [
--- a/testing/daemon/test_late_ends.py
+++ b/testing/daemon/test_late_ends.py
@@ -5,17 +5,30 @@
 """
 
 import asyncio
+import socket
 import time
 
 import attrs
 
-from eelgrassweir.daemon.link_client import Reply
+from eelgrassweir.clock import Clock
+from eelgrassweir.daemon.http_message import HttpRequest, HttpResponse
+from eelgrassweir.daemon.http_server import HttpServer
+from eelgrassweir.daemon.link_client import LinkError, Reply
+from eelgrassweir.daemon.link_server import LinkServer
+from eelgrassweir.daemon.start_queue import (
+    MAX_STARTS_PER_TURN,
+    QueuedStart,
+    StartQueue,
+)
 from eelgrassweir.daemon.transit_time import WINDOW_MS, TransitTime
 from eelgrassweir.proto import link_pb2
-from testing.daemon.test_link import OPTIONS, open_link
+from testing.daemon.test_link import HELLO, OPTIONS, encode, open_link
 
 # Both ends run in one event loop, which the tests stop for a while.
 PATIENT_OPTIONS = attrs.evolve(OPTIONS, silence_ms=60_000)
+LIMIT_S = 5.0
+# Requests of one read, more than a daemon starts in one turn.
+MANY = 300
 
 
 def test_deadline_counts_from_the_sending_of_a_request() -> None:
@@ -88,3 +101,123 @@
         for sent_ms in range(0, 20 * int(WINDOW_MS), 1_000)
     ]
     assert max(waits_ms) <= 0.001 * 2 * WINDOW_MS + 1.0
+
+
+def make_request(stream_id: int) -> link_pb2.Frame:
+    """Return a request that an idempotent route allows."""
+    context = link_pb2.CallContext(request_id=str(stream_id), idempotent=True)
+    request = link_pb2.Request(stream_id=stream_id, context=context)
+    return link_pb2.Frame(request=request)
+
+
+def make_cancel(stream_id: int) -> link_pb2.Frame:
+    """Return the cancel of a request."""
+    return link_pb2.Frame(cancel=link_pb2.Cancel(stream_id=stream_id))
+
+
+def test_request_whose_cancel_has_arrived_does_not_start() -> None:
+    """Guard against runs of requests whose cancel stands behind others."""
+    started: list[str] = []
+
+    async def handler(request: link_pb2.Request, _peer: str) -> Reply:
+        started.append(request.context.request_id)
+        return link_pb2.Response()
+
+    async def scenario() -> None:
+        server = LinkServer(OPTIONS, handler, Clock())
+        await server.start("127.0.0.1", 0)
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        requests = [make_request(number) for number in range(1, MANY)]
+        cancels = [make_cancel(number) for number in range(1, MANY)]
+        last = make_request(MANY)
+        writer.write(encode(HELLO, *requests, *cancels, last))
+        async with asyncio.timeout(LIMIT_S):
+            while str(MANY) not in started:
+                await reader.read(65_536)
+        writer.close()
+        await server.stop()
+
+    asyncio.run(scenario())
+    assert started == [str(MANY)]
+
+
+def test_request_that_waited_past_its_deadline_unread_does_not_start() -> None:
+    """Guard against deadlines that count from the read of a request."""
+    started: list[str] = []
+
+    async def handler(request: link_pb2.Request, _peer: str) -> Reply:
+        started.append(request.path)
+        return link_pb2.Response()
+
+    async def scenario() -> None:
+        async with open_link(handler, PATIENT_OPTIONS) as (pool, address):
+
+            async def call(path: str, timeout_ms: int) -> Reply:
+                request = link_pb2.Request(path=path)
+                return await pool.call(address, "1", request, timeout_ms=timeout_ms)
+
+            await call("first", 5_000)
+            late = asyncio.create_task(call("late", 100))
+            # The request is sent, and then both ends are stopped.
+            await asyncio.sleep(0)
+            time.sleep(0.4)
+            await asyncio.wait((late,))
+            assert isinstance(late.exception(), LinkError)
+            await call("last", 5_000)
+
+    asyncio.run(scenario())
+    assert started == ["first", "last"]
+
+
+def test_request_whose_close_has_arrived_does_not_start_after_a_pause() -> None:
+    """Guard against work for callers that left while a daemon was paused."""
+    started: list[str] = []
+
+    async def handle(request: HttpRequest) -> HttpResponse:
+        started.append(request.path)
+        return HttpResponse(200, (), b"")
+
+    async def scenario() -> None:
+        server = HttpServer(handle, body_limit_bytes=1_000)
+        await server.start("127.0.0.1", 0)
+        callers = []
+        for _ in range(20):
+            caller = socket.create_connection(("127.0.0.1", server.port))
+            callers.append(caller)
+        await asyncio.sleep(0.1)
+        for caller in callers:
+            caller.sendall(b"GET /left HTTP/1.1\r\n\r\n")
+            caller.close()
+        time.sleep(0.3)
+        async with asyncio.timeout(LIMIT_S):
+            while server.connection_count:
+                await asyncio.sleep(0.01)
+        await server.stop()
+
+    asyncio.run(scenario())
+    assert not started
+
+
+def test_urgent_requests_start_first_and_few_in_a_turn() -> None:
+    """Guard against ends that wait for the starts of many requests."""
+    started: list[int] = []
+
+    async def scenario() -> None:
+        queue = StartQueue()
+
+        def add(number: int, priority: int) -> QueuedStart:
+            return queue.add(lambda _: started.append(number), priority=priority)
+
+        for number in range(MAX_STARTS_PER_TURN):
+            add(number, 1)
+        add(100, 2)
+        add(101, 2).cancel()
+        add(102, 2)
+        await asyncio.sleep(0)
+        assert not started
+        await asyncio.sleep(0)
+        assert len(started) == MAX_STARTS_PER_TURN
+        await asyncio.sleep(0)
+
+    asyncio.run(scenario())
+    assert started == [100, 102, *range(MAX_STARTS_PER_TURN)]
