--- a/src/eelgrassweir/daemon/http_server.py
+++ b/src/eelgrassweir/daemon/http_server.py
@@ -46,10 +46,13 @@
 # Requests of one connection that run at a time, since the answers behind the
 # first one are held in memory.
 MAX_PIPELINED_REQUESTS = 4
-# Requests of one connection that wait or run, and their bytes. Up to these
-# limits the connection is read, so that its end is noticed.
+# Requests of one connection that wait or run, and their bytes. Beyond these
+# limits what is read is kept as it is until there is room.
 MAX_PENDING_REQUESTS = 64
 MAX_PENDING_BYTES = 65_536
+# Bytes of one connection that are kept so. The connection is read also beyond
+# this limit, so that its end is noticed, but then takes no more requests.
+MAX_UNPARSED_BYTES = 262_144
 # Safe methods (RFC 9110 section 9.2.1). Pipelined requests of these methods
 # run concurrently, and sending one again does no harm.
 SAFE_METHODS = frozenset(("GET", "HEAD"))
@@ -241,12 +244,16 @@
         self._timer_due_s = math.inf
         self._peer = ""
         self._is_write_closed = False
-        # A refusal is the last answer of a connection.
+        # No more requests are taken: a refusal is the last answer of a
+        # connection, and so is the one before bytes that were dropped.
         self._has_refused = False
         # Why this end closes the connection, for the log.
         self._end_reason = ""
         self._can_write = True
-        self._is_read_paused = False
+        # Bytes that are read while there is no room for more requests.
+        self._unparsed = bytearray()
+        self._held_unparsed = HeldMessage(server.held)
+        self._is_parsing_paused = False
         # The request that is being received.
         self._held = HeldMessage(server.held)
         self._unsent = UnsentAnswers(
@@ -290,6 +297,7 @@
         self._cancel_timer()
         self._unsent.clear()
         self._drop_body()
+        self._drop_unparsed()
         self._cancel_pending(self._end_reason or describe_lost(exc))
 
     def pause_writing(self) -> None:
@@ -316,14 +324,39 @@
             self._server.on_read()
         if self._has_refused or self._is_write_closed:
             return
+        if self._is_parsing_paused:
+            self._keep_unparsed(data)
+        else:
+            self._parse(data)
+
+    def _parse(self, data: bytes) -> None:
         try:
             self._feed_parser(data)
         except httptools.HttpParserError as error:
             self._refuse("bad_request", f"not HTTP/1.1 ({type(error).__name__})")
         self._check_incomplete_head(len(data))
-        if not self._is_read_paused:
+        if not self._is_parsing_paused:
             self._start_receive_deadline()
 
+    def _keep_unparsed(self, data: bytes) -> None:
+        """Keep bytes until there is room for more requests, or drop them.
+
+        The caller sends requests again that were dropped, since the connection
+        closes before their answers.
+        """
+        size_bytes = len(self._unparsed) + len(data)
+        has_room = size_bytes <= MAX_UNPARSED_BYTES
+        if has_room and self._held_unparsed.try_grow(len(data)):
+            self._unparsed += data
+            return
+        self._has_refused = True
+        self._drop_unparsed()
+        self._drop_body()
+
+    def _drop_unparsed(self) -> None:
+        self._unparsed = bytearray()
+        self._held_unparsed.release()
+
     def _feed_parser(self, data: bytes) -> None:
         """Parse bytes; an offer of another protocol is ignored.
 
@@ -452,13 +485,11 @@
         keep_alive = self._parser.should_keep_alive()
         self._pending.append(_Exchange(request, keep_alive, held, size_bytes))
         self._start_allowed()
-        if self._is_pending_full and self._transport is not None:
-            self._is_read_paused = True
-            self._transport.pause_reading()
+        self._is_parsing_paused = self._is_pending_full
 
     @property
     def _is_pending_full(self) -> bool:
-        """Return whether no more requests are read for now."""
+        """Return whether there is no room for more requests for now."""
         if len(self._pending) >= MAX_PENDING_REQUESTS:
             return True
         size_bytes = sum(exchange.size_bytes for exchange in self._pending)
@@ -507,29 +538,36 @@
             exchange.is_written = True
             exchange.held.release()
             self._unsent.remove(exchange.waiting_bytes)
-            close = not exchange.keep_alive or (
-                self._server.is_closing and not self._has_started_request()
-            )
+            is_last = self._has_refused and not self._pending
+            close = not exchange.keep_alive or is_last
+            if self._server.is_closing and not self._has_started_request():
+                close = True
             is_head = exchange.request.method == "HEAD"
             self._write(encode_response(response, is_head=is_head, close=close))
-            if close or (self._has_refused and not self._pending):
+            if close:
                 self._cancel_pending("the connection ends with an earlier answer")
                 self.close()
                 return
-            self._resume_reading()
+            self._resume_parsing()
         if not self._pending and self._can_write:
             self._set_deadline(self._server.idle_timeout_s)
             self._start_timer()
 
-    def _resume_reading(self) -> None:
-        """Read further requests if there is room for them again."""
-        if not self._is_read_paused or self._is_pending_full:
+    def _resume_parsing(self) -> None:
+        """Parse the bytes that were kept if there is room again."""
+        if self._is_parsing_paused and not self._is_pending_full:
+            asyncio.get_running_loop().call_soon(self._parse_unparsed)
+
+    def _parse_unparsed(self) -> None:
+        if not self._is_parsing_paused or self._is_pending_full:
             return
-        self._is_read_paused = False
-        if self._transport is not None:
-            self._transport.resume_reading()
-        # The time in which this end did not read is not the caller's.
-        self._start_receive_deadline()
+        self._is_parsing_paused = False
+        if self._transport is None or self._has_refused or self._is_write_closed:
+            return
+        data = bytes(self._unparsed)
+        self._drop_unparsed()
+        # The time in which requests had to wait is not the caller's.
+        self._parse(data)
 
     def _has_started_request(self) -> bool:
         """Return whether a target may already run a pending request."""
@@ -640,10 +678,7 @@
         if self._transport is None or self._is_write_closed:
             return
         self._is_write_closed = True
-        if self._is_read_paused:
-            # Bytes left unread would reset the connection.
-            self._is_read_paused = False
-            self._transport.resume_reading()
+        self._drop_unparsed()
         if self._transport.can_write_eof():
             self._transport.write_eof()
             timeout_s = (
