--- a/src/eelgrassweir/daemon/egress.py
+++ b/src/eelgrassweir/daemon/egress.py
@@ -187,7 +187,7 @@
             ),
             context=context,
             service=route.service,
-            deadline_ms=now_ms + remaining_ms,
+            deadline_ms=now_ms + remaining_ms - request.waited_ms,
             attempt_timeout_ms=route.attempt_timeout_ms,
             budget=parent.budget,
             is_only_sender=is_first,
--- a/src/eelgrassweir/daemon/http_message.py
+++ b/src/eelgrassweir/daemon/http_message.py
@@ -31,13 +31,18 @@
 
 @attrs.frozen
 class HttpRequest:
-    """Complete HTTP request; ``peer`` is the address of its sender."""
+    """Complete HTTP request.
+
+    ``peer`` is the address of its sender, and ``waited_ms`` the time for which
+    a server held it before it called its handler.
+    """
 
     method: str
     path: str
     headers: Headers
     body: bytes
     peer: str = ""
+    waited_ms: float = 0.0
 
 
 @attrs.frozen
--- a/src/eelgrassweir/daemon/http_server.py
+++ b/src/eelgrassweir/daemon/http_server.py
@@ -66,6 +66,8 @@
 # The connection is still read for this time after the last answer, since
 # unread bytes would reset it and the answer would be lost.
 LINGER_TIMEOUT_S = 1.0
+# Shorter waits of requests are not told to the handler.
+MIN_REPORTED_WAIT_MS = 1.0
 # Time after which a request may fit that the daemon has no memory for now.
 NO_MEMORY_RETRY_AFTER_MS = 500
 # Sent on an idle connection before it is closed. A request that is in flight
@@ -516,7 +518,9 @@
             if exchange.request.method not in SAFE_METHODS:
                 return
 
-    def _start(self, exchange: _Exchange, _waited_ms: float) -> None:
+    def _start(self, exchange: _Exchange, waited_ms: float) -> None:
+        if waited_ms >= MIN_REPORTED_WAIT_MS:
+            exchange.request = attrs.evolve(exchange.request, waited_ms=waited_ms)
         loop = asyncio.get_running_loop()
         exchange.task = loop.create_task(self._answer(exchange))
 
--- a/src/eelgrassweir/daemon/request_path.py
+++ b/src/eelgrassweir/daemon/request_path.py
@@ -27,11 +27,13 @@
 from eelgrassweir.daemon.link_pool import LinkPool
 from eelgrassweir.daemon.link_server import LinkServer
 from eelgrassweir.daemon.metrics import Metrics
+from eelgrassweir.daemon.start_queue import StartQueue
 from eelgrassweir.daemon.target import TargetService
 from eelgrassweir.daemon.tls import FleetTls
 from eelgrassweir.daemon.tokens import TokenService
 from eelgrassweir.daemon.usage import UsageMeter
 from eelgrassweir.membership.table import MemberTable
+from eelgrassweir.proto import link_pb2
 from eelgrassweir.requests.context import ContextTable
 from eelgrassweir.requests.record import RecordTable
 from eelgrassweir.requests.refusal import Refusal, clear_not_run_if_ticketed
@@ -75,6 +77,7 @@
         self._vm = identity.vm
         self._is_refusing_callers = False
         self._tls = tls
+        self.start_queue = StartQueue(clock)
         # Identifiers must differ between daemons and runs with the same seed.
         system_rng = random.SystemRandom()
         options = LinkOptions(
@@ -84,6 +87,7 @@
             silence_ms=settings.link_silence_ms,
             body_limit_bytes=settings.max_body_bytes,
             tls=tls.link_client.context if tls.link_client else None,
+            start_queue=self.start_queue,
         )
         self.backend = LocalBackend(
             clock=clock,
@@ -165,9 +169,15 @@
             self._handle_caller,
             body_limit_bytes=body_limit_bytes,
             idle_timeout_s=settings.caller_idle_ms / 1e3,
+            start_queue=self.start_queue,
+            get_priority=lambda _: link_pb2.NORMAL,
         )
         self.egress_server = HttpServer(
-            self.egress.handle, body_limit_bytes=body_limit_bytes
+            self.egress.handle,
+            body_limit_bytes=body_limit_bytes,
+            start_queue=self.start_queue,
+            # Their root requests are in progress.
+            get_priority=lambda _: link_pb2.CRITICAL,
         )
         self.link_server = LinkServer(options, self.target.handle_link_request, clock)
 
--- a/src/eelgrassweir/daemon/start_queue.py
+++ b/src/eelgrassweir/daemon/start_queue.py
@@ -14,6 +14,9 @@
 # Requests that start in one turn. Between two turns everything is read that
 # has arrived, so that a daemon that is behind learns of ends in time.
 MAX_STARTS_PER_TURN = 16
+# A root request that has waited longer for its start is refused: the daemon is
+# behind, and the requests in progress go first.
+MAX_ROOT_WAIT_MS = 50.0
 
 
 @attrs.define(eq=False)
--- a/src/eelgrassweir/mesh/entry.py
+++ b/src/eelgrassweir/mesh/entry.py
@@ -16,6 +16,7 @@
 from eelgrassweir.clock import Clock
 from eelgrassweir.daemon.http_message import HttpRequest, HttpResponse
 from eelgrassweir.daemon.metrics import Metrics
+from eelgrassweir.daemon.start_queue import MAX_ROOT_WAIT_MS
 from eelgrassweir.membership.freshness import Freshness
 from eelgrassweir.mesh.adapter import PlatformAdapter
 from eelgrassweir.mesh.dispatch import Call, Dispatcher
@@ -118,7 +119,7 @@
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Return the response to one request."""
-        started_ms = self._clock.now_ms()
+        started_ms = self._clock.now_ms() - request.waited_ms
         self.in_flight_calls += 1
         try:
             return await self._respond(request, started_ms)
@@ -139,25 +140,18 @@
         ):
             refusal = self._make_refusal("draining", "this VM is leaving")
             return self._refuse(caller_request, refusal)
+        if caller_request.key is not None and request.waited_ms > MAX_ROOT_WAIT_MS:
+            reason = f"this daemon is {request.waited_ms:.0f} ms behind"
+            refusal = self._make_refusal("overloaded", reason)
+            return self._refuse(caller_request, refusal)
         authorized = await self._authorize(config, caller_request, request)
         if isinstance(authorized, Refusal):
             return self._refuse(caller_request, authorized)
-        limit_ms = _compute_limit_ms(authorized.route, caller_request)
-        if self._would_outlast_stop(authorized.route, limit_ms):
-            if authorized.team is not None:
-                self._lending.return_token(authorized.team)
-            reason = "this VM leaves before the request could end"
-            refusal = self._make_refusal("draining", reason)
-            return self._refuse(caller_request, refusal)
         call = self._make_call(request, caller_request, authorized, started_ms)
-        if self._is_throttled(call, authorized):
-            if authorized.team is not None:
-                self._lending.return_token(authorized.team)
-            return self._refuse(
-                caller_request, self._make_throttle_refusal(authorized.route)
-            )
-        result = await self._dispatcher.send(call)
-        self._record_capacity(call, authorized, result)
+        result: HttpResponse | Refusal | None = self._refuse_unsent(call, authorized)
+        if result is None:
+            result = await self._dispatcher.send(call)
+            self._record_capacity(call, authorized, result)
         if isinstance(result, Refusal):
             if result.not_run and authorized.team is not None:
                 self._lending.return_token(authorized.team)
@@ -184,6 +178,20 @@
             is_stopping=not math.isinf(self.stop_end_ms),
         )
 
+    def _refuse_unsent(
+        self, call: Call, authorized: AuthorizedRequest
+    ) -> Refusal | None:
+        """Return a refusal if the request should not be sent to a target."""
+        left_ms = call.deadline_ms - self._clock.now_ms()
+        if left_ms <= 0:
+            return self._make_refusal("deadline_exceeded", "no time left to send it")
+        if self._would_outlast_stop(authorized.route, left_ms):
+            reason = "this VM leaves before the request could end"
+            return self._make_refusal("draining", reason)
+        if self._is_throttled(call, authorized):
+            return self._make_throttle_refusal(authorized.route)
+        return None
+
     def _would_outlast_stop(self, route: RouteRule, limit_ms: float) -> bool:
         """Return whether a planned stop would cut the request off.
 
--- a/testing/mesh/test_overload.py
+++ b/testing/mesh/test_overload.py
@@ -4,9 +4,19 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
-from eelgrassweir.daemon.http_message import find_header
+import attrs
+
+from eelgrassweir.daemon.http_message import HttpRequest, find_header
 from eelgrassweir.mesh.app import Application
-from testing.mesh.fleet import KEY, BackendStandIn, MeshFleet, make_route, mesh_fleet
+from testing.mesh.fleet import (
+    HOST,
+    KEY,
+    BackendStandIn,
+    MeshFleet,
+    add_target,
+    make_route,
+    mesh_fleet,
+)
 
 KEYED = ("X-Credential", KEY)
 # The backend servers of these tests announce themselves once, and expire after
@@ -122,3 +132,43 @@
             assert entry.metrics.retries.labels("notes")._value.get() <= repeated + 1
 
     asyncio.run(scenario())
+
+
+def test_daemon_that_is_behind_serves_calls_and_refuses_new_requests() -> None:
+    """Guard against new work while what has begun waits for the processor."""
+    headers = (("Host", HOST), ("X-Request-Id", "r"))
+
+    async def scenario() -> None:
+        async with mesh_fleet() as fleet:
+            daemon, backend = await add_target(fleet)
+            call = HttpRequest("GET", "/a/", headers, b"", waited_ms=200.0)
+            root = attrs.evolve(call, headers=(*headers, KEYED))
+            assert (await daemon.entry.handle(call)).status == 200
+            refused = await daemon.entry.handle(root)
+            assert refused.status == 503
+            assert find_header(refused.headers, "retry-after") is not None
+            root = attrs.evolve(root, waited_ms=5.0)
+            assert (await daemon.entry.handle(root)).status == 200
+            assert len(backend.runs) == 2
+
+    asyncio.run(scenario())
+
+
+def test_request_whose_time_is_over_when_it_starts_is_not_sent() -> None:
+    """Guard against runs for callers that no longer wait."""
+    deadline = ("X-Deadline-Milliseconds", "150")
+    headers = (("Host", HOST), ("X-Request-Id", "r"), deadline)
+
+    async def scenario() -> None:
+        async with mesh_fleet() as fleet:
+            daemon, backend = await add_target(fleet)
+            late = HttpRequest("GET", "/a/", headers, b"", waited_ms=200.0)
+            assert (await daemon.entry.handle(late)).status == 503
+            assert not backend.runs
+            in_time = attrs.evolve(late, waited_ms=20.0)
+            assert (await daemon.entry.handle(in_time)).status == 200
+            (run,) = backend.runs
+            remaining = find_header(run.headers, "x-deadline-milliseconds")
+            assert int(remaining or 0) <= 130
+
+    asyncio.run(scenario())
