--- a/src/eelgrassweir/daemon/link_client.py
+++ b/src/eelgrassweir/daemon/link_client.py
@@ -311,6 +311,10 @@
         if not self._run_stream_ids:
             self.close()
 
+    def excuse_silence(self, paused_ms: float) -> None:
+        """Do not count a time in which this end has read nothing."""
+        self._last_received_ms += paused_ms
+
     def check_liveness(self, now_ms: float) -> None:
         """Ping while requests wait; close a silent or unused connection."""
         if self.is_read_paused:
--- a/src/eelgrassweir/daemon/link_pool.py
+++ b/src/eelgrassweir/daemon/link_pool.py
@@ -32,6 +32,7 @@
         # One timer serves all links. With several hundred idle links, a timer
         # for each would cost more than their requests.
         self._timer: asyncio.TimerHandle | None = None
+        self._check_due_ms = 0.0
 
     async def call(
         self,
@@ -164,11 +165,20 @@
 
     def _schedule_check(self) -> None:
         loop = asyncio.get_running_loop()
+        self._check_due_ms = self._clock.now_ms() + self._options.ping_ms
         self._timer = loop.call_later(self._options.ping_ms / 1e3, self._check_links)
 
     def _check_links(self) -> None:
-        """Check every link and remove the closed ones."""
+        """Check every link and remove the closed ones.
+
+        Peers may have sent while this process was paused or behind; what they
+        sent is not read yet.
+        """
         now_ms = self._clock.now_ms()
+        paused_ms = now_ms - self._check_due_ms
+        if paused_ms >= self._options.ping_ms:
+            for link in (*self._links.values(), *self._suspected):
+                link.excuse_silence(paused_ms)
         for key, link in list(self._links.items()):
             link.check_liveness(now_ms)
             if not link.is_open or link.is_suspected:
--- a/testing/daemon/test_late_ends.py
+++ b/testing/daemon/test_late_ends.py
@@ -221,3 +221,19 @@
 
     asyncio.run(scenario())
     assert started == [100, 102, *range(MAX_STARTS_PER_TURN)]
+
+
+def test_pause_of_the_calling_end_is_no_silence_of_its_peers() -> None:
+    """Guard against calls that fail because their own daemon was paused."""
+
+    async def scenario() -> None:
+        async with open_link() as (pool, address):
+            request = link_pb2.Request(path="60")
+            call = asyncio.create_task(
+                pool.call(address, "1", request, timeout_ms=5_000)
+            )
+            await asyncio.sleep(0.03)
+            time.sleep(5 * OPTIONS.silence_ms / 1e3)
+            assert isinstance(await call, link_pb2.Response)
+
+    asyncio.run(scenario())
