--- a/src/eelgrassweir/daemon/link_client.py
+++ b/src/eelgrassweir/daemon/link_client.py
@@ -48,8 +48,9 @@
 class LinkOptions:
     """Options of all links of a daemon.
 
-    A link that receives nothing for ``silence_ms`` while it has requests is
-    closed. It is pinged after ``ping_ms`` without traffic. ``on_read`` is
+    A link that receives nothing for ``silence_ms`` after a request is closed,
+    also if the request has ended by then. Until something is received it is
+    pinged after ``ping_ms`` without traffic. ``on_read`` is
     called for each read, ``on_cancel_sent`` with the request id and the
     address of the peer, ``on_cancel_received`` with the request id, the VM of
     the peer and the time in ms since the request was read.
@@ -110,6 +111,9 @@
         self._next_stream_id = 1
         self._last_received_ms = clock.now_ms()
         self._last_used_ms = self._last_received_ms
+        # Time of the first request since the last read, for whose reply or a
+        # pong this end waits.
+        self._silent_since_ms: float | None = None
         self.hello: asyncio.Future[link_pb2.Hello] = (
             asyncio.get_running_loop().create_future()
         )
@@ -138,6 +142,7 @@
     def data_received(self, data: bytes) -> None:
         """Record that the peer is alive and decode the frames."""
         self._last_received_ms = self._clock.now_ms()
+        self._silent_since_ms = None
         super().data_received(data)
 
     def frame_received(self, frame: link_pb2.Frame) -> None:
@@ -217,10 +222,11 @@
         self, stream_request: StreamRequest, timeout_ms: float
     ) -> StreamReply:
         now_ms = self._clock.now_ms()
-        if not self._is_reply_due:
-            # Silence is measured from the first waiting request on.
-            self._last_received_ms = now_ms
         self._last_used_ms = now_ms
+        if self._silent_since_ms is None and not isinstance(
+            stream_request, link_pb2.Follow
+        ):
+            self._silent_since_ms = now_ms
         if isinstance(stream_request, link_pb2.Request):
             stream_request.sent_ms = now_ms
         stream_id = self._next_stream_id
@@ -314,14 +320,19 @@
     def excuse_silence(self, paused_ms: float) -> None:
         """Do not count a time in which this end has read nothing."""
         self._last_received_ms += paused_ms
+        if self._silent_since_ms is not None:
+            self._silent_since_ms += paused_ms
 
     def check_liveness(self, now_ms: float) -> None:
         """Ping while requests wait; close a silent or unused connection."""
         if self.is_read_paused:
             # The peer may have sent; this end does not read.
+            self._silent_since_ms = None
             self._last_received_ms = now_ms
-        if self._is_reply_due:
-            if now_ms - self._last_received_ms > self._options.silence_ms:
+        if self._is_reply_due and self._silent_since_ms is None:
+            self._silent_since_ms = self._last_received_ms
+        if self._silent_since_ms is not None:
+            if now_ms - self._silent_since_ms > self._options.silence_ms:
                 self.shrink_stalled_frame()
                 self._suspect()
             inactive_since_ms = min(self._last_received_ms, self._last_used_ms)
--- a/testing/daemon/test_link.py
+++ b/testing/daemon/test_link.py
@@ -182,6 +182,39 @@
     asyncio.run(scenario())
 
 
+def test_silent_peer_is_detected_by_calls_that_time_out_sooner() -> None:
+    """Guard against a silent link that is kept, and delivers its calls late.
+
+    Each call ends before the limit of silence, and none overlaps another.
+    """
+
+    async def scenario() -> None:
+        async with open_link() as (pool, address):
+            with TcpProxy() as proxy:
+                silent_address = proxy.listen("link", address)
+
+                async def call() -> bool:
+                    try:
+                        await pool.call(
+                            silent_address,
+                            "1",
+                            link_pb2.Request(path="0"),
+                            timeout_ms=OPTIONS.silence_ms / 2,
+                        )
+                    except LinkError:
+                        return False
+                    return True
+
+                assert await call()
+                proxy.silence("link")
+                assert not await call()
+                async with asyncio.timeout(20 * OPTIONS.silence_ms / 1e3):
+                    while not await call():
+                        pass
+
+    asyncio.run(scenario())
+
+
 def test_run_on_a_silent_link_is_waited_for() -> None:
     """Guard against giving up a run whose VM is only silent for a while.
 
