--- a/src/eelgrassweir/daemon/link_client.py
+++ b/src/eelgrassweir/daemon/link_client.py
@@ -315,7 +315,7 @@
         reason = f"silent for {self._options.silence_ms} ms"
         self._fail_streams(repeatable_ids, reason)
         if not self._run_stream_ids:
-            self.close()
+            self.reset()
 
     def excuse_silence(self, paused_ms: float) -> None:
         """Do not count a time in which this end has read nothing."""
--- a/src/eelgrassweir/daemon/link_frames.py
+++ b/src/eelgrassweir/daemon/link_frames.py
@@ -1,6 +1,7 @@
 """Framing of links: a big-endian length of 4 bytes, then a protobuf frame."""
 
 import asyncio
+import socket
 import struct
 from collections.abc import Callable
 from typing import cast
@@ -16,6 +17,8 @@
 from eelgrassweir.proto import link_pb2
 
 LENGTH = struct.Struct(">I")
+# Value of SO_LINGER (l_onoff, l_linger) with which a close resets.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # A frame without room waits so long for it, in steps, before the connection is
 # closed.
 MAX_PAUSE_MS = 500.0
@@ -240,6 +243,17 @@
             self.transport.write(payload)
         return True
 
+    def reset(self) -> None:
+        """Close immediately, and let the system drop what it has not sent.
+
+        It would send that on once the peer can be reached again.
+        """
+        if self.transport is None or self.transport.is_closing():
+            return
+        tcp_socket = self.transport.get_extra_info("socket")
+        tcp_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        self.close()
+
     def close(self) -> None:
         """Close immediately, since the peer may no longer read."""
         if self.transport is not None:
--- a/testing/daemon/test_link.py
+++ b/testing/daemon/test_link.py
@@ -215,6 +215,42 @@
     asyncio.run(scenario())
 
 
+def test_link_that_is_given_up_is_reset() -> None:
+    """Guard against calls that are delivered after their link was closed."""
+
+    async def scenario() -> None:
+        ends: asyncio.Queue[Exception | None] = asyncio.Queue()
+
+        async def read_late(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            writer.write(
+                encode(link_pb2.Frame(hello=link_pb2.Hello(vm="b", incarnation="1")))
+            )
+            await asyncio.sleep(5 * OPTIONS.silence_ms / 1e3)
+            end = None
+            try:
+                while await reader.read(65_536):
+                    pass
+            except ConnectionResetError as error:
+                end = error
+            writer.close()
+            await ends.put(end)
+
+        server = await asyncio.start_server(read_late, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        pool = LinkPool(OPTIONS, Clock())
+        with pytest.raises(LinkError):
+            request = link_pb2.Request(path="0")
+            await pool.call(f"{host}:{port}", "1", request, timeout_ms=10_000)
+        async with asyncio.timeout(5):
+            assert isinstance(await ends.get(), ConnectionResetError)
+        pool.close()
+        server.close()
+
+    asyncio.run(scenario())
+
+
 def test_run_on_a_silent_link_is_waited_for() -> None:
     """Guard against giving up a run whose VM is only silent for a while.
 
