--- a/src/eelgrassweir/daemon/http_server.py
+++ b/src/eelgrassweir/daemon/http_server.py
@@ -67,7 +67,7 @@
 # unread bytes would reset it and the answer would be lost.
 LINGER_TIMEOUT_S = 1.0
 # Shorter waits of requests are not told to the handler.
-MIN_REPORTED_WAIT_MS = 1.0
+MIN_REPORTED_WAIT_MS = 5.0
 # Time after which a request may fit that the daemon has no memory for now.
 NO_MEMORY_RETRY_AFTER_MS = 500
 # Sent on an idle connection before it is closed. A request that is in flight
