--- a/src/eelgrassweir/daemon/link_server.py
+++ b/src/eelgrassweir/daemon/link_server.py
@@ -37,6 +37,11 @@
 # link, so it has far fewer replies to get.
 MAX_UNSENT_FRAMES = 4_096
 
+# A request that took longer on its way than others may have been held up with
+# its cancel behind it, so the next bytes are awaited before it starts.
+LATE_REQUEST_MS = 250.0
+LATE_REQUEST_DELAY_MS = 100.0
+
 RequestHandler = Callable[[link_pb2.Request, str], Awaitable[Reply]]
 # Returns a serialized BorrowReply for a serialized BorrowRequest.
 BorrowHandler = Callable[[bytes], bytes]
@@ -316,6 +321,7 @@
         running.queued = options.start_queue.add(
             functools.partial(self._start, request, running),
             priority=request.context.priority,
+            delay_ms=LATE_REQUEST_DELAY_MS if wait_ms >= LATE_REQUEST_MS else 0.0,
         )
 
     def _start(
--- a/src/eelgrassweir/daemon/start_queue.py
+++ b/src/eelgrassweir/daemon/start_queue.py
@@ -47,16 +47,29 @@
         self._waiting: dict[int, collections.deque[QueuedStart]] = {}
         self._is_scheduled = False
 
-    def add(self, start: Callable[[float], None], *, priority: int = 0) -> QueuedStart:
-        """Let a request start in one of the next turns."""
+    def add(
+        self,
+        start: Callable[[float], None],
+        *,
+        priority: int = 0,
+        delay_ms: float = 0.0,
+    ) -> QueuedStart:
+        """Let a request start in one of the next turns after ``delay_ms``."""
         queued = QueuedStart(start, self._clock.now_ms())
+        if delay_ms:
+            loop = asyncio.get_running_loop()
+            loop.call_later(delay_ms / 1e3, self._enqueue, queued, priority)
+        else:
+            self._enqueue(queued, priority)
+        return queued
+
+    def _enqueue(self, queued: QueuedStart, priority: int) -> None:
         self._waiting.setdefault(priority, collections.deque()).append(queued)
         if not self._is_scheduled:
             self._is_scheduled = True
             loop = asyncio.get_running_loop()
             # What has arrived by now is read before the second callback.
             loop.call_soon(loop.call_soon, self._run_turn)
-        return queued
 
     def _run_turn(self) -> None:
         """Start the next requests; the others follow in later turns."""
--- a/testing/daemon/test_late_ends.py
+++ b/testing/daemon/test_late_ends.py
@@ -9,6 +9,7 @@
 import time
 
 import attrs
+import pytest
 
 from eelgrassweir.clock import Clock
 from eelgrassweir.daemon.http_message import HttpRequest, HttpResponse
@@ -237,3 +238,38 @@
             assert isinstance(await call, link_pb2.Response)
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("is_cancelled", [True, False])
+def test_request_that_was_held_up_waits_for_its_cancel(is_cancelled: bool) -> None:
+    """Guard against runs of requests whose cancel arrives some ms later."""
+    remaining_ms: list[int] = []
+
+    async def handler(request: link_pb2.Request, _peer: str) -> Reply:
+        remaining_ms.append(request.context.remaining_ms)
+        return link_pb2.Response()
+
+    async def scenario() -> None:
+        server = LinkServer(PATIENT_OPTIONS, handler, Clock())
+        await server.start("127.0.0.1", 0)
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        now_ms = Clock().now_ms()
+        hello = link_pb2.Hello(vm="b", incarnation="2", sent_ms=now_ms)
+        context = link_pb2.CallContext(remaining_ms=5_000)
+        late = link_pb2.Request(stream_id=1, context=context, sent_ms=now_ms - 1_000)
+        late_frame = link_pb2.Frame(request=late)
+        writer.write(encode(link_pb2.Frame(hello=hello), late_frame))
+        await asyncio.sleep(0.03)
+        if is_cancelled:
+            writer.write(encode(make_cancel(1)))
+        writer.write(encode(make_request(2)))
+        async with asyncio.timeout(LIMIT_S):
+            while len(remaining_ms) < 2 - is_cancelled:
+                await reader.read(65_536)
+        await asyncio.sleep(0.2)
+        writer.close()
+        await server.stop()
+
+    asyncio.run(scenario())
+    assert len(remaining_ms) == 2 - is_cancelled
+    assert max(remaining_ms) <= (0 if is_cancelled else 3_900)
