--- a/testing/daemon/test_pipelining.py
+++ b/testing/daemon/test_pipelining.py
@@ -62,6 +62,7 @@
         await asyncio.sleep(0.05)
         writer.write(last[20:] + b"GET /6 HTTP/1.1\r\nConnection: close\r\n\r\n")
         answer = await asyncio.wait_for(reader.read(), LIMIT_S)
+        writer.close()
         await server.stop()
         return answer
 
@@ -78,6 +79,7 @@
         reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
         writer.write(make_get("/slow") + make_get("/1") + make_get("/2")[:20])
         answer = await asyncio.wait_for(reader.read(), LIMIT_S)
+        writer.close()
         await server.stop()
         return answer
 
