--- a/src/eelgrassweir/daemon/http_server.py
+++ b/src/eelgrassweir/daemon/http_server.py
@@ -27,7 +27,7 @@
     encode_response,
     split_absolute_form,
 )
-from eelgrassweir.daemon.listening import open_server
+from eelgrassweir.daemon.listening import Listener, start_listener
 from eelgrassweir.daemon.start_queue import QueuedStart, StartQueue
 from eelgrassweir.daemon.unsent_answers import UnsentAnswers
 from eelgrassweir.requests.refusal import (
@@ -160,18 +160,20 @@
         # Connections so far.
         self.accepted_count = 0
         self._connections: set[HttpConnection] = set()
-        self._server: asyncio.Server | None = None
+        self._listener: Listener | None = None
 
     async def start(
         self, host: str, port: int, tls: ssl.SSLContext | None = None
     ) -> None:
         """Listen on ``host`` and ``port``."""
-        self._server = await open_server(lambda: HttpConnection(self), host, port, tls)
+        self._listener = await start_listener(
+            lambda: HttpConnection(self), host, port, tls
+        )
 
     @property
     def is_listening(self) -> bool:
         """Return whether the listener has been opened."""
-        return self._server is not None
+        return self._listener is not None
 
     def set_closing(self, is_closing: bool = True) -> None:
         """Set whether connections close after their next answer."""
@@ -194,19 +196,19 @@
 
     def stop_listening(self) -> None:
         """Close the listener; open connections remain."""
-        if self._server is not None:
-            self._server.close()
+        if self._listener is not None:
+            self._listener.close()
 
     @property
     def port(self) -> int:
         """Return the port of the listener; the system may have chosen it."""
-        assert self._server is not None
-        return int(self._server.sockets[0].getsockname()[1])
+        assert self._listener is not None
+        return self._listener.port
 
     async def stop(self) -> None:
         """Close the listener and abort open connections."""
-        if self._server is not None:
-            self._server.close()
+        if self._listener is not None:
+            self._listener.close()
         for connection in list(self._connections):
             connection.abort("the daemon stops")
 
--- a/src/eelgrassweir/daemon/link_server.py
+++ b/src/eelgrassweir/daemon/link_server.py
@@ -18,7 +18,7 @@
     Reply,
 )
 from eelgrassweir.daemon.link_frames import FrameProtocol
-from eelgrassweir.daemon.listening import open_server
+from eelgrassweir.daemon.listening import Listener, start_listener
 from eelgrassweir.daemon.start_queue import QueuedStart
 from eelgrassweir.daemon.transit_time import TransitTime
 from eelgrassweir.proto import link_pb2
@@ -70,7 +70,7 @@
         self.options = options
         self.handler = handler
         self.clock = clock
-        self._server: asyncio.Server | None = None
+        self._listener: Listener | None = None
         self._sessions: set[LinkSession] = set()
         self._timer: asyncio.TimerHandle | None = None
 
@@ -78,21 +78,23 @@
         self, host: str, port: int, tls: ssl.SSLContext | None = None
     ) -> None:
         """Listen on ``host`` and ``port``."""
-        self._server = await open_server(lambda: LinkSession(self), host, port, tls)
+        self._listener = await start_listener(
+            lambda: LinkSession(self), host, port, tls
+        )
         self._schedule_check()
 
     @property
     def port(self) -> int:
         """Return the port of the listener; the system may have chosen it."""
-        assert self._server is not None
-        return int(self._server.sockets[0].getsockname()[1])
+        assert self._listener is not None
+        return self._listener.port
 
     async def stop(self) -> None:
         """Stop listening and close all links."""
         if self._timer is not None:
             self._timer.cancel()
-        if self._server is not None:
-            self._server.close()
+        if self._listener is not None:
+            self._listener.close()
         for session in list(self._sessions):
             session.close()
 
--- a/src/eelgrassweir/daemon/listening.py
+++ b/src/eelgrassweir/daemon/listening.py
@@ -1,29 +1,142 @@
-"""Open listening sockets."""
+"""Listening sockets, and the acceptance of their connections."""
 
 import asyncio
-import errno
+import socket
 import ssl
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
+from typing import Any
+
+from eliot import log_message
 
 BACKLOG_CONNECTIONS = 1_024
+# Connections that are accepted before others get their turn.
+MAX_ACCEPTS_PER_TURN = 128
+# Time for which connections wait if the system has no descriptor for them.
+ACCEPT_PAUSE_S = 0.1
+
+
+class Listener:
+    """Accept the connections to the addresses of one host and port.
+
+    All connections that wait are accepted at once. The event loop of the
+    daemons accepts one in a turn, so that under load connections, with the
+    requests and the closes of their callers, wait for seconds.
+    """
+
+    def __init__(
+        self,
+        sockets: Sequence[socket.socket],
+        make_protocol: Callable[[], asyncio.Protocol],
+        tls: ssl.SSLContext | None,
+    ) -> None:
+        self._sockets = sockets
+        self._make_protocol = make_protocol
+        self._tls = tls
+        # The event loop keeps weak references only.
+        self._opening: set[asyncio.Task[None]] = set()
+        self._is_closed = False
+        for listening in sockets:
+            self._watch(listening)
+
+    @property
+    def port(self) -> int:
+        """Return the port of the first socket; the system may choose it."""
+        return int(self._sockets[0].getsockname()[1])
+
+    def close(self) -> None:
+        """Stop listening; connections that are not accepted yet are reset."""
+        if self._is_closed:
+            return
+        self._is_closed = True
+        for listening in self._sockets:
+            asyncio.get_running_loop().remove_reader(listening)
+            listening.close()
 
+    def _watch(self, listening: socket.socket) -> None:
+        if not self._is_closed:
+            loop = asyncio.get_running_loop()
+            loop.add_reader(listening, self._accept_waiting, listening)
 
-async def open_server(
+    def _accept_waiting(self, listening: socket.socket) -> None:
+        for _ in range(MAX_ACCEPTS_PER_TURN):
+            try:
+                connection, _address = listening.accept()
+            except (BlockingIOError, InterruptedError):
+                return
+            except ConnectionError:
+                # The caller has left.
+                continue
+            except OSError as error:
+                self._pause(listening, error)
+                return
+            connection.setblocking(False)
+            task = asyncio.get_running_loop().create_task(self._open(connection))
+            self._opening.add(task)
+            task.add_done_callback(self._opening.discard)
+
+    def _pause(self, listening: socket.socket, error: OSError) -> None:
+        """Accept again later, since descriptors or memory are used up."""
+        log_message(message_type="listener:paused", reason=str(error))
+        loop = asyncio.get_running_loop()
+        loop.remove_reader(listening)
+        loop.call_later(ACCEPT_PAUSE_S, self._watch, listening)
+
+    async def _open(self, connection: socket.socket) -> None:
+        """Hand a connection over to its protocol."""
+        loop = asyncio.get_running_loop()
+        try:
+            await loop.connect_accepted_socket(
+                self._make_protocol, connection, ssl=self._tls
+            )
+        except OSError as error:
+            # The caller has left, or the TLS handshake has failed.
+            log_message(message_type="listener:not_opened", reason=str(error))
+            connection.close()
+
+
+async def start_listener(
     make_protocol: Callable[[], asyncio.Protocol],
     host: str,
     port: int,
     tls: ssl.SSLContext | None = None,
-) -> asyncio.Server:
-    """Return a server that listens on ``host`` and ``port``.
+) -> Listener:
+    """Return a listener on ``host`` and ``port``.
 
     :raises OSError: if it cannot listen.
     """
-    loop = asyncio.get_running_loop()
-    server = await loop.create_server(
-        make_protocol, host, port, ssl=tls, backlog=BACKLOG_CONNECTIONS
-    )
-    # The loop skips an address for which it gets no socket.
-    if not server.sockets:
-        server.close()
-        raise OSError(errno.EMFILE, f"no socket to listen on {host}:{port}")
-    return server
+    sockets: list[socket.socket] = []
+    try:
+        for family, address in await _resolve(host, port):
+            sockets.append(_open_socket(family, host, port))
+            sockets[-1].bind(address)
+            sockets[-1].listen(BACKLOG_CONNECTIONS)
+    except OSError:
+        for listening in sockets:
+            listening.close()
+        raise
+    return Listener(sockets, make_protocol, tls)
+
+
+async def _resolve(host: str, port: int) -> list[tuple[int, Any]]:
+    """Return the families and addresses; a number needs no descriptor."""
+    try:
+        found = socket.getaddrinfo(
+            host, port, type=socket.SOCK_STREAM, flags=socket.AI_NUMERICHOST
+        )
+    except socket.gaierror:
+        loop = asyncio.get_running_loop()
+        found = await loop.getaddrinfo(host, port, type=socket.SOCK_STREAM)
+    return [(family, address) for family, *_kind, address in found]
+
+
+def _open_socket(family: int, host: str, port: int) -> socket.socket:
+    try:
+        listening = socket.socket(family, socket.SOCK_STREAM)
+    except OSError as error:
+        reason = f"no socket to listen on {host}:{port}: {error.strerror}"
+        raise OSError(error.errno, reason) from None
+    listening.setblocking(False)
+    listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    if family == socket.AF_INET6:
+        listening.setsockopt(socket.IPPROTO_IPV6, socket.IPV6_V6ONLY, 1)
+    return listening
