--- a/testing/deploy/test_planned_work.py
+++ b/testing/deploy/test_planned_work.py
@@ -4,7 +4,9 @@
 """
 
 import asyncio
+import contextlib
 import itertools
+import os
 import pathlib
 import signal
 
@@ -65,7 +67,9 @@
         configure(site, version, called_service)
         for vm in site.vms:
             if vm.process is not None and vm.process.returncode is None:
-                vm.process.send_signal(signal.SIGHUP)
+                # Popen.send_signal would reap a process that has just ended.
+                with contextlib.suppress(ProcessLookupError):
+                    os.kill(vm.process.pid, signal.SIGHUP)
         await asyncio.sleep(CHANGE_INTERVAL_S)
 
 
