--- a/src/eelgrassweir/mesh/entry.py
+++ b/src/eelgrassweir/mesh/entry.py
@@ -52,6 +52,9 @@
 # calls below it was refused.
 REFUSED_CALLS_SHARE = 0.02
 SERVER_ERROR = 500
+# A request may take longer than recent ones, and one that is cut off at the
+# end of a planned stop gets no answer of its run.
+STOP_ESTIMATE_FACTOR = 1.1
 
 
 @attrs.frozen
@@ -203,7 +206,7 @@
         estimate_ms = self.durations.estimate_ms(route.name)
         if estimate_ms is None:
             estimate_ms = limit_ms if self.is_refusing_roots else 0.0
-        return min(estimate_ms, limit_ms) > left_ms
+        return min(STOP_ESTIMATE_FACTOR * estimate_ms, limit_ms) > left_ms
 
     async def _authorize(
         self, config: RoutingConfig, caller_request: CallerRequest, request: HttpRequest
