--- a/src/eelgrassweir/daemon/http_server.py
+++ b/src/eelgrassweir/daemon/http_server.py
@@ -90,6 +90,15 @@
     peer="",
 )
 
+# Sent for a request that waits for its start when the daemon has to stop.
+UNSTARTED_REFUSAL = Refusal(
+    code="draining",
+    not_run=True,
+    reason="the daemon ends before the request has started",
+    step="stop",
+    peer="",
+)
+
 # Sent for a request that has no answer yet when the daemon has to stop.
 SHUTDOWN_REFUSAL = Refusal(
     code="outcome_unknown",
@@ -593,11 +602,17 @@
         for exchange in self._pending:
             if exchange.response is not None:
                 continue
-            if exchange.task is None:
-                # It was not started; its caller sees the connection close.
+            if exchange.queued is None:
+                # It is behind others; its caller sees the connection close.
                 break
-            exchange.task.cancel()
-            exchange.response = self._server.render(SHUTDOWN_REFUSAL)
+            refusal = SHUTDOWN_REFUSAL
+            if exchange.task is not None:
+                exchange.task.cancel()
+            else:
+                exchange.queued.cancel()
+                headers = exchange.request.headers
+                refusal = clear_not_run_if_ticketed(UNSTARTED_REFUSAL, headers)
+            exchange.response = self._server.render(refusal)
         self._write_answers()
 
     def _cancel_pending(self, reason: str) -> None:
--- a/src/eelgrassweir/daemon/link_server.py
+++ b/src/eelgrassweir/daemon/link_server.py
@@ -19,7 +19,7 @@
 )
 from eelgrassweir.daemon.link_frames import FrameProtocol
 from eelgrassweir.daemon.listening import Listener, start_listener
-from eelgrassweir.daemon.start_queue import QueuedStart
+from eelgrassweir.daemon.start_queue import MAX_LOWER_WAIT_MS, QueuedStart
 from eelgrassweir.daemon.transit_time import TransitTime
 from eelgrassweir.proto import link_pb2
 from eelgrassweir.requests.refusal import make_internal_refusal
@@ -41,12 +41,15 @@
 # its cancel behind it, so the next bytes are awaited before it starts.
 LATE_REQUEST_MS = 250.0
 LATE_REQUEST_DELAY_MS = 100.0
+BEHIND_RETRY_AFTER_MS = 500
 
 RequestHandler = Callable[[link_pb2.Request, str], Awaitable[Reply]]
 # Returns a serialized BorrowReply for a serialized BorrowRequest.
 BorrowHandler = Callable[[bytes], bytes]
 FollowHandler = Callable[[link_pb2.Follow], Awaitable[link_pb2.Update]]
 RenewalHandler = Callable[[link_pb2.RenewLease], Awaitable[link_pb2.Renewal]]
+# Returns the load to report with a refusal of the link itself.
+LoadHandler = Callable[[], link_pb2.Load]
 LeavesHandler = Callable[[link_pb2.ShareLeaves], link_pb2.KnownLeaves]
 
 
@@ -62,11 +65,13 @@
         follow_handler: FollowHandler | None = None,
         renewal_handler: RenewalHandler | None = None,
         leaves_handler: LeavesHandler | None = None,
+        load_handler: LoadHandler = link_pb2.Load,
     ) -> None:
         self.borrow_handler = borrow_handler
         self.follow_handler = follow_handler
         self.renewal_handler = renewal_handler
         self.leaves_handler = leaves_handler
+        self.load_handler = load_handler
         self.options = options
         self.handler = handler
         self.clock = clock
@@ -329,10 +334,32 @@
     def _start(
         self, request: link_pb2.Request, running: _RunningRequest, waited_ms: float
     ) -> None:
-        _reduce_remaining(request, waited_ms)
+        _reduce_remaining(request, self._server.clock.now_ms() - running.read_ms)
+        if waited_ms > MAX_LOWER_WAIT_MS and _is_shed_when_behind(request.context):
+            self._refuse_behind(request, running, waited_ms)
+            return
         work = self._run(request, running)
         running.task = asyncio.get_running_loop().create_task(work)
 
+    def _refuse_behind(
+        self, request: link_pb2.Request, running: _RunningRequest, waited_ms: float
+    ) -> None:
+        """Refuse a request that has waited too long for its start."""
+        running.cancel()
+        del self._running[request.stream_id]
+        self._run_stream_ids.discard(request.stream_id)
+        refusal = link_pb2.Refusal(
+            stream_id=request.stream_id,
+            code="overloaded",
+            not_run=True,
+            reason=f"this daemon is {waited_ms:.0f} ms behind",
+            step="link",
+            peer=self._server.options.vm,
+            retry_after_ms=BEHIND_RETRY_AFTER_MS,
+            load=self._server.load_handler(),
+        )
+        self.send(link_pb2.Frame(refusal=refusal))
+
     def _measure_wait_ms(self, sent_ms: float) -> float:
         """Return how long a message waited before it was read."""
         if not sent_ms:
@@ -364,6 +391,14 @@
             return link_pb2.Refusal(**attrs.asdict(refusal, filter=_is_sent))
 
 
+def _is_shed_when_behind(context: link_pb2.CallContext) -> bool:
+    """Return whether a request may be refused without a look at its record.
+
+    A request with a ticket may be a copy of one that has run.
+    """
+    return context.priority < link_pb2.CRITICAL and not context.ticket
+
+
 def _reduce_remaining(request: link_pb2.Request, waited_ms: float) -> None:
     """Take the time that a request has waited from the time left for it."""
     remaining_ms = request.context.remaining_ms - int(waited_ms)
--- a/src/eelgrassweir/daemon/start_queue.py
+++ b/src/eelgrassweir/daemon/start_queue.py
@@ -14,16 +14,20 @@
 # Requests that start in one turn. Between two turns everything is read that
 # has arrived, so that a daemon that is behind learns of ends in time.
 MAX_STARTS_PER_TURN = 16
-# A root request that has waited longer for its start is refused: the daemon is
-# behind, and the requests in progress go first.
-MAX_ROOT_WAIT_MS = 50.0
+# Starts of a turn that go to the lower priorities, so that a daemon that is
+# behind does not serve the highest one alone.
+LOWER_STARTS_PER_TURN = 4
+# A request of a lower priority that has waited longer for its start is
+# refused: the daemon is behind, and it would only end late.
+MAX_LOWER_WAIT_MS = 50.0
 
 
 @attrs.define(eq=False)
 class QueuedStart:
     """A request that waits for its start, unless it is cancelled before.
 
-    ``start`` is called with the time in ms that the request has waited.
+    ``start`` is called with the time in ms that the request has waited in the
+    queue.
     """
 
     start: Callable[[float], None] | None
@@ -39,7 +43,9 @@
 
     A close or a cancel that follows its request at once is then known, and the
     request is dropped. Requests of a higher priority start first, and those of
-    one priority in the order of their arrival.
+    one priority in the order of their arrival. A request that has waited for
+    ``MAX_LOWER_WAIT_MS`` behind higher priorities is started out of turn, so
+    that its handler refuses it in time.
     """
 
     def __init__(self, clock: Clock | None = None) -> None:
@@ -64,6 +70,7 @@
         return queued
 
     def _enqueue(self, queued: QueuedStart, priority: int) -> None:
+        queued.queued_ms = self._clock.now_ms()
         self._waiting.setdefault(priority, collections.deque()).append(queued)
         if not self._is_scheduled:
             self._is_scheduled = True
@@ -71,23 +78,41 @@
             # What has arrived by now is read before the second callback.
             loop.call_soon(loop.call_soon, self._run_turn)
 
+    def __len__(self) -> int:
+        return sum(map(len, self._waiting.values()))
+
     def _run_turn(self) -> None:
         """Start the next requests; the others follow in later turns."""
         now_ms = self._clock.now_ms()
-        for _ in range(MAX_STARTS_PER_TURN):
-            queued = self._pop()
+        self._start_overdue(now_ms)
+        for number in range(MAX_STARTS_PER_TURN):
+            is_lower = number >= MAX_STARTS_PER_TURN - LOWER_STARTS_PER_TURN
+            queued = self._pop(is_lower)
             if queued is None:
                 self._is_scheduled = False
                 return
-            start, queued.start = queued.start, None
-            assert start is not None
-            start(now_ms - queued.queued_ms)
+            _start(queued, now_ms)
         asyncio.get_running_loop().call_soon(self._run_turn)
 
-    def _pop(self) -> QueuedStart | None:
-        """Remove and return the next request that is not cancelled."""
+    def _start_overdue(self, now_ms: float) -> None:
+        """Start what has waited too long behind higher priorities."""
+        for priority in sorted(self._waiting)[:-1]:
+            waiting = self._waiting[priority]
+            while waiting and now_ms - waiting[0].queued_ms > MAX_LOWER_WAIT_MS:
+                queued = waiting.popleft()
+                if queued.start is not None:
+                    _start(queued, now_ms)
+            if not waiting:
+                del self._waiting[priority]
+
+    def _pop(self, is_lower: bool) -> QueuedStart | None:
+        """Remove and return the next request that is not cancelled.
+
+        With ``is_lower`` it is one of the highest but one priority, if any.
+        """
         while self._waiting:
-            priority = max(self._waiting)
+            priorities = sorted(self._waiting, reverse=True)
+            priority = priorities[1] if is_lower and priorities[1:] else priorities[0]
             waiting = self._waiting[priority]
             queued = waiting.popleft()
             if not waiting:
@@ -95,3 +120,9 @@
             if queued.start is not None:
                 return queued
         return None
+
+
+def _start(queued: QueuedStart, now_ms: float) -> None:
+    start, queued.start = queued.start, None
+    assert start is not None
+    start(now_ms - queued.queued_ms)
--- a/src/eelgrassweir/mesh/app.py
+++ b/src/eelgrassweir/mesh/app.py
@@ -222,6 +222,7 @@
             follow_handler=self.followers.serve,
             renewal_handler=self.lease_renewer.serve,
             leaves_handler=self.leave_replication.serve,
+            load_handler=self._load,
         )
         self.retry_ratio = RetryRatio(
             percent=100 * settings.budget_ratio * RETRY_RATIO_SHARE,
@@ -524,7 +525,13 @@
         self, message: link_pb2.Request, _peer: str
     ) -> Reply:
         result = await self.target.handle(message.context, decode_request(message))
-        return encode_result(result, self.target.load())
+        return encode_result(result, self._load())
+
+    def _load(self) -> link_pb2.Load:
+        """Return the load of the target and of this daemon's processor."""
+        load = self.target.load()
+        load.queued += len(self.start_queue)
+        return load
 
     async def _run_periodic_tasks(self) -> None:
         """Run the periodic work until cancelled."""
--- a/testing/daemon/test_late_ends.py
+++ b/testing/daemon/test_late_ends.py
@@ -11,19 +11,21 @@
 import attrs
 import pytest
 
-from eelgrassweir.clock import Clock
+from eelgrassweir.clock import Clock, ManualClock
 from eelgrassweir.daemon.http_message import HttpRequest, HttpResponse
 from eelgrassweir.daemon.http_server import HttpServer
 from eelgrassweir.daemon.link_client import LinkError, Reply
 from eelgrassweir.daemon.link_server import LinkServer
 from eelgrassweir.daemon.start_queue import (
+    LOWER_STARTS_PER_TURN,
+    MAX_LOWER_WAIT_MS,
     MAX_STARTS_PER_TURN,
     QueuedStart,
     StartQueue,
 )
 from eelgrassweir.daemon.transit_time import WINDOW_MS, TransitTime
 from eelgrassweir.proto import link_pb2
-from testing.daemon.test_link import HELLO, OPTIONS, encode, open_link
+from testing.daemon.test_link import HELLO, OPTIONS, encode, open_link, read_frame
 
 # Both ends run in one event loop, which the tests stop for a while.
 PATIENT_OPTIONS = attrs.evolve(OPTIONS, silence_ms=60_000)
@@ -219,11 +221,111 @@
         await asyncio.sleep(0)
         assert len(started) == MAX_STARTS_PER_TURN
         await asyncio.sleep(0)
+        assert not len(queue)
 
     asyncio.run(scenario())
     assert started == [100, 102, *range(MAX_STARTS_PER_TURN)]
 
 
+def test_lower_priorities_keep_a_part_of_the_starts() -> None:
+    """Guard against requests that wait behind calls until their deadline."""
+    started: list[tuple[int, float]] = []
+
+    async def scenario() -> None:
+        clock = ManualClock()
+        queue = StartQueue(clock)
+
+        def add(priority: int) -> None:
+            queue.add(lambda ms: started.append((priority, ms)), priority=priority)
+
+        for _ in range(2 * MAX_STARTS_PER_TURN):
+            add(2)
+            add(1)
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        first = [priority for priority, _ in started]
+        assert first.count(1) == LOWER_STARTS_PER_TURN
+        assert first.count(2) == MAX_STARTS_PER_TURN - LOWER_STARTS_PER_TURN
+        # The others have waited too long, and are started to be refused.
+        clock.advance(MAX_LOWER_WAIT_MS + 1.0)
+        started.clear()
+        await asyncio.sleep(0)
+        overdue = [ms for priority, ms in started if priority == 1]
+        assert len(overdue) == 2 * MAX_STARTS_PER_TURN - LOWER_STARTS_PER_TURN
+        assert min(overdue) > MAX_LOWER_WAIT_MS
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("priority", "ticket", "is_run"),
+    [
+        (link_pb2.NORMAL, "", False),
+        (link_pb2.CRITICAL, "", True),
+        (link_pb2.NORMAL, "a ticket, whose record must be looked up", True),
+    ],
+)
+def test_link_refuses_new_requests_while_its_daemon_is_behind(
+    priority: link_pb2.Priority.ValueType, ticket: str, is_run: bool
+) -> None:
+    """Guard against requests that are held until their deadline."""
+    clock = ManualClock()
+
+    async def handler(request: link_pb2.Request, _peer: str) -> Reply:
+        return link_pb2.Response(status=200)
+
+    async def scenario() -> link_pb2.Frame:
+        options = attrs.evolve(PATIENT_OPTIONS, start_queue=StartQueue(clock))
+        server = LinkServer(
+            options, handler, clock, load_handler=lambda: link_pb2.Load(queued=7)
+        )
+        await server.start("127.0.0.1", 0)
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        context = link_pb2.CallContext(priority=priority, ticket=ticket)
+        request = link_pb2.Request(stream_id=1, context=context)
+        writer.write(encode(HELLO, link_pb2.Frame(request=request)))
+        while not len(options.start_queue):
+            await asyncio.sleep(0)
+        clock.advance(MAX_LOWER_WAIT_MS + 1.0)
+        async with asyncio.timeout(LIMIT_S):
+            assert (await read_frame(reader)).HasField("hello")
+            reply = await read_frame(reader)
+        assert server.busy_count == 0
+        writer.close()
+        await server.stop()
+        return reply
+
+    reply = asyncio.run(scenario())
+    assert reply.HasField("response") is is_run
+    if not is_run:
+        assert reply.refusal.not_run
+        assert reply.refusal.load.queued == 7
+
+
+def test_request_that_waits_for_its_start_is_refused_at_the_end_of_a_stop() -> None:
+    """Guard against requests that are read and cut off without an answer."""
+
+    async def handle(_request: HttpRequest) -> HttpResponse:
+        return HttpResponse(200, (), b"")
+
+    async def scenario() -> bytes:
+        server = HttpServer(handle, body_limit_bytes=1_000)
+        await server.start("127.0.0.1", 0)
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        writer.write(b"GET / HTTP/1.1\r\n\r\n")
+        while not len(server.start_queue):
+            await asyncio.sleep(0)
+        server.fail_pending_requests()
+        answer = await asyncio.wait_for(reader.read(), LIMIT_S)
+        writer.close()
+        await server.stop()
+        return answer
+
+    answer = asyncio.run(scenario())
+    assert answer.startswith(b"HTTP/1.1 503 ")
+    assert b'"not_run": true' in answer or b'"not_run":true' in answer
+
+
 def test_pause_of_the_calling_end_is_no_silence_of_its_peers() -> None:
     """Guard against calls that fail because their own daemon was paused."""
 
