--- a/src/eelgrassweir/daemon/coalescing.py
+++ b/src/eelgrassweir/daemon/coalescing.py
@@ -16,7 +16,7 @@
 MAX_PAUSE_MS = 1.5
 # Turns of the event loop from a read to the pause. Within them a request that
 # was read is started, runs and is sent on.
-TURNS_BEFORE_PAUSE = 4
+TURNS_BEFORE_PAUSE = 3
 
 
 class WakeupCoalescer:
--- a/src/eelgrassweir/daemon/http_server.py
+++ b/src/eelgrassweir/daemon/http_server.py
@@ -303,6 +303,10 @@
         self._set_deadline(self._server.idle_timeout_s)
         self._start_timer()
 
+    def eof_received(self) -> None:
+        """Drop the requests before those that were read with the end start."""
+        self._cancel_pending(describe_lost(None))
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel requests in progress, since their caller is gone."""
         self._server.remove_connection(self)
--- a/src/eelgrassweir/daemon/start_queue.py
+++ b/src/eelgrassweir/daemon/start_queue.py
@@ -39,13 +39,14 @@
 
 
 class StartQueue:
-    """Start requests once what has arrived with them is read.
-
-    A close or a cancel that follows its request at once is then known, and the
-    request is dropped. Requests of a higher priority start first, and those of
-    one priority in the order of their arrival. A request that has waited for
-    ``MAX_LOWER_WAIT_MS`` behind higher priorities is started out of turn, so
-    that its handler refuses it in time.
+    """Start requests in the turn after their read, few in each turn.
+
+    ``start`` creates a task, which first runs another turn later. All that has
+    arrived by then is read: if it contains the close or the cancel of the
+    request, the request is dropped. Requests of a higher priority start first,
+    and those of one priority in the order of their arrival. A request that has
+    waited for ``MAX_LOWER_WAIT_MS`` behind higher priorities is started out of
+    turn, so that its handler refuses it in time.
     """
 
     def __init__(self, clock: Clock | None = None) -> None:
@@ -74,9 +75,7 @@
         self._waiting.setdefault(priority, collections.deque()).append(queued)
         if not self._is_scheduled:
             self._is_scheduled = True
-            loop = asyncio.get_running_loop()
-            # What has arrived by now is read before the second callback.
-            loop.call_soon(loop.call_soon, self._run_turn)
+            asyncio.get_running_loop().call_soon(self._run_turn)
 
     def __len__(self) -> int:
         return sum(map(len, self._waiting.values()))
