--- a/src/eelgrassweir/daemon/http_server.py
+++ b/src/eelgrassweir/daemon/http_server.py
@@ -39,7 +39,7 @@
 )
 
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
-# Called with a request whose connection ends without its answer, and why.
+# Called with a request whose connection ends before its answer, and why.
 UnansweredHandler = Callable[[HttpRequest, str], None]
 
 MAX_HEAD_BYTES = 32_768
@@ -131,7 +131,7 @@
     ``render`` converts a refusal by the server itself into an answer. With
     ``sends_idle_refusal`` the server sends a refusal on an idle connection
     before it closes the connection. ``on_read`` is called for each read, and
-    ``on_unanswered`` for each started request whose answer cannot be sent.
+    ``on_unanswered`` for each queued request whose answer cannot be sent.
     ``held`` bounds the requests and unsent answers together with the other
     messages that the daemon holds. ``start_queue`` starts requests with the
     others of the daemon, by the priority from ``get_priority``.
--- a/src/eelgrassweir/daemon/metrics.py
+++ b/src/eelgrassweir/daemon/metrics.py
@@ -24,7 +24,7 @@
         )
         self.unanswered = Counter(
             "eelgrassweir_unanswered_total",
-            "Started requests whose connection ended without their answer.",
+            "Queued or started requests whose connection ended without their answer.",
             registry=self.registry,
         )
         self.peak_memory = Gauge(
--- a/src/eelgrassweir/mesh/app.py
+++ b/src/eelgrassweir/mesh/app.py
@@ -54,7 +54,6 @@
 from eelgrassweir.mesh.source_selector import SourceSelector
 from eelgrassweir.mesh.target import TargetService
 from eelgrassweir.proto import link_pb2
-from eelgrassweir.proto.link_pb2 import NORMAL
 from eelgrassweir.retries.budget import RetryRatio
 from eelgrassweir.routing.picker import TargetPicker
 from eelgrassweir.routing.rules import RoutingConfig
@@ -590,7 +589,7 @@
 
     def _get_priority(self, request: HttpRequest) -> int:
         """Return the priority of a request in the start queue."""
-        return NORMAL if self._adapter.has_key(request) else CHILD_PRIORITY
+        return link_pb2.NORMAL if self._adapter.has_key(request) else CHILD_PRIORITY
 
     def _make_server(
         self,
@@ -607,7 +606,7 @@
             on_unanswered=on_unanswered,
             held=self.held,
             start_queue=self.start_queue,
-            get_priority=get_priority,
+            get_priority=get_priority or get_control_priority,
         )
 
     def _connect_backend(self, address: str) -> BackendClient:
@@ -629,6 +628,11 @@
         )
 
 
+def get_control_priority(_request: HttpRequest) -> int:
+    """Return the priority of announcements, checks and operators' requests."""
+    return CHILD_PRIORITY + 1
+
+
 def log_loop_error(_loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
     """Log an error that no task or protocol of the daemon has handled.
 
--- a/testing/mesh/test_overload.py
+++ b/testing/mesh/test_overload.py
@@ -8,6 +8,7 @@
 
 from eelgrassweir.daemon.http_message import HttpRequest, find_header
 from eelgrassweir.mesh.app import Application
+from eelgrassweir.mesh.entry import CHILD_PRIORITY
 from testing.mesh.fleet import (
     HOST,
     KEY,
@@ -16,6 +17,7 @@
     add_target,
     make_route,
     mesh_fleet,
+    wait_until,
 )
 
 KEYED = ("X-Credential", KEY)
@@ -172,3 +174,22 @@
             assert int(remaining or 0) <= 130
 
     asyncio.run(scenario())
+
+
+def test_heartbeats_start_before_the_requests_that_wait() -> None:
+    """Guard against backend servers that are lost while a daemon is behind."""
+    started: list[str] = []
+
+    async def scenario() -> None:
+        async with mesh_fleet() as fleet:
+            daemon, backend = await add_target(fleet)
+            queue = daemon.start_queue
+            for server in (daemon.control_server, daemon.ready_server):
+                heartbeat = backend.make_heartbeat(2)
+                priority = server.get_priority(heartbeat)
+                queue.add(lambda _: started.append("call"), priority=CHILD_PRIORITY)
+                queue.add(lambda _: started.append("control"), priority=priority)
+            await wait_until(lambda: len(started) == 4)
+
+    asyncio.run(scenario())
+    assert started == ["control", "control", "call", "call"]
