--- a/testing/daemon/test_link.py
+++ b/testing/daemon/test_link.py
@@ -11,7 +11,11 @@
 from eelgrassweir.clock import Clock
 from eelgrassweir.daemon.held_bytes import HeldBytes
 from eelgrassweir.daemon.link_client import LinkError, LinkOptions, Reply
-from eelgrassweir.daemon.link_frames import LENGTH, encode_frame
+from eelgrassweir.daemon.link_frames import (
+    LENGTH,
+    MAX_FRAMES_PER_TURN,
+    encode_frame,
+)
 from eelgrassweir.daemon.link_pool import LinkPool
 from eelgrassweir.daemon.link_server import LinkServer
 from eelgrassweir.proto import link_pb2
@@ -366,13 +370,14 @@
         async with open_link() as (_, address):
             host, _, port = address.rpartition(":")
             reader, writer = await asyncio.open_connection(host, int(port))
-            pings = [link_pb2.Frame(ping=link_pb2.Ping(id=n)) for n in range(1_000)]
+            count = 3 * MAX_FRAMES_PER_TURN
+            pings = [link_pb2.Frame(ping=link_pb2.Ping(id=n)) for n in range(count)]
             writer.write(encode(HELLO, *pings))
             async with asyncio.timeout(5):
                 greeting = await read_frame(reader)
                 pongs = [await read_frame(reader) for _ in pings]
             assert greeting.HasField("hello")
-            assert [frame.pong.id for frame in pongs] == list(range(1_000))
+            assert [frame.pong.id for frame in pongs] == list(range(count))
             writer.close()
 
     asyncio.run(scenario())
