--- a/src/eelgrassweir/daemon/entry.py
+++ b/src/eelgrassweir/daemon/entry.py
@@ -26,7 +26,6 @@
 )
 from eelgrassweir.daemon.http_server import make_refusal_response
 from eelgrassweir.daemon.metrics import Metrics
-from eelgrassweir.daemon.start_queue import MAX_LOWER_WAIT_MS
 from eelgrassweir.daemon.ticket_endpoint import TICKETS_PATH, answer_ticket_request
 from eelgrassweir.daemon.tokens import TokenService
 from eelgrassweir.daemon.usage import UsageMeter
@@ -227,7 +226,7 @@
     async def _admit(self, call: Call, identity: RequestIdentity) -> Refusal | None:
         """Check backpressure and take a token from the team's rate."""
         route = identity.route
-        if call.request.waited_ms > MAX_LOWER_WAIT_MS:
+        if call.request.has_waited_too_long:
             reason = f"this daemon is {call.request.waited_ms:.0f} ms behind"
             return self._make_refusal("overloaded", reason)
         now_ms = self._clock.now_ms()
--- a/src/eelgrassweir/daemon/http_message.py
+++ b/src/eelgrassweir/daemon/http_message.py
@@ -34,7 +34,8 @@
     """Complete HTTP request.
 
     ``peer`` is the address of its sender, and ``waited_ms`` the time for which
-    a server held it before it called its handler.
+    a server held it before it called its handler. If ``has_waited_too_long``,
+    the daemon is behind, and a root request should be refused.
     """
 
     method: str
@@ -43,6 +44,7 @@
     body: bytes
     peer: str = ""
     waited_ms: float = 0.0
+    has_waited_too_long: bool = False
 
 
 @attrs.frozen
--- a/src/eelgrassweir/daemon/http_server.py
+++ b/src/eelgrassweir/daemon/http_server.py
@@ -28,7 +28,7 @@
     split_absolute_form,
 )
 from eelgrassweir.daemon.listening import Listener, start_listener
-from eelgrassweir.daemon.start_queue import QueuedStart, StartQueue
+from eelgrassweir.daemon.start_queue import QueuedStart, StartQueue, Wait
 from eelgrassweir.daemon.unsent_answers import UnsentAnswers
 from eelgrassweir.requests.refusal import (
     Refusal,
@@ -533,9 +533,13 @@
             if exchange.request.method not in SAFE_METHODS:
                 return
 
-    def _start(self, exchange: _Exchange, waited_ms: float) -> None:
-        if waited_ms >= MIN_REPORTED_WAIT_MS:
-            exchange.request = attrs.evolve(exchange.request, waited_ms=waited_ms)
+    def _start(self, exchange: _Exchange, wait: Wait) -> None:
+        if wait.waited_ms >= MIN_REPORTED_WAIT_MS:
+            exchange.request = attrs.evolve(
+                exchange.request,
+                waited_ms=wait.waited_ms,
+                has_waited_too_long=wait.is_too_long,
+            )
         loop = asyncio.get_running_loop()
         exchange.task = loop.create_task(self._answer(exchange))
 
--- a/src/eelgrassweir/daemon/link_server.py
+++ b/src/eelgrassweir/daemon/link_server.py
@@ -19,7 +19,7 @@
 )
 from eelgrassweir.daemon.link_frames import FrameProtocol
 from eelgrassweir.daemon.listening import Listener, start_listener
-from eelgrassweir.daemon.start_queue import MAX_LOWER_WAIT_MS, QueuedStart
+from eelgrassweir.daemon.start_queue import QueuedStart, Wait
 from eelgrassweir.daemon.transit_time import TransitTime
 from eelgrassweir.proto import link_pb2
 from eelgrassweir.requests.refusal import make_internal_refusal
@@ -332,11 +332,11 @@
         )
 
     def _start(
-        self, request: link_pb2.Request, running: _RunningRequest, waited_ms: float
+        self, request: link_pb2.Request, running: _RunningRequest, wait: Wait
     ) -> None:
         _reduce_remaining(request, self._server.clock.now_ms() - running.read_ms)
-        if waited_ms > MAX_LOWER_WAIT_MS and _is_shed_when_behind(request.context):
-            self._refuse_behind(request, running, waited_ms)
+        if wait.is_too_long and _is_shed_when_behind(request.context):
+            self._refuse_behind(request, running, wait.waited_ms)
             return
         work = self._run(request, running)
         running.task = asyncio.get_running_loop().create_task(work)
--- a/src/eelgrassweir/mesh/entry.py
+++ b/src/eelgrassweir/mesh/entry.py
@@ -16,7 +16,6 @@
 from eelgrassweir.clock import Clock
 from eelgrassweir.daemon.http_message import HttpRequest, HttpResponse
 from eelgrassweir.daemon.metrics import Metrics
-from eelgrassweir.daemon.start_queue import MAX_LOWER_WAIT_MS
 from eelgrassweir.membership.freshness import Freshness
 from eelgrassweir.mesh.adapter import PlatformAdapter
 from eelgrassweir.mesh.dispatch import Call, Dispatcher
@@ -143,7 +142,7 @@
         ):
             refusal = self._make_refusal("draining", "this VM is leaving")
             return self._refuse(caller_request, refusal)
-        if caller_request.key is not None and request.waited_ms > MAX_LOWER_WAIT_MS:
+        if caller_request.key is not None and request.has_waited_too_long:
             reason = f"this daemon is {request.waited_ms:.0f} ms behind"
             refusal = self._make_refusal("overloaded", reason)
             return self._refuse(caller_request, refusal)
