--- a/src/eelgrassweir/daemon/start_queue.py
+++ b/src/eelgrassweir/daemon/start_queue.py
@@ -18,8 +18,8 @@
 # behind does not serve the highest one alone.
 LOWER_STARTS_PER_TURN = 4
 # A daemon is behind after so many turns, and so much time, in which not all
-# requests could start. One long turn, or one burst, does not count.
-MIN_TURNS_BEHIND = 4
+# requests could start. Some long turns, or one burst, do not count.
+MIN_TURNS_BEHIND = 16
 MIN_BEHIND_MS = 300.0
 # While a daemon is behind, a request of a lower priority that has waited
 # longer for its start is refused, since it would only end late.
