Check boolean settings

No setting of either schema was a boolean, and the loader treated one as a list of strings.

testing/settings passes.

--- a/testing/settings/test_loader.py
+++ b/testing/settings/test_loader.py
@@ -5,9 +5,15 @@
 from typing import Any
 
 import pytest
-from returns.result import Failure, Success
+from returns.result import Failure, Result, Success
 
-from eelgrassweir.settings.loader import check_settings, load_settings
+from eelgrassweir.settings.field import Field
+from eelgrassweir.settings.loader import (
+    SettingsError,
+    check_settings,
+    check_settings_as,
+    load_settings,
+)
 
 VALID: dict[str, Any] = {
     "vm": "oviedo-fichero-1",
@@ -50,6 +56,24 @@
     assert error.allowed
 
 
+def check_boolean(value: Any) -> Result[dict[str, Any], SettingsError]:
+    """Check a document whose only field is a boolean."""
+    field = Field(name="domain_spill", kind="boolean", required=False)
+    return check_settings_as(dict, [field], {"domain_spill": value})
+
+
+@pytest.mark.parametrize("value", [True, False])
+def test_boolean_is_read(value: bool) -> None:
+    """Guard against a setting that cannot be switched."""
+    assert check_boolean(value) == Success({"domain_spill": value})
+
+
+@pytest.mark.parametrize("value", ["true", 1, None, []])
+def test_other_values_are_no_booleans(value: Any) -> None:
+    """Guard against a text that counts as true."""
+    assert isinstance(check_boolean(value), Failure)
+
+
 def test_missing_required_field_is_reported() -> None:
     """Guard against a start without a required field."""
     document = {key: value for key, value in VALID.items() if key != "vm"}
