Measure the round trip of a link

The decision to leave the failure domain needs the latency that this adds, measured apart from the run time of requests. The hello exchange and the pongs of existing pings give it; no message is added. Shorter samples count at once, longer ones by a tenth, since they mostly show a busy end.

testing/daemon/test_link.py passes.

--- a/src/eelgrassweir/daemon/link_client.py
+++ b/src/eelgrassweir/daemon/link_client.py
@@ -22,6 +22,9 @@
 # an entry rarely calls would otherwise stay open forever.
 IDLE_TIMEOUT_MS = 60_000
 FRAME_OVERHEAD_BYTES = 131_072
+# A round trip that is longer than the average mostly shows that one end was
+# busy, so it counts little.
+ROUND_TRIP_INCREASE_GAIN = 0.1
 
 Reply = link_pb2.Response | link_pb2.Refusal
 StreamRequest = (
@@ -114,6 +117,10 @@
         # Time of the first request since the last read, for whose reply or a
         # pong this end waits.
         self._silent_since_ms: float | None = None
+        # Time of the hello or of the last ping without its pong.
+        self._probe_sent_ms: float | None = None
+        # Round trip without the time of a request; None until it is measured.
+        self.round_trip_ms: float | None = None
         self.hello: asyncio.Future[link_pb2.Hello] = (
             asyncio.get_running_loop().create_future()
         )
@@ -131,6 +138,7 @@
             incarnation=self._options.incarnation,
             sent_ms=self._clock.now_ms(),
         )
+        self._probe_sent_ms = hello.sent_ms
         self.send(link_pb2.Frame(hello=hello))
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -161,7 +169,21 @@
         elif kind == "known_leaves":
             self._resolve(frame.known_leaves.stream_id, frame.known_leaves)
         elif kind == "hello" and not self.hello.done():
+            self._record_round_trip()
             self.hello.set_result(frame.hello)
+        elif kind == "pong":
+            self._record_round_trip()
+
+    def _record_round_trip(self) -> None:
+        if self._probe_sent_ms is None:
+            return
+        sample_ms = self._clock.now_ms() - self._probe_sent_ms
+        self._probe_sent_ms = None
+        if self.round_trip_ms is None or sample_ms < self.round_trip_ms:
+            self.round_trip_ms = sample_ms
+            return
+        increase_ms = sample_ms - self.round_trip_ms
+        self.round_trip_ms += ROUND_TRIP_INCREASE_GAIN * increase_ms
 
     async def call(self, request: link_pb2.Request, *, timeout_ms: float) -> Reply:
         """Send a request and return its reply.
@@ -323,6 +345,11 @@
         if self._silent_since_ms is not None:
             self._silent_since_ms += paused_ms
 
+    def _ping(self, now_ms: float) -> None:
+        if self._probe_sent_ms is None:
+            self._probe_sent_ms = now_ms
+        self.send(link_pb2.Frame(ping=link_pb2.Ping(id=int(now_ms))))
+
     def check_liveness(self, now_ms: float) -> None:
         """Ping while requests wait; close a silent or unused connection."""
         if self.is_read_paused:
@@ -337,7 +364,7 @@
                 self._suspect()
             inactive_since_ms = min(self._last_received_ms, self._last_used_ms)
             if now_ms - inactive_since_ms >= self._options.ping_ms:
-                self.send(link_pb2.Frame(ping=link_pb2.Ping(id=int(now_ms))))
+                self._ping(now_ms)
         elif self.is_suspected or now_ms - self._last_used_ms > IDLE_TIMEOUT_MS:
             self.close()
 
--- a/src/eelgrassweir/daemon/link_pool.py
+++ b/src/eelgrassweir/daemon/link_pool.py
@@ -113,6 +113,11 @@
         link = await self._get_link(address, incarnation, timeout_ms)
         return await link.share_leaves(request, timeout_ms=timeout_ms)
 
+    def round_trip_ms(self, address: str, incarnation: str) -> float | None:
+        """Return the round trip of the link to a daemon, if it is measured."""
+        link = self._links.get((address, incarnation))
+        return None if link is None else link.round_trip_ms
+
     def close(self) -> None:
         """Close all links."""
         if self._timer is not None:
--- a/testing/daemon/test_link.py
+++ b/testing/daemon/test_link.py
@@ -76,6 +76,21 @@
     asyncio.run(scenario())
 
 
+def test_round_trip_excludes_the_time_of_the_call() -> None:
+    """Guard against slow runs that make a link look long."""
+
+    async def scenario() -> None:
+        async with open_link() as (pool, address):
+            assert pool.round_trip_ms(address, "1") is None
+            request = link_pb2.Request(path="300")
+            await pool.call(address, "1", request, timeout_ms=5_000)
+            round_trip_ms = pool.round_trip_ms(address, "1")
+            assert round_trip_ms is not None
+            assert 0.0 < round_trip_ms < 150.0
+
+    asyncio.run(scenario())
+
+
 def test_late_reply_is_not_given_to_a_later_call() -> None:
     """Guard against a timed-out call's reply given to the next call."""
 
