Decide by load how many requests leave the failure domain

The fixed margin of 0.6 of a target's limit sent requests away while the own targets had room, since a load without new reports decays to 0. DomainSpill keeps a stay share for each service from the loads of the replies, and TargetPicker uses it with the setting domain_spill. The counter eelgrassweir_placed_total counts requests by domain of their first target.

--- a/src/eelgrassweir/daemon/metrics.py
+++ b/src/eelgrassweir/daemon/metrics.py
@@ -38,6 +38,12 @@
             ["service"],
             registry=self.registry,
         )
+        self.placed = Counter(
+            "eelgrassweir_placed_total",
+            "Requests by service and domain of the first target, own or other.",
+            ["service", "domain"],
+            registry=self.registry,
+        )
         self.record_copies = Counter(
             "eelgrassweir_record_copies_total",
             "Copies of non-idempotent requests answered from a record.",
--- a/src/eelgrassweir/mesh/app.py
+++ b/src/eelgrassweir/mesh/app.py
@@ -55,6 +55,7 @@
 from eelgrassweir.mesh.target import TargetService
 from eelgrassweir.proto import link_pb2
 from eelgrassweir.retries.budget import RetryRatio
+from eelgrassweir.routing.domain_spill import DomainSpill
 from eelgrassweir.routing.picker import TargetPicker
 from eelgrassweir.routing.rules import RoutingConfig
 from eelgrassweir.settings.mesh_generated import MeshSettings
@@ -228,17 +229,24 @@
             spare_retries=1,
             rounding=rng.random(),
         )
+        self.spill = DomainSpill(rng) if settings.domain_spill else None
         self.dispatcher = Dispatcher(
             vm=settings.vm,
             incarnation=self.identity.incarnation,
             failure_domain=settings.failure_domain,
             clock=self.clock,
             members=self.directory.members,
-            picker=TargetPicker(rng, own_domain_margin=OWN_DOMAIN_MARGIN),
+            picker=TargetPicker(
+                rng,
+                own_domain_margin=OWN_DOMAIN_MARGIN,
+                choose_domain=self.spill.choose_domain if self.spill else None,
+            ),
             retry_ratio=self.retry_ratio,
             links=self.links,
             target=self.target,
             on_retry=lambda service: self.metrics.retries.labels(service).inc(),
+            on_placed=self._count_placed,
+            spill=self.spill,
         )
         self.entry = EntryService(
             vm=settings.vm,
@@ -430,6 +438,7 @@
             "backend": self.backend.state(),
             "gate": self.target.gate.state(),
             "admitted_shares": self.throttle.state(),
+            "stay_shares": self.spill.state() if self.spill else {},
             "lending": self.lending.state(),
             "links": self.links.state(),
             "members": {
@@ -526,6 +535,9 @@
         result = await self.target.handle(message.context, decode_request(message))
         return encode_result(result, self._load())
 
+    def _count_placed(self, service: str, is_local: bool) -> None:
+        self.metrics.placed.labels(service, "own" if is_local else "other").inc()
+
     def _load(self) -> link_pb2.Load:
         """Return the load of the target and of this daemon's processor."""
         load = self.target.load()
--- a/src/eelgrassweir/mesh/dispatch.py
+++ b/src/eelgrassweir/mesh/dispatch.py
@@ -16,6 +16,7 @@
 from eelgrassweir.proto.control_pb2 import Member
 from eelgrassweir.requests.refusal import Refusal
 from eelgrassweir.retries.budget import RetryRatio
+from eelgrassweir.routing.domain_spill import DomainSpill
 from eelgrassweir.routing.picker import TargetPicker
 
 STEP = "dispatch"
@@ -57,7 +58,9 @@
 class Dispatcher:
     """Choose targets for a request and send it to one after another.
 
-    ``on_retry`` is called with the service for each retry charged to it.
+    ``on_retry`` is called with the service for each retry charged to it,
+    ``on_placed`` with the service of each request and whether its first target
+    is one of the own failure domain.
     """
 
     def __init__(
@@ -73,6 +76,8 @@
         links: LinkPool,
         target: TargetService,
         on_retry: Callable[[str], None],
+        on_placed: Callable[[str, bool], None],
+        spill: DomainSpill | None = None,
     ) -> None:
         self._vm = vm
         self._incarnation = incarnation
@@ -84,6 +89,8 @@
         self._links = links
         self._target = target
         self._on_retry = on_retry
+        self._on_placed = on_placed
+        self._spill = spill
 
     async def send(self, call: Call) -> HttpResponse | Refusal:
         """Return the response of a target, or a refusal if there is none."""
@@ -94,6 +101,8 @@
             member = self._choose_target(call)
             if member is None or (last and not self._acquire_retry(call, last)):
                 break
+            if last is None:
+                self._on_placed(service, self._is_local(member))
             call.tried_vms.add(member.vm)
             call.target_vm = member.vm
             last = await self._send_once(call, member)
@@ -165,10 +174,12 @@
             own_domain=self._failure_domain,
             excluded=call.tried_vms,
             now_ms=self._clock.now_ms(),
+            service=call.context.service,
         )
 
     async def _send_once(self, call: Call, member: Member) -> TargetResult:
-        timeout_ms = call.deadline_ms - self._clock.now_ms()
+        sent_ms = self._clock.now_ms()
+        timeout_ms = call.deadline_ms - sent_ms
         call.context.remaining_ms = max(1, int(timeout_ms))
         self._picker.record_start(member.vm)
         try:
@@ -181,6 +192,8 @@
                 timeout_ms=timeout_ms,
             )
             self._record_load(call, member, reply.load)
+            if isinstance(reply, link_pb2.Response):
+                self._record_times(call, member, reply.load, sent_ms)
             return decode_result(reply)
         except LinkError as error:
             return self._translate_link_error(member, error)
@@ -201,9 +214,40 @@
 
     def _record_load(self, call: Call, member: Member, load: link_pb2.Load) -> None:
         self._picker.record_load(member.vm, load, self._clock.now_ms())
+        if self._spill is not None:
+            self._spill.record_load(
+                call.context.service,
+                member.vm,
+                load,
+                is_local=self._is_local(member),
+                now_ms=self._clock.now_ms(),
+            )
         call.refused_calls_share = load.refused_calls_percent / 100.0
         call.failed_calls_share = load.failed_calls_percent / 100.0
 
+    def _record_times(
+        self, call: Call, member: Member, load: link_pb2.Load, sent_ms: float
+    ) -> None:
+        """Record the run time and the round trip to the target."""
+        if self._spill is None:
+            return
+        service, now_ms = call.context.service, self._clock.now_ms()
+        round_trip_ms = self._links.round_trip_ms(
+            member.link_address, member.incarnation
+        )
+        run_ms = now_ms - sent_ms - load.queue_wait_ms - (round_trip_ms or 0.0)
+        self._spill.record_run(service, run_ms, now_ms)
+        if round_trip_ms is not None:
+            self._spill.record_round_trip(
+                service,
+                round_trip_ms,
+                is_local=self._is_local(member),
+                now_ms=now_ms,
+            )
+
+    def _is_local(self, member: Member) -> bool:
+        return member.failure_domain == self._failure_domain
+
     def _translate_link_error(self, member: Member, error: LinkError) -> TargetResult:
         if not error.is_timeout or not error.maybe_sent:
             self._picker.record_failure(member.vm, self._clock.now_ms())
--- a/src/eelgrassweir/routing/picker.py
+++ b/src/eelgrassweir/routing/picker.py
@@ -2,12 +2,15 @@
 
 import math
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import attrs
 
 from eelgrassweir.proto import control_pb2, link_pb2
 
+Members = list[control_pb2.Member]
+DomainChoice = Callable[[str, Members, Members, float], tuple[float, Members] | None]
+
 READY = control_pb2.READY
 # A load report is outdated about a second after it was made.
 LOAD_HALF_LIFE_MS = 500.0
@@ -51,13 +54,21 @@
     """Choose the less loaded of two random targets, own domain first.
 
     A target whose link fails is ejected, for longer with each failure, and
-    then probed with a single call.
+    then probed with a single call. ``choose_domain`` is called with a service,
+    its usable targets of the own domain and of others, and the time. It
+    returns the margin of the own domain for this request and which of the
+    others are compared, or None if ``own_domain_margin`` is to decide.
     """
 
     def __init__(
-        self, random: random.Random, *, own_domain_margin: float = OWN_DOMAIN_MARGIN
+        self,
+        random: random.Random,
+        *,
+        own_domain_margin: float = OWN_DOMAIN_MARGIN,
+        choose_domain: DomainChoice | None = None,
     ) -> None:
         self._random = random
+        self._choose_domain = choose_domain
         self._own_domain_margin = own_domain_margin
         self._targets: dict[str, _TargetState] = {}
         self._chosen_ms = 0.0
@@ -70,6 +81,7 @@
         own_domain: str,
         excluded: set[str],
         now_ms: float,
+        service: str = "",
     ) -> control_pb2.Member | None:
         """Return a ready target, or None if all are excluded or not ready."""
         self._chosen_ms = now_ms
@@ -77,12 +89,18 @@
         if not local and not remote:
             # All targets are ejected: one that failed recently may still work.
             local, remote = self._find_usable(members, own_domain, excluded, math.inf)
+        margin = self._own_domain_margin
+        # Retries may leave the domain regardless of the stay share.
+        if self._choose_domain is not None and not excluded:
+            choice = self._choose_domain(service, local, remote, now_ms)
+            if choice is not None:
+                margin, remote = choice
         best_local = self._choose_of_two(local, now_ms)
         best_remote = self._choose_of_two(remote, now_ms)
         if best_local is None or best_remote is None:
             return best_local or best_remote
         local_load = self._load(best_local, now_ms)
-        if local_load <= self._load(best_remote, now_ms) + self._own_domain_margin:
+        if local_load <= self._load(best_remote, now_ms) + margin:
             return best_local
         return best_remote
 
--- a/testing/mesh/test_whole_path.py
+++ b/testing/mesh/test_whole_path.py
@@ -41,6 +41,36 @@
     asyncio.run(scenario())
 
 
+def test_request_to_another_domain_is_counted_and_measured() -> None:
+    """Guard against a stay share that gets no loads or round trips."""
+
+    async def scenario() -> None:
+        async with mesh_fleet() as fleet:
+            common: dict[str, Any] = {
+                "failure_domains": ("a", "b"),
+                "domain_spill": True,
+            }
+            entry = await fleet.add(BackendStandIn("lists", "i-0"), **common)
+            await fleet.add(
+                BackendStandIn("notes", "i-1"), failure_domain="b", **common
+            )
+            fleet.configure(make_route("/a/", "notes", public=False))
+            await fleet.wait_until_converged()
+            for _ in range(3):
+                assert (await fleet.call(entry, "/a/b", KEYED)).status == 200
+            placed = entry.metrics.placed
+            assert placed.labels("notes", "other")._value.get() == 3
+            assert placed.labels("notes", "own")._value.get() == 0
+            assert entry.state()["stay_shares"] == {"notes": 0.0}
+            assert entry.spill is not None
+            state = entry.spill._services["notes"]
+            assert state.reports.keys() == {"vm-1"}
+            assert state.remote_round_trip_ms is not None
+            assert state.run_ms > 0.0
+
+    asyncio.run(scenario())
+
+
 def test_answered_request_has_a_log_line_at_each_daemon() -> None:
     """Guard against responses, failed ones too, that no log line explains."""
     lines: list[dict[str, Any]] = []
