Admit roots by the capacity that their call trees need below

Cause: a full leaf service fails most trees at their last calls, and the work of the services above is wasted. Entries cannot see it. Change: targets measure the offered utilization and report an admitted share with each reply; entries learn the cost of trees from replies and admit roots by rank, cost and team. Enabled by call_tree_admission.

--- a/src/eelgrassweir/daemon/metrics.py
+++ b/src/eelgrassweir/daemon/metrics.py
@@ -22,6 +22,12 @@
             ["code"],
             registry=self.registry,
         )
+        self.tree_refusals = Counter(
+            "eelgrassweir_tree_refusals_total",
+            "Root requests refused for lack of room below, by route and full service.",
+            ["route", "service"],
+            registry=self.registry,
+        )
         self.unanswered = Counter(
             "eelgrassweir_unanswered_total",
             "Queued or started requests whose connection ended without their answer.",
--- a/src/eelgrassweir/mesh/app.py
+++ b/src/eelgrassweir/mesh/app.py
@@ -27,6 +27,7 @@
 from eelgrassweir.mesh.adapter import PlatformAdapter, Store
 from eelgrassweir.mesh.admin import AdminService
 from eelgrassweir.mesh.backend import BackendTracker
+from eelgrassweir.mesh.call_trees import CallTrees
 from eelgrassweir.mesh.config_state import ConfigState
 from eelgrassweir.mesh.control import ControlService
 from eelgrassweir.mesh.directory import MemberDirectory
@@ -185,6 +186,11 @@
         refused_calls = FailureRate()
         failed_calls = FailureRate()
         self.throttle = OverloadThrottle(rng)
+        self.trees = (
+            CallTrees(self.clock, rng, self._get_backend_service)
+            if settings.call_tree_admission
+            else None
+        )
         self.target = TargetService(
             vm=settings.vm,
             clock=self.clock,
@@ -195,6 +201,7 @@
             failed_calls=failed_calls,
             refused_calls=refused_calls,
             can_log=can_log,
+            trees=self.trees,
         )
         self.lending = TokenLending(
             vm=settings.vm,
@@ -239,6 +246,7 @@
             links=self.links,
             target=self.target,
             on_retry=lambda service: self.metrics.retries.labels(service).inc(),
+            trees=self.trees,
         )
         self.entry = EntryService(
             vm=settings.vm,
@@ -256,6 +264,7 @@
             refused_calls=refused_calls,
             metrics=self.metrics,
             can_log=can_log,
+            trees=self.trees,
         )
         self.control = ControlService(
             adapter=adapter,
@@ -430,6 +439,7 @@
             "backend": self.backend.state(),
             "gate": self.target.gate.state(),
             "admitted_shares": self.throttle.state(),
+            "call_trees": self.trees.state() if self.trees else None,
             "lending": self.lending.state(),
             "links": self.links.state(),
             "members": {
@@ -524,11 +534,15 @@
         self, message: link_pb2.Request, _peer: str
     ) -> Reply:
         result = await self.target.handle(message.context, decode_request(message))
-        return encode_result(result, self._load())
+        return encode_result(result, self._load(message.context.route))
+
+    def _get_backend_service(self) -> str:
+        announcement = self.backend.announcement
+        return announcement.service if announcement else self.settings.service
 
-    def _load(self) -> link_pb2.Load:
+    def _load(self, route: str = "") -> link_pb2.Load:
         """Return the load of the target and of this daemon's processor."""
-        load = self.target.load()
+        load = self.target.load(route)
         load.queued += len(self.start_queue)
         return load
 
@@ -542,6 +556,8 @@
             if self._log_output is not None:
                 self._log_output.flush(self.clock.now_ms())
             self._watch_memory()
+            if self.trees is not None:
+                self.trees.update(self.target.gate.load())
             self.directory.expire_missing()
             self.lending.refresh()
             age_ms = self.feed.freshness.age_ms(self.clock.now_ms())
--- a/src/eelgrassweir/mesh/dispatch.py
+++ b/src/eelgrassweir/mesh/dispatch.py
@@ -10,6 +10,7 @@
 from eelgrassweir.daemon.link_client import LinkError
 from eelgrassweir.daemon.link_pool import LinkPool
 from eelgrassweir.membership.table import MemberTable
+from eelgrassweir.mesh.call_trees import CallTrees
 from eelgrassweir.mesh.link_messages import decode_result, encode_request
 from eelgrassweir.mesh.target import TargetResult, TargetService
 from eelgrassweir.proto import link_pb2
@@ -49,6 +50,8 @@
     failed_calls_share: float = 0.0
     # Response of the last target that gave one, kept during a retry.
     last_response: HttpResponse | None = None
+    # Load that the last target reported.
+    last_load: link_pb2.Load | None = None
     tried_vms: set[str] = attrs.field(factory=set)
     # VM that the request was last sent to.
     target_vm: str = ""
@@ -73,6 +76,7 @@
         links: LinkPool,
         target: TargetService,
         on_retry: Callable[[str], None],
+        trees: CallTrees | None = None,
     ) -> None:
         self._vm = vm
         self._incarnation = incarnation
@@ -84,6 +88,7 @@
         self._links = links
         self._target = target
         self._on_retry = on_retry
+        self._trees = trees
 
     async def send(self, call: Call) -> HttpResponse | Refusal:
         """Return the response of a target, or a refusal if there is none."""
@@ -196,13 +201,16 @@
         except TimeoutError:
             reason = f"no answer in {timeout_ms:.0f} ms"
             raise LinkError("local call", self._vm, reason, is_timeout=True) from None
-        self._record_load(call, member, self._target.load())
+        self._record_load(call, member, self._target.load(call.context.route))
         return result
 
     def _record_load(self, call: Call, member: Member, load: link_pb2.Load) -> None:
         self._picker.record_load(member.vm, load, self._clock.now_ms())
         call.refused_calls_share = load.refused_calls_percent / 100.0
         call.failed_calls_share = load.failed_calls_percent / 100.0
+        call.last_load = load
+        if self._trees is not None:
+            self._trees.record_reply(call.context.service, member.vm, load)
 
     def _translate_link_error(self, member: Member, error: LinkError) -> TargetResult:
         if not error.is_timeout or not error.maybe_sent:
--- a/src/eelgrassweir/mesh/entry.py
+++ b/src/eelgrassweir/mesh/entry.py
@@ -18,6 +18,7 @@
 from eelgrassweir.daemon.metrics import Metrics
 from eelgrassweir.membership.freshness import Freshness
 from eelgrassweir.mesh.adapter import PlatformAdapter
+from eelgrassweir.mesh.call_trees import CallTrees, describe_shortage
 from eelgrassweir.mesh.dispatch import Call, Dispatcher
 from eelgrassweir.mesh.lending import TokenLending
 from eelgrassweir.mesh.log_output import CanLog, is_failed
@@ -75,6 +76,8 @@
     configuration is the newest is older than ``max_staleness_ms``, because the
     key may have been withdrawn since. ``refused_calls`` records the share of
     calls of the local backend server that are refused for lack of capacity.
+    ``trees`` decides on roots by the room for their calls; None if that is not
+    enabled.
     """
 
     def __init__(
@@ -95,6 +98,7 @@
         refused_calls: FailureRate,
         metrics: Metrics,
         can_log: CanLog,
+        trees: CallTrees | None = None,
     ) -> None:
         self._vm = vm
         self._service = service
@@ -111,6 +115,7 @@
         self._refused_calls = refused_calls
         self._metrics = metrics
         self._can_log = can_log
+        self._trees = trees
         self.in_flight_calls = 0
         self.durations = RunDurations()
         # Set in a planned stop: when the requests in progress are failed.
@@ -190,9 +195,30 @@
         if self._would_outlast_stop(authorized.route, left_ms):
             reason = "this VM leaves before the request could end"
             return self._make_refusal("draining", reason)
-        if self._is_throttled(call, authorized):
+        refusal = self._refuse_tree(call, authorized)
+        if refusal is None and self._is_throttled(call, authorized):
             return self._make_throttle_refusal(authorized.route)
-        return None
+        return refusal
+
+    def _refuse_tree(self, call: Call, authorized: AuthorizedRequest) -> Refusal | None:
+        """Return a refusal if there is no room for the calls below a root."""
+        if self._trees is None or authorized.team is None:
+            return None
+        route = authorized.route
+        rank = _compute_rank(route, authorized.team)
+        shortage = self._trees.try_admit(call.context, rank)
+        if shortage is None:
+            return None
+        self._metrics.tree_refusals.labels(route.name, shortage.room.service).inc()
+        refusal = self._make_refusal(
+            "overloaded", describe_shortage(shortage, route.name)
+        )
+        # Jitter, so that callers do not retry all at once.
+        retry_after_ms = int(refusal.retry_after_ms * self._rng.uniform(0.5, 1.5))
+        return attrs.evolve(refusal, retry_after_ms=retry_after_ms)
+
+    def _has_tree_basis(self, route: RouteRule) -> bool:
+        return self._trees is not None and self._trees.has_basis(route.name)
 
     def _would_outlast_stop(self, route: RouteRule, limit_ms: float) -> bool:
         """Return whether a planned stop would cut the request off.
@@ -241,7 +267,7 @@
 
         The overload is one of the services that its target calls.
         """
-        if authorized.team is None:
+        if authorized.team is None or self._has_tree_basis(authorized.route):
             return False
         rank = RANK_COUNT * call.context.priority + call.context.rank
         now_ms = self._clock.now_ms()
@@ -257,15 +283,27 @@
     ) -> None:
         """Record whether a request or call failed for lack of capacity."""
         now_ms = self._clock.now_ms()
+        self._record_cost(call, authorized)
         if authorized.team is None:
             refused = is_capacity_failure(call, result)
             self._refused_calls.record(failed=refused, now_ms=now_ms)
             failed = isinstance(result, Refusal) or result.status >= SERVER_ERROR
             self._failed_calls.record(failed=failed, now_ms=now_ms)
-        elif isinstance(result, HttpResponse):
+        elif isinstance(result, HttpResponse) and not self._has_tree_basis(
+            authorized.route
+        ):
             failed = is_capacity_failure(call, result)
             self._throttle.record(authorized.route.name, failed=failed, now_ms=now_ms)
 
+    def _record_cost(self, call: Call, authorized: AuthorizedRequest) -> None:
+        """Learn from a reply what the call tree of the request costs."""
+        if self._trees is None or call.last_load is None:
+            return
+        if authorized.team is None:
+            self._trees.record_call(call.last_load)
+        else:
+            self._trees.record_root(authorized.route.name, call.last_load)
+
     def _log_response(
         self,
         call: Call,
@@ -302,8 +340,9 @@
         context = link_pb2.CallContext(
             request_id=caller_request.request_id,
             team=team.name if team else "",
-            priority=_choose_priority(team),
+            priority=self._choose_priority(route, team),
             rank=_compute_rank(route, team),
+            route=route.name if self._trees is not None else "",
             idempotent=route.idempotent,
             service=pick_service(route, self._rng),
             caller_service=self._service,
@@ -317,6 +356,18 @@
             max_backend_attempts=route.attempts,
         )
 
+    def _choose_priority(
+        self, route: RouteRule, team: TeamRule | None
+    ) -> link_pb2.Priority.ValueType:
+        """Return the priority of a request in the queue of its target.
+
+        The most urgent roots do not wait behind calls of less urgent ones.
+        """
+        is_urgent = team is not None and team.priority <= 0 and route.priority <= 0
+        if is_urgent and self._trees is not None:
+            return CHILD_PRIORITY
+        return _choose_priority(team)
+
     def _make_refusal(self, code: str, reason: str) -> Refusal:
         return Refusal(
             code=code,
--- a/src/eelgrassweir/mesh/target.py
+++ b/src/eelgrassweir/mesh/target.py
@@ -14,6 +14,7 @@
 from eelgrassweir.daemon.http_message import HttpRequest, HttpResponse
 from eelgrassweir.mesh.adapter import PlatformAdapter
 from eelgrassweir.mesh.backend import BackendTracker
+from eelgrassweir.mesh.call_trees import CallTrees
 from eelgrassweir.mesh.log_output import CanLog, is_failed
 from eelgrassweir.proto import link_pb2
 from eelgrassweir.requests.calls import BackendFields
@@ -69,6 +70,7 @@
     ``failed_calls`` is the share of the calls made by the backend server that
     failed, ``refused_calls`` the share that was refused for lack of capacity.
     ``can_log`` returns whether a log line of a message type would be written.
+    ``trees`` measures the demand of call trees; None if it is not enabled.
     """
 
     def __init__(
@@ -83,6 +85,7 @@
         failed_calls: FailureRate,
         refused_calls: FailureRate,
         can_log: CanLog,
+        trees: CallTrees | None = None,
     ) -> None:
         self._vm = vm
         self._clock = clock
@@ -92,18 +95,24 @@
         self._failed_calls = failed_calls
         self._refused_calls = refused_calls
         self._can_log = can_log
+        self._trees = trees
         self.gate = Gate(clock, vm, queue_limit_calls, rng, limit=SlotLimit())
         self.is_stopping = False
         self.running_calls = 0
 
-    def load(self) -> link_pb2.Load:
-        """Return the load to report to the entry with each reply."""
+    def load(self, route: str = "") -> link_pb2.Load:
+        """Return the load to report to the entry with each reply.
+
+        :param route: route of the request that is answered.
+        """
         load = self.gate.load()
         load.draining = self.is_stopping or self._backend.is_leaving
         now_ms = self._clock.now_ms()
         load.failing_percent = round(100 * self._failures.rate(now_ms))
         load.refused_calls_percent = round(100 * self._refused_calls.rate(now_ms))
         load.failed_calls_percent = round(100 * self._failed_calls.rate(now_ms))
+        if self._trees is not None:
+            self._trees.add_to_load(load, route)
         return load
 
     async def handle(
@@ -116,6 +125,8 @@
         if refusal is not None:
             return TargetResult(refusal, False)
         self.running_calls += 1
+        if self._trees is not None:
+            self._trees.record_arrival(context)
         try:
             admission = await self.gate.enter(
                 priority=context.priority,
@@ -125,13 +136,20 @@
                 remaining_ms=context.remaining_ms - QUEUE_MARGIN_MS,
             )
             if isinstance(admission, Refusal):
+                self._record_refusal(admission, by_backend=False)
                 return TargetResult(admission, False)
             result = await self._run(context, request, admission, deadline_ms)
+            if isinstance(result.result, Refusal) and result.reached_backend:
+                self._record_refusal(result.result, by_backend=True)
             self._log_run(context, result, started_ms, admission)
             return result
         finally:
             self.running_calls -= 1
 
+    def _record_refusal(self, refusal: Refusal, *, by_backend: bool) -> None:
+        if self._trees is not None:
+            self._trees.record_refusal(refusal, by_backend=by_backend)
+
     def _log_run(
         self,
         context: link_pb2.CallContext,
@@ -162,6 +180,8 @@
         deadline_ms: float,
     ) -> TargetResult:
         outcome = Outcome.CANCELLED
+        if self._trees is not None:
+            self._trees.record_start(context)
         try:
             result = await self._exchange(context, request, deadline_ms)
             is_ok = isinstance(result.result, HttpResponse)
@@ -172,6 +192,9 @@
             raise
         finally:
             self.gate.leave(admission, outcome)
+            if self._trees is not None:
+                run_ms = self._clock.now_ms() - admission.started_ms
+                self._trees.record_end(context, run_ms, admission.queued_ms)
 
     def _log_cancelled(
         self, context: link_pb2.CallContext, admission: Admission
