--- a/src/eelgrassweir/admission/offered.py
+++ b/src/eelgrassweir/admission/offered.py
@@ -21,6 +21,10 @@
 # report, time above the leaf, and half of the window of the measurement.
 MIN_DELAY_MS = 400.0
 MAX_DELAY_MS = 1_100.0
+# While calls wait, trees take longer; the arriving ones began before so many
+# waits earlier (calls of one tree come one after another).
+EARLIER_CALLS = 5.0
+HISTORY_MS = 4_000.0
 # The backlog is to be worked off within this time, but with at most this part
 # of the limit.
 DRAIN_MS = 500.0
@@ -73,6 +77,7 @@
         self._updated_ms: float | None = None
         self._run_ms = 0.0
         self._backlog = 0.0
+        self._wait_ms = 0.0
         self._target = TARGET_UTILIZATION
         self._overloaded_ms = float("-inf")
         self._reduced_ms = float("-inf")
@@ -119,6 +124,7 @@
     def _measure(self, window: _Bucket, limit_calls: int, queued_calls: int) -> None:
         if window.runs:
             self._run_ms = window.run_ms / window.runs
+            self._wait_ms = window.wait_ms / window.runs
         extra_refused = (1.0 - REFUSED_WEIGHT) * window.refused
         arrivals = max(0.0, window.arrivals - extra_refused)
         run_share = self._run_ms / max(1, limit_calls)
@@ -155,13 +161,16 @@
         if self.share < 1.0:
             self._reduced_ms = now_ms
         self._history.append((now_ms, self.share))
-        while self._history[0][0] < now_ms - MAX_DELAY_MS:
+        while self._history[0][0] < now_ms - HISTORY_MS:
             self._history.popleft()
 
     def _share_of_arrivals(self, now_ms: float) -> float:
         """Return the mean share in force when the arriving trees began."""
+        earliest_ms = now_ms - MAX_DELAY_MS - EARLIER_CALLS * self._wait_ms
         latest_ms = now_ms - MIN_DELAY_MS
-        shares = [share for at_ms, share in self._history if at_ms <= latest_ms]
+        shares = [
+            share for at_ms, share in self._history if earliest_ms <= at_ms <= latest_ms
+        ]
         return sum(shares) / len(shares) if shares else 1.0
 
 
--- a/src/eelgrassweir/admission/rooms.py
+++ b/src/eelgrassweir/admission/rooms.py
@@ -4,6 +4,8 @@
 roots do not call it themselves. Reports travel upwards with replies.
 """
 
+import statistics
+
 import attrs
 
 MAX_SERVICES = 8
@@ -17,6 +19,11 @@
 MAX_HEADROOM = 1.5
 FULL_UTILIZATION = 0.95
 UTILIZATION_WEIGHT = 0.2
+# A target is left out if its report is older than this and than the median
+# report by this factor. Counting lost targets as free admitted too many trees
+# for two seconds.
+SILENT_MS = 150.0
+SILENT_AGE_FACTOR = 4.0
 
 
 @attrs.frozen
@@ -136,17 +143,27 @@
     service: str, targets: dict[str, _TargetReport], now_ms: float
 ) -> Room | None:
     """Return the mean share of the targets, weighted by their limits."""
-    limit_calls = sum(report.limit_calls for report in targets.values())
+    reports = _list_answering(list(targets.values()), now_ms)
+    limit_calls = sum(report.limit_calls for report in reports)
     if not limit_calls:
         return None
     share = age_ms = 0.0
-    for report in targets.values():
+    for report in reports:
         weight = report.limit_calls / limit_calls
         share += weight * _share_with_headroom(report)
         age_ms += weight * (now_ms - report.reported_ms)
     return Room(service, min(1.0, share), age_ms)
 
 
+def _list_answering(reports: list[_TargetReport], now_ms: float) -> list[_TargetReport]:
+    """Return the reports without those of targets that no longer answer."""
+    if not reports:
+        return []
+    reported_ms = statistics.median(report.reported_ms for report in reports)
+    limit_ms = SILENT_MS + SILENT_AGE_FACTOR * (now_ms - reported_ms)
+    return [report for report in reports if now_ms - report.reported_ms <= limit_ms]
+
+
 def _share_with_headroom(report: _TargetReport) -> float:
     if report.share < 1.0:
         return report.share
