--- a/src/eelgrassweir/settings/mesh_generated.py
+++ b/src/eelgrassweir/settings/mesh_generated.py
@@ -39,6 +39,7 @@
     store_watch_ms: int = 2000
     lease_ms: int = 10000
     domain_spill: bool = False
+    call_tree_admission: bool = False
     seed: int = 0
 
 
@@ -218,6 +219,11 @@
         kind="boolean",
         required=False,
     ),
+    Field(
+        name="call_tree_admission",
+        kind="boolean",
+        required=False,
+    ),
     Field(
         name="seed",
         kind="integer",
