--- a/src/eelgrassweir/mesh/app.py
+++ b/src/eelgrassweir/mesh/app.py
@@ -56,6 +56,7 @@
 from eelgrassweir.proto import link_pb2
 from eelgrassweir.retries.budget import RetryRatio
 from eelgrassweir.routing.picker import TargetPicker
+from eelgrassweir.routing.placement import SpeedAwarePlacement
 from eelgrassweir.routing.rules import RoutingConfig
 from eelgrassweir.settings.mesh_generated import MeshSettings
 from eelgrassweir.store.items import Change, Item, Removal, Snapshot
@@ -195,6 +196,7 @@
             failed_calls=failed_calls,
             refused_calls=refused_calls,
             can_log=can_log,
+            reports_speed=settings.speed_aware_placement,
         )
         self.lending = TokenLending(
             vm=settings.vm,
@@ -223,6 +225,9 @@
             leaves_handler=self.leave_replication.serve,
             load_handler=self._load,
         )
+        self.placement = (
+            SpeedAwarePlacement(rng) if settings.speed_aware_placement else None
+        )
         self.retry_ratio = RetryRatio(
             percent=100 * settings.budget_ratio * RETRY_RATIO_SHARE,
             spare_retries=1,
@@ -234,7 +239,11 @@
             failure_domain=settings.failure_domain,
             clock=self.clock,
             members=self.directory.members,
-            picker=TargetPicker(rng, own_domain_margin=OWN_DOMAIN_MARGIN),
+            picker=TargetPicker(
+                rng,
+                own_domain_margin=OWN_DOMAIN_MARGIN,
+                placement=self.placement,
+            ),
             retry_ratio=self.retry_ratio,
             links=self.links,
             target=self.target,
@@ -430,6 +439,7 @@
             "backend": self.backend.state(),
             "gate": self.target.gate.state(),
             "admitted_shares": self.throttle.state(),
+            "placement": self.placement.state(now_ms) if self.placement else {},
             "lending": self.lending.state(),
             "links": self.links.state(),
             "members": {
--- a/src/eelgrassweir/mesh/dispatch.py
+++ b/src/eelgrassweir/mesh/dispatch.py
@@ -170,10 +170,12 @@
     async def _send_once(self, call: Call, member: Member) -> TargetResult:
         timeout_ms = call.deadline_ms - self._clock.now_ms()
         call.context.remaining_ms = max(1, int(timeout_ms))
-        self._picker.record_start(member.vm)
+        sent = self._picker.record_start(member.vm)
         try:
             if member.vm == self._vm and member.incarnation == self._incarnation:
-                return await self._send_locally(call, member, timeout_ms)
+                result = await self._send_locally(call, member, timeout_ms)
+                self._record_response(member, sent, result)
+                return result
             reply = await self._links.call(
                 member.link_address,
                 member.incarnation,
@@ -181,11 +183,17 @@
                 timeout_ms=timeout_ms,
             )
             self._record_load(call, member, reply.load)
-            return decode_result(reply)
+            result = decode_result(reply)
+            self._record_response(member, sent, result)
+            return result
         except LinkError as error:
             return self._translate_link_error(member, error)
         finally:
-            self._picker.record_end(member.vm)
+            self._picker.record_end(member.vm, sent)
+
+    def _record_response(self, member: Member, sent: int, result: TargetResult) -> None:
+        if isinstance(result.result, HttpResponse):
+            self._picker.record_response(member.vm, sent, self._clock.now_ms())
 
     async def _send_locally(
         self, call: Call, member: Member, timeout_ms: float
--- a/src/eelgrassweir/mesh/target.py
+++ b/src/eelgrassweir/mesh/target.py
@@ -8,6 +8,7 @@
 
 from eelgrassweir.admission.failures import FailureRate
 from eelgrassweir.admission.limit import ConcurrencyLimit, Outcome
+from eelgrassweir.admission.run_time import RunTimes
 from eelgrassweir.clock import Clock
 from eelgrassweir.daemon.gate import Admission, Gate
 from eelgrassweir.daemon.http_client import ExchangeError, SendStatus
@@ -69,6 +70,7 @@
     ``failed_calls`` is the share of the calls made by the backend server that
     failed, ``refused_calls`` the share that was refused for lack of capacity.
     ``can_log`` returns whether a log line of a message type would be written.
+    With ``reports_speed``, load reports contain run times and stalls.
     """
 
     def __init__(
@@ -83,9 +85,11 @@
         failed_calls: FailureRate,
         refused_calls: FailureRate,
         can_log: CanLog,
+        reports_speed: bool = False,
     ) -> None:
         self._vm = vm
         self._clock = clock
+        self._run_times = RunTimes() if reports_speed else None
         self._backend = backend
         self._adapter = adapter
         self._failures = FailureRate()
@@ -104,6 +108,9 @@
         load.failing_percent = round(100 * self._failures.rate(now_ms))
         load.refused_calls_percent = round(100 * self._refused_calls.rate(now_ms))
         load.failed_calls_percent = round(100 * self._failed_calls.rate(now_ms))
+        if self._run_times is not None:
+            load.service_ms = round(self._run_times.service_ms(now_ms))
+            load.stalled_ms = round(self._run_times.stalled_ms(now_ms))
         return load
 
     async def handle(
@@ -162,8 +169,11 @@
         deadline_ms: float,
     ) -> TargetResult:
         outcome = Outcome.CANCELLED
+        if self._run_times is not None:
+            self._run_times.record_start(admission.started_ms)
         try:
             result = await self._exchange(context, request, deadline_ms)
+            self._record_run_time(result, admission)
             is_ok = isinstance(result.result, HttpResponse)
             outcome = Outcome.OK if is_ok else Outcome.FAILED
             return result
@@ -171,8 +181,19 @@
             self._log_cancelled(context, admission)
             raise
         finally:
+            if self._run_times is not None:
+                self._run_times.record_end()
             self.gate.leave(admission, outcome)
 
+    def _record_run_time(self, result: TargetResult, admission: Admission) -> None:
+        response = result.result
+        if self._run_times is None or not isinstance(response, HttpResponse):
+            return
+        now_ms = self._clock.now_ms()
+        self._run_times.record_answer(
+            now_ms - admission.started_ms, now_ms, is_failed=is_failed(response.status)
+        )
+
     def _log_cancelled(
         self, context: link_pb2.CallContext, admission: Admission
     ) -> None:
--- a/src/eelgrassweir/routing/picker.py
+++ b/src/eelgrassweir/routing/picker.py
@@ -7,6 +7,7 @@
 import attrs
 
 from eelgrassweir.proto import control_pb2, link_pb2
+from eelgrassweir.routing.placement import SpeedAwarePlacement
 
 READY = control_pb2.READY
 # A load report is outdated about a second after it was made.
@@ -30,6 +31,8 @@
 PROBE_TIMEOUT_MS = 5_000.0
 EVICTION_AGE_MS = 60_000.0
 EVICTION_MIN_TARGETS = 1_000
+# A paused target counts as full, so that those of other domains are preferred.
+PAUSED_LOAD = 1.0
 
 
 @attrs.define
@@ -51,13 +54,19 @@
     """Choose the less loaded of two random targets, own domain first.
 
     A target whose link fails is ejected, for longer with each failure, and
-    then probed with a single call.
+    then probed with a single call. With a ``placement``, the choice between
+    two targets also takes their speed and pauses into account.
     """
 
     def __init__(
-        self, random: random.Random, *, own_domain_margin: float = OWN_DOMAIN_MARGIN
+        self,
+        random: random.Random,
+        *,
+        own_domain_margin: float = OWN_DOMAIN_MARGIN,
+        placement: SpeedAwarePlacement | None = None,
     ) -> None:
         self._random = random
+        self._placement = placement
         self._own_domain_margin = own_domain_margin
         self._targets: dict[str, _TargetState] = {}
         self._chosen_ms = 0.0
@@ -86,18 +95,28 @@
             return best_local
         return best_remote
 
-    def record_start(self, vm: str) -> None:
-        """Record that a call was sent to the target."""
+    def record_start(self, vm: str) -> int:
+        """Record that a call was sent to the target; return its number."""
         target = self._target(vm)
         target.in_flight_calls += 1
         if target.failures:
             target.probe_until_ms = self._chosen_ms + PROBE_TIMEOUT_MS
+        if self._placement is None:
+            return 0
+        return self._placement.record_start(vm, self._chosen_ms)
 
-    def record_end(self, vm: str) -> None:
+    def record_response(self, vm: str, call: int, now_ms: float) -> None:
+        """Record that the backend server of the target answered a call."""
+        if self._placement is not None:
+            self._placement.record_response(vm, call, now_ms)
+
+    def record_end(self, vm: str, call: int = 0) -> None:
         """Record the end of a call, whatever its outcome."""
         target = self._target(vm)
         target.in_flight_calls = max(0, target.in_flight_calls - 1)
         target.probe_until_ms = 0.0
+        if self._placement is not None:
+            self._placement.record_end(vm, call)
 
     def record_load(self, vm: str, load: link_pb2.Load, now_ms: float) -> None:
         """Record the load of a response and end the target's ejection.
@@ -113,6 +132,8 @@
         target.ejected_until_ms = (
             now_ms + DRAINING_EJECTION_MS if load.draining else 0.0
         )
+        if self._placement is not None:
+            self._placement.record_load(vm, load, now_ms)
 
     def record_failure(self, vm: str, now_ms: float) -> None:
         """Eject a target whose link failed, with exponential backoff."""
@@ -126,6 +147,8 @@
             MAX_EJECTION_MS, MIN_EJECTION_MS * 2.0 ** (target.failures - 1)
         )
         target.ejected_until_ms = now_ms + ejection_ms * self._random.uniform(0.8, 1.2)
+        if self._placement is not None:
+            self._placement.record_failure(vm)
 
     def _target(self, vm: str) -> _TargetState:
         target = self._targets.get(vm)
@@ -174,6 +197,8 @@
     def _choose_of_two(
         self, members: Sequence[control_pb2.Member], now_ms: float
     ) -> control_pb2.Member | None:
+        if members and self._placement is not None:
+            return self._placement.choose(members, self._failing_load, now_ms)
         if len(members) < 2:
             return members[0] if members else None
         first_index = int(self._random.random() * len(members))
@@ -192,5 +217,15 @@
         reported_calls = target.reported_calls * math.exp2(-age_ms / LOAD_HALF_LIFE_MS)
         limit_calls = target.limit_calls or member.slots or DEFAULT_LIMIT_CALLS
         load = (target.in_flight_calls + reported_calls) / limit_calls
+        if self._placement is not None and self._placement.is_paused(member, now_ms):
+            load += PAUSED_LOAD
+        return load + self._failing_load(member.vm, now_ms)
+
+    def _failing_load(self, vm: str, now_ms: float) -> float:
+        """Return the load that stands for the calls that the target fails."""
+        target = self._targets.get(vm)
+        if target is None:
+            return 0.0
+        age_ms = max(0.0, now_ms - target.reported_ms)
         failing_share = target.failing_share * math.exp2(-age_ms / FAILING_HALF_LIFE_MS)
-        return load + FAILING_WEIGHT * max(0.0, failing_share - FAILING_SHARE_THRESHOLD)
+        return FAILING_WEIGHT * max(0.0, failing_share - FAILING_SHARE_THRESHOLD)
--- a/src/eelgrassweir/settings/field.py
+++ b/src/eelgrassweir/settings/field.py
@@ -7,9 +7,10 @@
 class Field:
     """Describe the values that one settings field may hold.
 
-    ``kind`` is the JSON schema type: ``string``, ``integer``, ``number`` or
-    ``array`` (of strings). ``minimum`` and ``maximum``, both inclusive, are
-    set for numbers; ``pattern`` is set for strings and items of arrays.
+    ``kind`` is the JSON schema type: ``string``, ``integer``, ``number``,
+    ``boolean`` or ``array`` (of strings). ``minimum`` and ``maximum``, both
+    inclusive, are set for numbers; ``pattern`` is set for strings and items of
+    arrays.
     """
 
     name: str
--- a/src/eelgrassweir/settings/loader.py
+++ b/src/eelgrassweir/settings/loader.py
@@ -111,6 +111,8 @@
         return _check_number(field, value)
     if field.kind == "string":
         return _check_string(field, value)
+    if field.kind == "boolean":
+        return None if isinstance(value, bool) else "true or false"
     if not isinstance(value, list):
         return "a list of strings"
     for item in value:
--- a/src/eelgrassweir/settings/mesh_generated.py
+++ b/src/eelgrassweir/settings/mesh_generated.py
@@ -38,6 +38,7 @@
     store_timeout_ms: int = 1000
     store_watch_ms: int = 2000
     lease_ms: int = 10000
+    speed_aware_placement: bool = False
     seed: int = 0
 
 
@@ -212,6 +213,11 @@
         minimum=1000,
         maximum=600000,
     ),
+    Field(
+        name="speed_aware_placement",
+        kind="boolean",
+        required=False,
+    ),
     Field(
         name="seed",
         kind="integer",
