Tune speed-aware placement and test it on played loads

Cause: entries see a target only through the replies to their own calls, some seconds apart. Reports that decay to an idle target let all entries prefer the same fast targets.

Change: reported loads and speeds decay to the mean of the service, the expected completion grows with the third power of the fullness above half full, and a target that has become very slow is tried again after 2 s. Without reported run times the choice is the one by load.

--- a/src/eelgrassweir/routing/completion.py
+++ b/src/eelgrassweir/routing/completion.py
@@ -11,17 +11,27 @@
 
 from eelgrassweir.routing.target_view import TargetView
 
-# A reported load is outdated about a second after it was made, a reported
-# speed holds for longer. Both then tend to the mean of the service: a target
-# taken to be idle because its report is old would attract all entries.
-LOAD_HALF_LIFE_MS = 500.0
-SPEED_HALF_LIFE_MS = 10_000.0
+# A reported load is outdated after some seconds, a reported speed later. Both
+# then tend to the mean of the service: a target taken to be idle because its
+# report is old would attract all entries.
+LOAD_HALF_LIFE_MS = 1_500.0
+SPEED_HALF_LIFE_MS = 5_000.0
 MEANS_HALF_LIFE_MS = 2_000.0
 # Below this utilization calls do not wait, so the run time alone decides.
 HALF_FULL = 0.5
+# Growth of the expected completion above half full. With 1.0, entries with old
+# views overfilled the fast targets: at 0.95 of the capacity of 30 targets, the
+# median latency was 693 ms, with 3.0 and the longer half-life 330 ms.
+FULLNESS_EXPONENT = 3.0
 # Bounds of a target's run time relative to the service's mean.
 MIN_SLOWNESS = 0.25
 MAX_SLOWNESS = 8.0
+# A target this much slower than the others has become slow and gets probe
+# traffic only: lasting differences are smaller. An entry that sends it a call
+# every few seconds never sends a probe, so it tries the target again after
+# this time.
+SLOW_TARGET = 2.5
+SLOW_HOLD_MS = 2_000.0
 
 
 @attrs.frozen
@@ -59,6 +69,8 @@
         return 1.0
     ratio = min(MAX_SLOWNESS, max(MIN_SLOWNESS, view.service_ms / means.service_ms))
     age_ms = now_ms - view.reported_ms
+    if ratio > SLOW_TARGET and age_ms > SLOW_HOLD_MS:
+        return 1.0
     return float(ratio ** math.exp2(-age_ms / SPEED_HALF_LIFE_MS))
 
 
@@ -78,4 +90,5 @@
 
     Above half full, it grows with the utilization, since calls then wait.
     """
-    return slowness * max(1.0, utilization / HALF_FULL)
+    fullness = max(1.0, utilization / HALF_FULL)
+    return float(slowness * fullness**FULLNESS_EXPONENT)
--- a/src/eelgrassweir/routing/pauses.py
+++ b/src/eelgrassweir/routing/pauses.py
@@ -19,8 +19,7 @@
 DEVIATION_WEIGHT = 0.25
 # A reported stall is taken to last this long without newer reports.
 STALL_HOLD_MS = 1_000.0
-# A target this much slower than the others gets only probe traffic.
-SLOW_TARGET = 2.5
+# Share of its usual calls that probes a paused or very slow target.
 PROBE_SHARE = 0.05
 MIN_PROBES_PER_S = 1.0
 
--- a/src/eelgrassweir/routing/picker.py
+++ b/src/eelgrassweir/routing/picker.py
@@ -198,7 +198,9 @@
         self, members: Sequence[control_pb2.Member], now_ms: float
     ) -> control_pb2.Member | None:
         if members and self._placement is not None:
-            return self._placement.choose(members, self._failing_load, now_ms)
+            member = self._placement.choose(members, self._failing_load, now_ms)
+            if member is not None:
+                return member
         if len(members) < 2:
             return members[0] if members else None
         first_index = int(self._random.random() * len(members))
--- a/src/eelgrassweir/routing/placement.py
+++ b/src/eelgrassweir/routing/placement.py
@@ -11,18 +11,14 @@
 
 from eelgrassweir.proto import control_pb2, link_pb2
 from eelgrassweir.routing.completion import (
+    SLOW_TARGET,
     ServiceMeans,
     compute_means,
     estimate_slowness,
     estimate_utilization,
     expected_completion,
 )
-from eelgrassweir.routing.pauses import (
-    SLOW_TARGET,
-    AnswerTimes,
-    is_paused,
-    probe_share,
-)
+from eelgrassweir.routing.pauses import AnswerTimes, is_paused, probe_share
 from eelgrassweir.routing.ramp_up import ramp_share
 from eelgrassweir.routing.target_view import TargetView, apply_report, make_view
 
@@ -71,15 +67,17 @@
         members: Sequence[control_pb2.Member],
         failing_load: Callable[[str, float], float],
         now_ms: float,
-    ) -> control_pb2.Member:
-        """Return one of the targets, which are of one service.
+    ) -> control_pb2.Member | None:
+        """Return one of the targets of a service, None without reports.
 
         ``failing_load`` returns the load that stands for failures of a VM.
         """
-        service = self._get_service(members[0].service, now_ms)
+        service = self._refresh(members, now_ms)
         if len(members) == 1:
             self._get_view(service, members[0], now_ms)
             return members[0]
+        if not service.means.service_ms:
+            return None
         first = self._draw(service, members, None, failing_load, now_ms)
         if first.is_probe:
             return first.member
@@ -158,11 +156,17 @@
         service = self._service_of.get(vm)
         return service.views.get(vm) if service is not None else None
 
-    def _get_service(self, name: str, now_ms: float) -> _ServiceView:
+    def _refresh(
+        self, members: Sequence[control_pb2.Member], now_ms: float
+    ) -> _ServiceView:
+        """Return the service of the targets, with recent means."""
+        name = members[0].service
         service = self._services.get(name)
         if service is None:
             service = self._services[name] = _ServiceView()
         if now_ms - service.means_ms >= MEANS_INTERVAL_MS:
+            for member in members:
+                self._get_view(service, member, now_ms).used_ms = now_ms
             self._evict_unused(service, now_ms)
             service.means = compute_means(service.views.values(), now_ms)
             service.means_ms = now_ms
--- a/testing/routing/placement_load.py
+++ b/testing/routing/placement_load.py
@@ -42,12 +42,12 @@
 
 @attrs.frozen(kw_only=True)
 class LoadSpec:
-    """Load on the targets of a service."""
+    """Load on the targets of a service; calls take one of the run times."""
 
     targets: tuple[TargetSpec, ...]
     entries: int
     calls_per_s: float
-    run_ms: float
+    run_ms: tuple[float, ...]
     slots: int
     deadline_ms: float
     duration_ms: float
@@ -201,7 +201,7 @@
         number = picker.record_start(member.vm)
         started_ms = self._now_ms
         target = self._targets[int(member.vm)]
-        work_ms = self._spec.run_ms * self._rng.uniform(0.7, 1.3)
+        work_ms = self._rng.choice(self._spec.run_ms) * self._rng.uniform(0.7, 1.3)
 
         def reply(is_answer: bool) -> None:
             load = target.load(self._now_ms)
--- a/testing/settings/test_loader.py
+++ b/testing/settings/test_loader.py
@@ -7,7 +7,12 @@
 import pytest
 from returns.result import Failure, Success
 
-from eelgrassweir.settings.loader import check_settings, load_settings
+from eelgrassweir.settings.field import Field
+from eelgrassweir.settings.loader import (
+    check_settings,
+    check_settings_as,
+    load_settings,
+)
 
 VALID: dict[str, Any] = {
     "vm": "oviedo-fichero-1",
@@ -65,3 +70,12 @@
     assert isinstance(load_settings(path), Failure)
     path.write_text(json.dumps(VALID))
     assert isinstance(load_settings(path), Success)
+
+
+@pytest.mark.parametrize("value", ["true", 1, None])
+def test_switch_is_true_or_false(value: object) -> None:
+    """Guard against a text that counts as a switch that is on."""
+    fields = (Field(name="is_on", kind="boolean", required=True),)
+    assert isinstance(check_settings_as(dict, fields, {"is_on": True}), Success)
+    result = check_settings_as(dict, fields, {"is_on": value})
+    assert result.failure().allowed == "true or false"
