Hold a pause for a second after a late call without a response

A call that ends at its deadline took the evidence of the pause with it, so that the next calls went to a target that never answers. The choice between domains now also leaves a sole paused target until a probe a second later.

--- a/src/eelgrassweir/mesh/dispatch.py
+++ b/src/eelgrassweir/mesh/dispatch.py
@@ -189,7 +189,7 @@
         except LinkError as error:
             return self._translate_link_error(member, error)
         finally:
-            self._picker.record_end(member.vm, sent)
+            self._picker.record_end(member.vm, sent, self._clock.now_ms())
 
     def _record_response(self, member: Member, sent: int, result: TargetResult) -> None:
         if isinstance(result.result, HttpResponse):
--- a/src/eelgrassweir/routing/pauses.py
+++ b/src/eelgrassweir/routing/pauses.py
@@ -17,8 +17,9 @@
 MIN_LATE_MS = 50.0
 MEAN_WEIGHT = 0.125
 DEVIATION_WEIGHT = 0.25
-# A reported stall is taken to last this long without newer reports.
-STALL_HOLD_MS = 1_000.0
+# A reported stall, and a late call that ended without a response, count for
+# this long, so that the next call is a probe about a second later.
+PAUSE_HOLD_MS = 1_000.0
 # Share of its usual calls that probes a paused or very slow target.
 PROBE_SHARE = 0.05
 MIN_PROBES_PER_S = 1.0
@@ -57,7 +58,9 @@
     """
     if late_ms is None:
         return False
-    if view.stalled_ms > late_ms and now_ms - view.reported_ms < STALL_HOLD_MS:
+    if now_ms < view.paused_until_ms:
+        return True
+    if view.stalled_ms > late_ms and now_ms - view.reported_ms < PAUSE_HOLD_MS:
         return True
     if not view.starts_ms:
         return False
@@ -65,6 +68,15 @@
     return now_ms - max(oldest_ms, view.answered_ms) > late_ms
 
 
+def hold_pause(
+    view: TargetView, started_ms: float, late_ms: float | None, now_ms: float
+) -> None:
+    """Remember a late call that ended without a response."""
+    unanswered_ms = now_ms - max(started_ms, view.answered_ms)
+    if late_ms is not None and unanswered_ms > late_ms:
+        view.paused_until_ms = now_ms + PAUSE_HOLD_MS
+
+
 def probe_share(means: ServiceMeans) -> float:
     """Return the share of a target's usual calls that probes it.
 
--- a/src/eelgrassweir/routing/picker.py
+++ b/src/eelgrassweir/routing/picker.py
@@ -110,13 +110,16 @@
         if self._placement is not None:
             self._placement.record_response(vm, call, now_ms)
 
-    def record_end(self, vm: str, call: int = 0) -> None:
-        """Record the end of a call, whatever its outcome."""
+    def record_end(self, vm: str, call: int = 0, now_ms: float = 0.0) -> None:
+        """Record the end of a call, whatever its outcome.
+
+        The placement needs the number of the call and the time.
+        """
         target = self._target(vm)
         target.in_flight_calls = max(0, target.in_flight_calls - 1)
         target.probe_until_ms = 0.0
         if self._placement is not None:
-            self._placement.record_end(vm, call)
+            self._placement.record_end(vm, call, now_ms)
 
     def record_load(self, vm: str, load: link_pb2.Load, now_ms: float) -> None:
         """Record the load of a response and end the target's ejection.
--- a/src/eelgrassweir/routing/placement.py
+++ b/src/eelgrassweir/routing/placement.py
@@ -18,7 +18,12 @@
     estimate_utilization,
     expected_completion,
 )
-from eelgrassweir.routing.pauses import AnswerTimes, is_paused, probe_share
+from eelgrassweir.routing.pauses import (
+    AnswerTimes,
+    hold_pause,
+    is_paused,
+    probe_share,
+)
 from eelgrassweir.routing.ramp_up import ramp_share
 from eelgrassweir.routing.target_view import TargetView, apply_report, make_view
 
@@ -111,15 +116,19 @@
         if is_paused(view, service.answer_times.late_ms(), now_ms):
             view.returned_ms = now_ms
         view.answered_ms = now_ms
+        view.paused_until_ms = 0.0
         started_ms = view.starts_ms.pop(call, None)
         if started_ms is not None:
             service.answer_times.record(now_ms - started_ms)
 
-    def record_end(self, vm: str, call: int) -> None:
+    def record_end(self, vm: str, call: int, now_ms: float) -> None:
         """Record the end of a call, whatever its outcome."""
-        view = self._find(vm)
-        if view is not None:
-            view.starts_ms.pop(call, None)
+        service, view = self._service_of.get(vm), self._find(vm)
+        if service is None or view is None:
+            return
+        started_ms = view.starts_ms.pop(call, None)
+        if started_ms is not None:
+            hold_pause(view, started_ms, service.answer_times.late_ms(), now_ms)
 
     def record_load(self, vm: str, load: link_pb2.Load, now_ms: float) -> None:
         """Record the load of a reply."""
--- a/src/eelgrassweir/routing/target_view.py
+++ b/src/eelgrassweir/routing/target_view.py
@@ -11,6 +11,7 @@
 
     ``starts_ms`` holds the start of each call in flight, the oldest first.
     ``returned_ms`` is when the target appeared or began to answer again.
+    ``paused_until_ms`` is set when a late call ends without a response.
     """
 
     incarnation: str
@@ -23,6 +24,7 @@
     limit_calls: int = 0
     service_ms: float = 0.0
     stalled_ms: float = 0.0
+    paused_until_ms: float = 0.0
     starts_ms: dict[int, float] = attrs.field(factory=dict)
 
 
--- a/testing/routing/placement_load.py
+++ b/testing/routing/placement_load.py
@@ -211,7 +211,7 @@
                 in_time = self._now_ms - started_ms <= self._spec.deadline_ms
                 if is_answer and in_time:
                     picker.record_response(member.vm, number, self._now_ms)
-                picker.record_end(member.vm, number)
+                picker.record_end(member.vm, number, self._now_ms)
                 answered_ms = self._now_ms if is_answer and in_time else float("inf")
                 self._played.calls.append(
                     PlayedCall(started_ms, int(member.vm), answered_ms)
--- a/testing/routing/test_placement.py
+++ b/testing/routing/test_placement.py
@@ -158,7 +158,7 @@
             call = picker.record_start(member.vm)
             load = link_pb2.Load(in_flight=number % 13, limit=10)
             picker.record_load(member.vm, load, now_ms)
-            picker.record_end(member.vm, call)
+            picker.record_end(member.vm, call, now_ms)
             picked.append(member.vm)
         return picked
 
@@ -191,14 +191,18 @@
         load = link_pb2.Load(in_flight=20, limit=93, service_ms=83)
         picker.record_load("bilbao", load, now_ms + 83.0)
         picker.record_response("bilbao", call, now_ms + 83.0)
-        picker.record_end("bilbao", call)
+        picker.record_end("bilbao", call, now_ms + 83.0)
     assert choose(2_000.0) == "bilbao"
     call = picker.record_start("bilbao")
     assert choose(2_100.0) == "bilbao"
     assert choose(2_300.0) == "oviedo"
     picker.record_response("bilbao", call, 2_400.0)
-    picker.record_end("bilbao", call)
+    picker.record_end("bilbao", call, 2_400.0)
     assert choose(2_410.0) == "bilbao"
+    call = picker.record_start("bilbao")
+    picker.record_end("bilbao", call, 3_100.0)
+    assert choose(3_900.0) == "oviedo"
+    assert choose(4_200.0) == "bilbao"
 
 
 def test_views_of_gone_and_replaced_targets_are_dropped() -> None:
@@ -213,5 +217,6 @@
         now_ms = 1_000.0 * number
         member = picker.choose(members, own_domain="", excluded=set(), now_ms=now_ms)
         assert member is not None
-        picker.record_end(member.vm, picker.record_start(member.vm))
+        call = picker.record_start(member.vm)
+        picker.record_end(member.vm, call, now_ms)
     assert len(placement._service_of) < 100
