--- a/src/eelgrassweir/mesh/app.py
+++ b/src/eelgrassweir/mesh/app.py
@@ -58,6 +58,7 @@
 from eelgrassweir.retries.budget import RetryRatio
 from eelgrassweir.routing.domain_spill import DomainSpill
 from eelgrassweir.routing.picker import TargetPicker
+from eelgrassweir.routing.placement import SpeedAwarePlacement
 from eelgrassweir.routing.rules import RoutingConfig
 from eelgrassweir.settings.mesh_generated import MeshSettings
 from eelgrassweir.store.items import Change, Item, Removal, Snapshot
@@ -203,6 +204,7 @@
             refused_calls=refused_calls,
             can_log=can_log,
             trees=self.trees,
+            reports_speed=settings.speed_aware_placement,
         )
         self.lending = TokenLending(
             vm=settings.vm,
@@ -231,6 +233,9 @@
             leaves_handler=self.leave_replication.serve,
             load_handler=self._load,
         )
+        self.placement = (
+            SpeedAwarePlacement(rng) if settings.speed_aware_placement else None
+        )
         self.retry_ratio = RetryRatio(
             percent=100 * settings.budget_ratio * RETRY_RATIO_SHARE,
             spare_retries=1,
@@ -247,6 +252,7 @@
                 rng,
                 own_domain_margin=OWN_DOMAIN_MARGIN,
                 choose_domain=self.spill.choose_domain if self.spill else None,
+                placement=self.placement,
             ),
             retry_ratio=self.retry_ratio,
             links=self.links,
@@ -449,6 +455,7 @@
             "admitted_shares": self.throttle.state(),
             "stay_shares": self.spill.state() if self.spill else {},
             "call_trees": self.trees.state() if self.trees else None,
+            "placement": self.placement.state(now_ms) if self.placement else {},
             "lending": self.lending.state(),
             "links": self.links.state(),
             "members": {
--- a/src/eelgrassweir/mesh/target.py
+++ b/src/eelgrassweir/mesh/target.py
@@ -8,6 +8,7 @@
 
 from eelgrassweir.admission.failures import FailureRate
 from eelgrassweir.admission.limit import ConcurrencyLimit, Outcome
+from eelgrassweir.admission.run_time import RunTimes
 from eelgrassweir.clock import Clock
 from eelgrassweir.daemon.gate import Admission, Gate
 from eelgrassweir.daemon.http_client import ExchangeError, SendStatus
@@ -71,6 +72,7 @@
     failed, ``refused_calls`` the share that was refused for lack of capacity.
     ``can_log`` returns whether a log line of a message type would be written.
     ``trees`` measures the demand of call trees; None if it is not enabled.
+    With ``reports_speed``, load reports contain run times and stalls.
     """
 
     def __init__(
@@ -86,9 +88,11 @@
         refused_calls: FailureRate,
         can_log: CanLog,
         trees: CallTrees | None = None,
+        reports_speed: bool = False,
     ) -> None:
         self._vm = vm
         self._clock = clock
+        self._run_times = RunTimes() if reports_speed else None
         self._backend = backend
         self._adapter = adapter
         self._failures = FailureRate()
@@ -113,6 +117,9 @@
         load.failed_calls_percent = round(100 * self._failed_calls.rate(now_ms))
         if self._trees is not None:
             self._trees.add_to_load(load, route)
+        if self._run_times is not None:
+            load.service_ms = round(self._run_times.service_ms(now_ms))
+            load.stalled_ms = round(self._run_times.stalled_ms(now_ms))
         return load
 
     async def handle(
@@ -182,8 +189,11 @@
         outcome = Outcome.CANCELLED
         if self._trees is not None:
             self._trees.record_start(context)
+        if self._run_times is not None:
+            self._run_times.record_start(admission.started_ms)
         try:
             result = await self._exchange(context, request, deadline_ms)
+            self._record_run_time(result, admission)
             is_ok = isinstance(result.result, HttpResponse)
             outcome = Outcome.OK if is_ok else Outcome.FAILED
             return result
@@ -191,11 +201,22 @@
             self._log_cancelled(context, admission)
             raise
         finally:
+            if self._run_times is not None:
+                self._run_times.record_end()
             self.gate.leave(admission, outcome)
             if self._trees is not None:
                 run_ms = self._clock.now_ms() - admission.started_ms
                 self._trees.record_end(context, run_ms, admission.queued_ms)
 
+    def _record_run_time(self, result: TargetResult, admission: Admission) -> None:
+        response = result.result
+        if self._run_times is None or not isinstance(response, HttpResponse):
+            return
+        now_ms = self._clock.now_ms()
+        self._run_times.record_answer(
+            now_ms - admission.started_ms, now_ms, is_failed=is_failed(response.status)
+        )
+
     def _log_cancelled(
         self, context: link_pb2.CallContext, admission: Admission
     ) -> None:
--- a/src/eelgrassweir/settings/mesh_generated.py
+++ b/src/eelgrassweir/settings/mesh_generated.py
@@ -40,6 +40,7 @@
     lease_ms: int = 10000
     domain_spill: bool = False
     call_tree_admission: bool = False
+    speed_aware_placement: bool = False
     seed: int = 0
 
 
@@ -224,6 +225,11 @@
         kind="boolean",
         required=False,
     ),
+    Field(
+        name="speed_aware_placement",
+        kind="boolean",
+        required=False,
+    ),
     Field(
         name="seed",
         kind="integer",
