Compare revisions and leases of the store within one era

A store that is restored from a copy issues revisions and lease ids again, so a kept revision could match another one by accident, and a kept lease id could be that of another VM. A store without the header is in era 0, and nothing changes.

--- a/src/eelgrassweir/membership/freshness.py
+++ b/src/eelgrassweir/membership/freshness.py
@@ -35,6 +35,10 @@
         if self._as_of_ms is None or as_of_ms > self._as_of_ms:
             self._as_of_ms = as_of_ms
 
+    def invalidate(self) -> None:
+        """Forget the proof; the next one may be older."""
+        self._as_of_ms = None
+
     def age_ms(self, now_ms: float) -> float | None:
         """Return the age of the latest proof, or None without any."""
         if self._as_of_ms is None:
--- a/src/eelgrassweir/mesh/adapter.py
+++ b/src/eelgrassweir/mesh/adapter.py
@@ -16,14 +16,16 @@
 )
 from eelgrassweir.requests.refusal import Refusal
 from eelgrassweir.routing.rules import RoutingConfig
-from eelgrassweir.store.items import Changes, Item, Snapshot
+from eelgrassweir.store.items import Changes, Item, Lease, Snapshot
 
 
 class Store(Protocol):
     """Key-value store with revisions, watches and leases.
 
     Each call makes one attempt and counts in ``call_count``. A call without a
-    valid response raises ``StepError``; a write may have been applied then.
+    valid response raises ``StepError``; a write may have been applied then. A
+    response of an earlier era is no valid one. Calls whose arguments belong to
+    an era raise ``EraChanged`` once the store is in a later one.
     """
 
     call_count: int
@@ -31,35 +33,42 @@
     async def read_all(self) -> Snapshot:
         """Return all items and the revision to watch from."""
 
-    async def read(self, key: str) -> Item | None:
-        """Return the item of a key, None if it does not exist."""
+    async def read(self, key: str, *, era: int) -> Item | None:
+        """Return the item of a key, None if it does not exist.
 
-    async def watch(self, after_revision: int, wait_ms: int) -> Changes:
+        :raises EraChanged: if the store is in a later era.
+        """
+
+    async def watch(self, after_revision: int, wait_ms: int, *, era: int) -> Changes:
         """Return the changes after a revision, none after ``wait_ms``.
 
+        :raises EraChanged: if the store is in a later era.
         :raises HistoryGone: if the store no longer has all of them.
         """
 
-    async def grant_lease(self, ttl_ms: int) -> int:
-        """Return the id of a new lease that expires after ``ttl_ms``."""
+    async def grant_lease(self, ttl_ms: int) -> Lease:
+        """Return a new lease that expires after ``ttl_ms``."""
 
-    async def renew_lease(self, lease_id: int) -> None:
+    async def renew_lease(self, lease: Lease) -> None:
         """Extend a lease by its lifetime.
 
+        :raises EraChanged: if the store is in a later era.
         :raises LeaseGone: if it has expired.
         """
 
-    async def revoke_lease(self, lease_id: int) -> None:
+    async def revoke_lease(self, lease: Lease) -> None:
         """Revoke a lease and remove its keys."""
 
     async def write(
-        self, key: str, value: bytes, *, lease_id: int, expected_revision: int
+        self, key: str, value: bytes, *, lease: Lease, expected_revision: int
     ) -> int:
         """Write an item by compare-and-swap and return its new revision.
 
-        ``expected_revision`` is 0 for a key that must not exist.
+        ``expected_revision`` is 0 for a key that must not exist; otherwise it
+        is of the era of the lease.
 
         :raises Conflict: if the key has another revision.
+        :raises EraChanged: if the store is in a later era.
         :raises LeaseGone: if the lease has expired.
         """
 
--- a/src/eelgrassweir/mesh/app.py
+++ b/src/eelgrassweir/mesh/app.py
@@ -54,6 +54,7 @@
 from eelgrassweir.mesh.source_selector import SourceSelector
 from eelgrassweir.mesh.target import TargetService
 from eelgrassweir.proto import link_pb2
+from eelgrassweir.proto.control_pb2 import Member
 from eelgrassweir.retries.budget import RetryRatio
 from eelgrassweir.routing.picker import TargetPicker
 from eelgrassweir.routing.rules import RoutingConfig
@@ -150,6 +151,7 @@
             sources=self.sources,
             on_snapshot=self._apply_snapshot,
             on_change=self._apply_change,
+            is_store_behind=lambda: self.config.is_store_behind,
         )
         self.followers = FollowService(
             clock=self.clock,
@@ -163,7 +165,7 @@
             clock=self.clock,
             key=self._local_member_key,
             lease_ms=settings.lease_ms,
-            get_revision=lambda: self.directory.get_revision(self._local_member_key),
+            get_revision=self._get_local_revision,
             renew_lease=self.lease_renewer.renew,
         )
         self.backend = BackendTracker(
@@ -179,7 +181,9 @@
             members=self.directory.members,
             registration=self.registration,
             replication=self.leave_replication,
+            has_eras=lambda: self.feed.replica.era > 0,
         )
+        self.directory.members.subscribe(self._hold_leave)
         can_log = self._can_log
         # Calls of the local backend server that are refused.
         refused_calls = FailureRate()
@@ -275,6 +279,8 @@
         )
         self._has_probed_backend = False
         self._has_asked_replicas = False
+        # Era of the store in the last snapshot, None before the first.
+        self._era: int | None = None
         self._stop_requested = asyncio.Event()
         self.tasks = TaskSupervisor(self.metrics.task_failures)
 
@@ -424,6 +430,7 @@
             "config_version": config.version if config else None,
             "config_age_ms": self.feed.freshness.age_ms(now_ms),
             "store_is_reached": self.feed.is_reached,
+            "store_era": self.feed.replica.era,
             "is_store_reader": self.sources.is_reader,
             "store_source": self.feed.source_vm or "store",
             "store_calls": self.store.call_count,
@@ -444,7 +451,25 @@
 
     # Callbacks
 
+    def _get_local_revision(self, era: int) -> int:
+        return self.directory.get_revision(self._local_member_key, era)
+
+    def _hold_leave(self, member: Member) -> None:
+        """Hold a stored leave if the store may be restored from a copy."""
+        if self.feed.replica.era > 0:
+            self.leave_replication.hold(member)
+
+    def _begin_era(self, era: int) -> None:
+        """Keep what a store restored from a copy has lost."""
+        if self._era is not None and era > self._era:
+            for member in self.directory.members.all():
+                self.leave_replication.hold(member)
+            self.config.expect_restored()
+            self.registration.begin_era(era)
+        self._era = era
+
     def _apply_snapshot(self, snapshot: Snapshot) -> None:
+        self._begin_era(snapshot.era)
         self.directory.apply_snapshot(snapshot)
         self._restore_leave()
         if not self._has_asked_replicas:
@@ -453,8 +478,8 @@
         for item in snapshot.items:
             if item.key == self._adapter.config_key:
                 self.config.apply(item.value, item.revision)
-        if not self.directory.get_revision(self._local_member_key):
-            self.registration.rewrite_entry(snapshot.revision)
+        if not self._get_local_revision(snapshot.era):
+            self.registration.rewrite_entry(snapshot.revision, snapshot.era)
 
     def _apply_change(self, change: Change) -> None:
         if change.key == self._adapter.config_key:
@@ -465,7 +490,7 @@
         if change.key != self._local_member_key:
             return
         if isinstance(change, Removal):
-            self.registration.rewrite_entry(change.revision)
+            self.registration.rewrite_entry(change.revision, change.era)
         else:
             # The store may apply a write of an earlier process late.
             self._restore_leave()
--- a/src/eelgrassweir/mesh/config_state.py
+++ b/src/eelgrassweir/mesh/config_state.py
@@ -23,6 +23,10 @@
         self._decode = decode
         self._on_config = on_config
         self.current: RoutingConfig | None = None
+        # Whether the store, restored from a copy, shows an older version than
+        # the one in force. A withdrawal that this daemon has not seen may be
+        # lost then too.
+        self.is_store_behind = False
 
     def apply(self, payload: bytes, revision: int) -> None:
         """Put a document into force if it is valid and of a newer version."""
@@ -34,6 +38,8 @@
             )
             return
         config = result.unwrap()
+        if self.current is None or config.version >= self.current.version:
+            self.is_store_behind = False
         if self.current is not None and config.version <= self.current.version:
             return
         self.current = config
@@ -41,3 +47,11 @@
             message_type="config:in_force", version=config.version, revision=revision
         )
         self._on_config(config)
+
+    def expect_restored(self) -> None:
+        """Take the store as behind until it shows the version in force.
+
+        Called when the store has been restored from a copy, before what it
+        shows is applied.
+        """
+        self.is_store_behind = self.current is not None
--- a/src/eelgrassweir/mesh/feed.py
+++ b/src/eelgrassweir/mesh/feed.py
@@ -19,7 +19,13 @@
 from eelgrassweir.mesh.source_selector import SourceSelector
 from eelgrassweir.proto import link_pb2
 from eelgrassweir.proto.control_pb2 import Member
-from eelgrassweir.store.items import Change, HistoryGone, Item, Snapshot
+from eelgrassweir.store.items import (
+    Change,
+    EraChanged,
+    HistoryGone,
+    Item,
+    Snapshot,
+)
 from eelgrassweir.store.replica import StoreReplica
 
 INITIAL_BACKOFF_MS = 50.0
@@ -54,6 +60,11 @@
     read at ``config_key`` first. An update of a source passes on the source's
     proof, dated by the time at which this daemon asked for it.
 
+    All revisions and proofs are of one era of the store. After an increase of
+    the era everything is read again. While ``is_store_behind`` tells that the
+    store shows an older configuration than the one in force, nothing proves
+    that the latter is the newest.
+
     A reader watches the store. Others follow a source, and read the store
     themselves while no source has a recent proof.
     """
@@ -70,6 +81,7 @@
         sources: SourceSelector,
         on_snapshot: Callable[[Snapshot], None],
         on_change: Callable[[Change], None],
+        is_store_behind: Callable[[], bool] = bool,
     ) -> None:
         self._store = store
         self._clock = clock
@@ -81,6 +93,7 @@
         self._sources = sources
         self._on_snapshot = on_snapshot
         self._on_change = on_change
+        self._is_store_behind = is_store_behind
         # Failures of the store in a row, and the time before the next call.
         self._failures = 0
         self._store_retry_ms = 0.0
@@ -140,6 +153,8 @@
                 message_type="store:history_gone", revision=self.replica.revision
             )
             self._must_read_all = True
+        except EraChanged:
+            self._must_read_all = True
         except (StepError, OSError) as error:
             self._back_off(error)
 
@@ -147,15 +162,17 @@
         sent_ms = self._clock.now_ms()
         has_changes = False
         if self._must_read_all:
-            snapshot = await self._store.read_all()
-            self._load(snapshot)
-            self._must_read_all = False
-        elif self._is_proof_outdated():
+            await self._read_all()
+        elif self._is_proof_outdated() and not self._is_store_behind():
             await self._read_config()
         else:
             wait_ms = self._compute_wait_ms(sent_ms)
             has_changes = await self._watch(wait_ms)
-            if not has_changes:
+            if not has_changes and self._is_store_behind():
+                # The watch may have missed the change.
+                sent_ms = self._clock.now_ms()
+                await self._read_config()
+            elif not has_changes:
                 sent_ms = min(sent_ms + wait_ms, self._clock.now_ms())
         if self._failures:
             log_message(message_type="store:regained", failures=self._failures)
@@ -163,6 +180,13 @@
         self._record_proof(sent_ms)
         await self._wait_for_batch(has_changes)
 
+    async def _read_all(self) -> None:
+        snapshot = await self._store.read_all()
+        if snapshot.era < self.replica.era:
+            raise StepError("store range", "store", f"response of era {snapshot.era}")
+        self._load(snapshot)
+        self._must_read_all = False
+
     async def _wait_for_batch(self, has_changes: bool) -> None:
         if not has_changes:
             self._batch_delay_ms = BATCH_DELAY_MS
@@ -174,14 +198,14 @@
         """Apply the changes since the last; return whether there are any."""
         revision = self.replica.revision
         assert revision is not None
-        changes = await self._store.watch(revision, wait_ms)
+        changes = await self._store.watch(revision, wait_ms, era=self.replica.era)
         self._apply_all(changes.changes)
         self.replica.advance(changes.revision)
         return bool(changes.changes)
 
     async def _read_config(self) -> None:
         """Apply the stored configuration; a watch may return it once more."""
-        item = await self._store.read(self._config_key)
+        item = await self._store.read(self._config_key, era=self.replica.era)
         if item is not None:
             self._apply_all((item,))
 
@@ -221,6 +245,7 @@
             cursor=self._cursor,
             age_ms=UNKNOWN_AGE_MS if age_ms is None else int(age_ms),
             wait_ms=wait_ms,
+            era=self.replica.era,
         )
         try:
             update = await self._links.follow(
@@ -232,8 +257,13 @@
         except LinkError as error:
             self._leave_source(source, str(error))
             return
-        if update.has_proof:
+        if update.era < self.replica.era:
+            self._leave_source(source, f"update of era {update.era}")
+            return
+        is_later_era = update.is_snapshot and update.era > self.replica.era
+        if update.has_proof or is_later_era:
             self._apply_update(update)
+        if update.has_proof:
             self._record_proof(sent_ms + update.elapsed_ms - update.proof_age_ms)
         if not update.has_proof or (was_outdated and self._is_proof_outdated()):
             self._leave_source(source, "no recent proof")
@@ -242,9 +272,10 @@
         self._cursor = update.cursor
         changes = decode_changes(update)
         known_revision = self.replica.revision or 0
-        if update.is_snapshot and update.revision > known_revision:
+        is_later_era = update.era > self.replica.era
+        if update.is_snapshot and (is_later_era or update.revision > known_revision):
             items = tuple(item for item in changes if isinstance(item, Item))
-            self._load(Snapshot(items=items, revision=update.revision))
+            self._load(Snapshot(items=items, revision=update.revision, era=update.era))
             return
         # Also for a snapshot that is older than the replica: what it lacks
         # may have been added since.
@@ -272,7 +303,13 @@
     # Replica
 
     def _load(self, snapshot: Snapshot) -> None:
+        known_era = self.replica.era
+        is_restored = self.replica.revision is not None and snapshot.era > known_era
         self.replica.load(snapshot)
+        if is_restored:
+            log_message(message_type="store:era", known_era=known_era, era=snapshot.era)
+            # The writes that it covers may be lost.
+            self.freshness.invalidate()
         self._on_snapshot(snapshot)
         self.replica.notify()
 
@@ -294,5 +331,6 @@
             )
 
     def _record_proof(self, as_of_ms: float) -> None:
-        self.freshness.record(as_of_ms)
+        if not self._is_store_behind():
+            self.freshness.record(as_of_ms)
         self.replica.notify()
--- a/src/eelgrassweir/mesh/follow_service.py
+++ b/src/eelgrassweir/mesh/follow_service.py
@@ -40,8 +40,10 @@
         return self._make_update(request, arrived_ms)
 
     def _has_news(self, request: link_pb2.Follow, arrived_ms: float) -> bool:
-        if self._replica.has_changes(request.cursor, request.revision):
+        if self._replica.has_changes(request.cursor, request.revision, request.era):
             return True
+        if request.era > self._replica.era:
+            return False
         now_ms = self._clock.now_ms()
         age_ms = self._freshness.age_ms(now_ms)
         if age_ms is None:
@@ -54,14 +56,19 @@
     ) -> link_pb2.Update:
         now_ms = self._clock.now_ms()
         age_ms = self._freshness.age_ms(now_ms)
-        update = link_pb2.Update()
-        if self._replica.revision is None or age_ms is None:
+        update = link_pb2.Update(era=self._replica.era)
+        if self._replica.revision is None or request.era > self._replica.era:
+            return update
+        if age_ms is not None:
+            # Rounded so that the proof looks older, never newer.
+            update.has_proof = True
+            update.proof_age_ms = min(MAX_DURATION_MS, math.ceil(age_ms))
+            update.elapsed_ms = min(MAX_DURATION_MS, math.floor(now_ms - arrived_ms))
+        elif request.era == self._replica.era:
             return update
-        # Rounded so that the proof looks older, never newer.
-        update.has_proof = True
-        update.proof_age_ms = min(MAX_DURATION_MS, math.ceil(age_ms))
-        update.elapsed_ms = min(MAX_DURATION_MS, math.floor(now_ms - arrived_ms))
-        _encode_changes(update, self._replica.read(request.cursor, request.revision))
+        # Without a proof the follower still learns of the later era.
+        news = self._replica.read(request.cursor, request.revision, request.era)
+        _encode_changes(update, news)
         return update
 
 
@@ -79,10 +86,12 @@
 
 def decode_changes(update: link_pb2.Update) -> tuple[Change, ...]:
     """Return the changes, or the items of a snapshot, in an update."""
-    return tuple(_decode_change(item) for item in update.items)
+    return tuple(_decode_change(item, update.era) for item in update.items)
 
 
-def _decode_change(item: link_pb2.StoreItem) -> Change:
+def _decode_change(item: link_pb2.StoreItem, era: int) -> Change:
     if item.is_removed:
-        return Removal(key=item.key, revision=item.revision)
-    return Item(key=item.key, value=item.value, revision=item.revision, lease_id=0)
+        return Removal(key=item.key, revision=item.revision, era=era)
+    return Item(
+        key=item.key, value=item.value, revision=item.revision, lease_id=0, era=era
+    )
--- a/src/eelgrassweir/mesh/lease_renewal.py
+++ b/src/eelgrassweir/mesh/lease_renewal.py
@@ -14,7 +14,7 @@
 from eelgrassweir.mesh.source_selector import SourceSelector
 from eelgrassweir.proto import link_pb2
 from eelgrassweir.proto.control_pb2 import Member
-from eelgrassweir.store.items import LeaseGone
+from eelgrassweir.store.items import EraChanged, Lease, LeaseGone
 
 PEER_TIMEOUT_MS = 1_200.0
 # The preferred source may be turned away as well.
@@ -29,32 +29,34 @@
     links: LinkPool
     sources: SourceSelector
 
-    async def renew(self, lease_id: int) -> None:
+    async def renew(self, lease: Lease) -> None:
         """Extend a lease by its lifetime.
 
+        :raises EraChanged: if the store is in a later era.
         :raises LeaseGone: if it has expired.
         :raises StepError: if neither the store nor a peer renewed it.
         """
         try:
-            await self.store.renew_lease(lease_id)
+            await self.store.renew_lease(lease)
         except (StepError, OSError) as error:
-            await self._renew_through_peer(lease_id, error)
+            await self._renew_through_peer(lease, error)
 
     async def serve(self, request: link_pb2.RenewLease) -> link_pb2.Renewal:
         """Renew a lease for a peer; without a further peer in between."""
         try:
-            await self.store.renew_lease(request.lease_id)
-        except LeaseGone:
+            lease = Lease(era=request.era, lease_id=request.lease_id)
+            await self.store.renew_lease(lease)
+        except (LeaseGone, EraChanged):
             return link_pb2.Renewal(outcome=link_pb2.LEASE_GONE)
         except (StepError, OSError) as error:
             log_message(message_type="registration:peer_failed", reason=str(error))
             return link_pb2.Renewal(outcome=link_pb2.RENEWAL_FAILED)
         return link_pb2.Renewal(outcome=link_pb2.RENEWED)
 
-    async def _renew_through_peer(self, lease_id: int, error: Exception) -> None:
+    async def _renew_through_peer(self, lease: Lease, error: Exception) -> None:
         """Ask one source after another; raise ``error`` if none helps."""
         for peer in self.sources.list_usable()[:MAX_PEERS]:
-            outcome = await self._ask(peer, lease_id)
+            outcome = await self._ask(peer, lease)
             if outcome == link_pb2.LEASE_GONE:
                 raise LeaseGone
             if outcome == link_pb2.RENEWED:
@@ -67,13 +69,13 @@
         raise error
 
     async def _ask(
-        self, peer: Member, lease_id: int
+        self, peer: Member, lease: Lease
     ) -> link_pb2.RenewalOutcome.ValueType:
         try:
             renewal = await self.links.renew_lease(
                 peer.link_address,
                 peer.incarnation,
-                link_pb2.RenewLease(lease_id=lease_id),
+                link_pb2.RenewLease(lease_id=lease.lease_id, era=lease.era),
                 timeout_ms=PEER_TIMEOUT_MS,
             )
         except LinkError as error:
--- a/src/eelgrassweir/mesh/leave_replication.py
+++ b/src/eelgrassweir/mesh/leave_replication.py
@@ -71,6 +71,15 @@
         replies = await self._share(replicas, ())
         return tuple(leave for reply in replies for leave in reply.leaves)
 
+    def hold(self, member: Member) -> None:
+        """Hold the leave in the entry of another VM, which may be lost."""
+        if member.leaving_instance and member.vm != self._vm:
+            leave = link_pb2.BackendLeave(
+                instance=member.leaving_instance,
+                latest_started_wall_ms=member.leaving_started_wall_ms,
+            )
+            self.serve(link_pb2.ShareLeaves(vm=member.vm, leaves=[leave]))
+
     def serve(self, request: link_pb2.ShareLeaves) -> link_pb2.KnownLeaves:
         """Hold the leaves of a peer and return those known of its VM."""
         known = self._held.pop(request.vm, {})
--- a/src/eelgrassweir/mesh/local_entry.py
+++ b/src/eelgrassweir/mesh/local_entry.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 
 from eliot import log_message
 
@@ -28,7 +29,11 @@
 
 
 class LocalEntry:
-    """Publish the entry of this VM; keep and restore acknowledged leaves."""
+    """Publish the entry of this VM; keep and restore acknowledged leaves.
+
+    ``has_eras`` tells whether the store may be restored from a copy, which
+    loses an entry that it has acknowledged.
+    """
 
     def __init__(
         self,
@@ -39,6 +44,7 @@
         members: MemberTable,
         registration: Registration,
         replication: LeaveReplication,
+        has_eras: Callable[[], bool] = bool,
     ) -> None:
         self._settings = settings
         self._incarnation = incarnation
@@ -46,6 +52,7 @@
         self._members = members
         self._registration = registration
         self._replication = replication
+        self._has_eras = has_eras
         # The event loop keeps weak references only.
         self._replication_tasks: set[asyncio.Task[bool]] = set()
         self._has_read_store = False
@@ -130,6 +137,8 @@
         self._replication_tasks.add(replication)
         replication.add_done_callback(self._replication_tasks.discard)
         if await self._registration.wait_until_written(STORE_LEAVE_TIMEOUT_MS):
+            if self._has_eras():
+                await asyncio.wait((replication,))
             return True
         log_message(message_type="backend:leave_not_stored", instance=instance)
         return await self._wait_until_kept(replication)
--- a/src/eelgrassweir/mesh/member_entry.py
+++ b/src/eelgrassweir/mesh/member_entry.py
@@ -16,6 +16,8 @@
 MEMBER_PREFIX = "members/"
 MAX_VALUE_BYTES = 4_096
 MAX_SLOTS = 1_000_000
+# Above all revisions of an era.
+ERA_STRIDE = 2**44
 # State of a daemon in its own entry; others are marked down by their readers.
 VALID_STATES = (READY, DRAINING)
 
@@ -37,8 +39,8 @@
     if reason:
         return Failure(StepError("decode member entry", item.key, reason))
     member = Member.FromString(item.value)
-    # The store's revision orders the entries of one VM.
-    member.started_ms = item.revision
+    # The store's era and revision order the entries of one VM.
+    member.started_ms = item.era * ERA_STRIDE + item.revision
     member.sequence = 0
     return Success(member)
 
--- a/src/eelgrassweir/mesh/registration.py
+++ b/src/eelgrassweir/mesh/registration.py
@@ -9,7 +9,7 @@
 from eelgrassweir.clock import Clock
 from eelgrassweir.errors import StepError
 from eelgrassweir.mesh.adapter import Store
-from eelgrassweir.store.items import Conflict, LeaseGone
+from eelgrassweir.store.items import Conflict, EraChanged, Lease, LeaseGone
 
 # Allows for renewals that fail before the lease expires.
 RENEWALS_PER_LEASE = 2
@@ -19,8 +19,10 @@
 class Registration:
     """Write the entry under a lease; write it again if either is lost.
 
-    ``get_revision`` returns the latest observed revision of the entry, 0 if it
-    is not in the store. ``renew_lease`` replaces that of the store.
+    Both are lost when the store is restored from a copy: an id of a lease of
+    an earlier era may be that of another VM's lease. ``get_revision`` returns
+    the latest observed revision of the entry in an era, 0 if there is none.
+    ``renew_lease`` replaces that of the store.
     """
 
     def __init__(
@@ -30,8 +32,8 @@
         clock: Clock,
         key: str,
         lease_ms: int,
-        get_revision: Callable[[], int],
-        renew_lease: Callable[[int], Awaitable[None]] | None = None,
+        get_revision: Callable[[int], int],
+        renew_lease: Callable[[Lease], Awaitable[None]] | None = None,
     ) -> None:
         self._store = store
         self._renew_lease = renew_lease or store.renew_lease
@@ -43,7 +45,7 @@
         self._written_value = b""
         self._written_revision = 0
         self._conflict_revision: int | None = None
-        self._lease_id = 0
+        self._lease: Lease | None = None
         self._renewed_ms = 0.0
         self._wake_event = asyncio.Event()
         self._written_event = asyncio.Event()
@@ -55,11 +57,18 @@
             self._written_event.clear()
             self._wake_event.set()
 
-    def rewrite_entry(self, revision: int) -> None:
+    def begin_era(self, era: int) -> None:
+        """Write the entry under a new lease, unless it has one of the era."""
+        if self._lease is not None and self._lease.era < era:
+            self._drop_lease()
+
+    def rewrite_entry(self, revision: int, era: int = 0) -> None:
         """Write the entry again, unless it was written after ``revision``.
 
-        The entry was missing in the store at ``revision``.
+        The entry was missing in the store at ``revision`` of an era.
         """
+        if self._lease is not None and self._lease.era > era:
+            return
         if self._written_revision > revision:
             return
         self._written_value = b""
@@ -93,51 +102,64 @@
 
     async def remove_entry(self) -> None:
         """Remove the entry at once instead of letting its lease expire."""
-        if self._lease_id:
-            await self._store.revoke_lease(self._lease_id)
+        if self._lease is not None:
+            await self._store.revoke_lease(self._lease)
 
     async def _reconcile(self) -> None:
         if not self._desired_value:
             return
         try:
-            await self._ensure_lease()
+            lease = await self._ensure_lease()
             if self._written_value != self._desired_value:
-                await self._write()
-        except LeaseGone:
-            log_message(message_type="registration:lease_gone", lease=self._lease_id)
-            self._lease_id = 0
-            self._written_value = b""
-            self._written_event.clear()
-            self._wake_event.set()
-        except Conflict as conflict:
-            # The entry was written by a write whose response was lost, or by
-            # an earlier process.
-            self._conflict_revision = conflict.revision
-            self._wake_event.set()
+                await self._write(lease)
+        except (LeaseGone, EraChanged):
+            lease_id = self._lease.lease_id if self._lease else 0
+            log_message(message_type="registration:lease_gone", lease=lease_id)
+            self._drop_lease()
+
+    def _drop_lease(self) -> None:
+        """Forget the lease and the entry under it, with their revisions."""
+        self._lease = None
+        self._written_revision = 0
+        self._conflict_revision = None
+        self._written_value = b""
+        self._written_event.clear()
+        self._wake_event.set()
 
-    async def _ensure_lease(self) -> None:
+    async def _ensure_lease(self) -> Lease:
         now_ms = self._clock.now_ms()
-        if not self._lease_id:
-            self._lease_id = await self._store.grant_lease(self._lease_ms)
+        if self._lease is None:
+            self._lease = await self._store.grant_lease(self._lease_ms)
             self._renewed_ms = now_ms
-            return
+            return self._lease
+        lease = self._lease
         due_ms = self._lease_ms / RENEWALS_PER_LEASE
         if now_ms - self._renewed_ms >= due_ms - 1.0:
-            await self._renew_lease(self._lease_id)
+            await self._renew_lease(lease)
             self._renewed_ms = now_ms
+        return lease
 
-    async def _write(self) -> None:
+    async def _write(self, lease: Lease) -> None:
         value = self._desired_value
         expected = self._conflict_revision
         if expected is None:
-            expected = max(self._get_revision(), self._written_revision)
+            expected = max(self._get_revision(lease.era), self._written_revision)
         self._conflict_revision = None
-        self._written_revision = await self._store.write(
-            self._key,
-            value,
-            lease_id=self._lease_id,
-            expected_revision=expected,
-        )
+        try:
+            revision = await self._store.write(
+                self._key, value, lease=lease, expected_revision=expected
+            )
+        except Conflict as conflict:
+            # The entry was written by a write whose response was lost, or by
+            # an earlier process.
+            if self._lease is lease:
+                self._conflict_revision = conflict.revision
+            self._wake_event.set()
+            return
+        if self._lease is not lease:
+            # The era has increased meanwhile; the entry is written again.
+            return
+        self._written_revision = revision
         self._written_value = value
         if value == self._desired_value:
             self._written_event.set()
--- a/src/eelgrassweir/store/items.py
+++ b/src/eelgrassweir/store/items.py
@@ -1,5 +1,9 @@
 """Items, changes and errors of a store with revisions and leases.
 
+The era of a store increases each time that it is restored from a copy. It
+issues the revisions and lease ids of after the copy again, so both are only
+meaningful within one era.
+
 The platform package produces them; the mesh daemon's feed consumes them.
 """
 
@@ -14,6 +18,7 @@
     value: bytes
     revision: int
     lease_id: int
+    era: int = 0
 
 
 @attrs.frozen(kw_only=True)
@@ -22,6 +27,7 @@
 
     key: str
     revision: int
+    era: int = 0
 
 
 Change = Item | Removal
@@ -33,6 +39,7 @@
 
     items: tuple[Item, ...]
     revision: int
+    era: int = 0
 
 
 @attrs.frozen(kw_only=True)
@@ -43,6 +50,18 @@
     revision: int
 
 
+@attrs.frozen(kw_only=True)
+class Lease:
+    """Lease granted by the store in an era."""
+
+    era: int
+    lease_id: int
+
+
+class EraChanged(Exception):
+    """The store has been restored since the era of the call's arguments."""
+
+
 class HistoryGone(Exception):
     """The store has compacted the history that a watch requested."""
 
--- a/src/eelgrassweir/store/replica.py
+++ b/src/eelgrassweir/store/replica.py
@@ -25,6 +25,7 @@
     is_snapshot: bool
     revision: int
     cursor: int
+    era: int = 0
 
 
 @attrs.frozen
@@ -46,12 +47,14 @@
     The replica knows every change up to ``revision``, and may know later ones
     of single keys. ``revision`` is None before the first snapshot. Changes are
     numbered in the order of their arrival; a cursor is the number of the last
-    change that a follower has.
+    change that a follower has. All items and revisions are of one ``era`` of
+    the store; a snapshot of a later one replaces them.
     """
 
     def __init__(self) -> None:
         self._items: dict[str, Item] = {}
         self.revision: int | None = None
+        self.era = 0
         self._history: collections.deque[tuple[int, Change]] = collections.deque()
         self._history_bytes = 0
         self._cursor = 1
@@ -62,7 +65,12 @@
         self._news = asyncio.Event()
 
     def load(self, snapshot: Snapshot) -> None:
-        """Add what is new in a snapshot, and remove what it lacks."""
+        """Add what is new in a snapshot, and remove what it lacks.
+
+        The snapshot is of the replica's era or of a later one.
+        """
+        if snapshot.era > self.era:
+            self._begin_era(snapshot.era)
         listed = {item.key for item in snapshot.items}
         gone: list[Change] = [
             Removal(key=key, revision=snapshot.revision)
@@ -75,6 +83,19 @@
         self._record_gap(snapshot.revision)
         self.advance(snapshot.revision)
 
+    def _begin_era(self, era: int) -> None:
+        """Forget the items and revisions of an earlier era.
+
+        Followers with a cursor of that era get all items.
+        """
+        self.era = era
+        self.revision = None
+        self._items.clear()
+        self._history.clear()
+        self._history_bytes = 0
+        self._gap = None
+        self._cursor += 1
+
     def _record_gap(self, revision: int) -> None:
         """Keep the last gap; the history from before the one earlier ends."""
         gap, self._gap = self._gap, None
@@ -129,20 +150,25 @@
         """Record that all changes up to a revision are known."""
         self.revision = max(self.revision or 0, revision)
 
-    def has_changes(self, cursor: int, revision: int) -> bool:
-        """Return whether a follower lacks changes; a cursor of 0 is none."""
-        if self.revision is None:
+    def has_changes(self, cursor: int, revision: int, era: int = 0) -> bool:
+        """Return whether a follower lacks changes; a cursor of 0 is none.
+
+        A follower of a later era lacks nothing that this replica has.
+        """
+        if self.revision is None or era > self.era:
             return False
+        if era < self.era:
+            return True
         if cursor:
             return cursor < self._cursor
         if self._needs_snapshot(cursor, revision):
             return True
         return any(change.revision > revision for _, change in self._history)
 
-    def read(self, cursor: int, revision: int) -> ReplicaUpdate:
+    def read(self, cursor: int, revision: int, era: int = 0) -> ReplicaUpdate:
         """Return what a follower lacks; a cursor of 0 is none."""
         assert self.revision is not None
-        is_snapshot = self._needs_snapshot(cursor, revision)
+        is_snapshot = era < self.era or self._needs_snapshot(cursor, revision)
         changes: tuple[Change, ...]
         if is_snapshot:
             changes = tuple(self._items.values())
@@ -159,6 +185,7 @@
             is_snapshot=is_snapshot,
             revision=self.revision,
             cursor=self._cursor,
+            era=self.era,
         )
 
     def _needs_snapshot(self, cursor: int, revision: int) -> bool:
--- a/testing/mesh/feed_simulation.py
+++ b/testing/mesh/feed_simulation.py
@@ -25,6 +25,7 @@
 from eelgrassweir.store.items import (
     Change,
     Changes,
+    EraChanged,
     HistoryGone,
     Item,
     Removal,
@@ -48,6 +49,7 @@
     log: list[Change] = attrs.field(factory=list)
     revision: int = 0
     oldest_revision: int = 0
+    era: int = 0
     # VMs that get an error at once, or no answer at all.
     refused_vms: set[str] = attrs.field(factory=set)
     silent_vms: set[str] = attrs.field(factory=set)
@@ -60,14 +62,30 @@
     def put(self, key: str, value: bytes) -> None:
         """Write an item."""
         self.revision += 1
-        self.items[key] = Item(key=key, value=value, revision=self.revision, lease_id=0)
+        self.items[key] = Item(
+            key=key, value=value, revision=self.revision, lease_id=0, era=self.era
+        )
         self._append(self.items[key])
 
     def remove(self, key: str) -> None:
         """Remove an item."""
         if self.items.pop(key, None) is not None:
             self.revision += 1
-            self._append(Removal(key=key, revision=self.revision))
+            self._append(Removal(key=key, revision=self.revision, era=self.era))
+
+    def copy(self) -> tuple[int, dict[str, Item], list[Change]]:
+        """Return a copy of all that the store holds now."""
+        return self.revision, dict(self.items), list(self.log)
+
+    def restore(self, state: tuple[int, dict[str, Item], list[Change]]) -> None:
+        """Return to a copy in the next era."""
+        self.era += 1
+        self.revision, items, log = state
+        self.items = {
+            key: attrs.evolve(item, era=self.era) for key, item in items.items()
+        }
+        self.log = [attrs.evolve(change, era=self.era) for change in log]
+        self._append(None)
 
     def put_config(self) -> None:
         """Write the next version of the configuration."""
@@ -96,10 +114,16 @@
         if vm in self.refused_vms:
             raise StepError("store call", "store", "status 503")
 
-    async def wait_for_changes(self, after: int, wait_ms: int) -> Changes:
+    def check_era(self, era: int) -> None:
+        """Fail a call whose arguments are of an earlier era."""
+        if era != self.era:
+            raise EraChanged
+
+    async def wait_for_changes(self, after: int, wait_ms: int, era: int) -> Changes:
         """Return the changes after a revision, none after the wait."""
         end_ms = self.clock.now_ms() + wait_ms
         while True:
+            self.check_era(era)
             if after < self.oldest_revision:
                 raise HistoryGone
             changes = tuple(c for c in self.log if c.revision > after)
@@ -125,18 +149,21 @@
         """Return all items."""
         await self.store.pass_call(self.vm)
         return Snapshot(
-            items=tuple(self.store.items.values()), revision=self.store.revision
+            items=tuple(self.store.items.values()),
+            revision=self.store.revision,
+            era=self.store.era,
         )
 
-    async def read(self, key: str) -> Item | None:
+    async def read(self, key: str, *, era: int) -> Item | None:
         """Return one item."""
         await self.store.pass_call(self.vm)
+        self.store.check_era(era)
         return self.store.items.get(key)
 
-    async def watch(self, after_revision: int, wait_ms: int) -> Changes:
+    async def watch(self, after_revision: int, wait_ms: int, *, era: int) -> Changes:
         """Return the changes after a revision."""
         await self.store.pass_call(self.vm)
-        changes = await self.store.wait_for_changes(after_revision, wait_ms)
+        changes = await self.store.wait_for_changes(after_revision, wait_ms, era)
         if self.vm in self.store.silent_vms | self.store.refused_vms:
             raise StepError("store watch", "store", "connection lost")
         return changes
@@ -203,6 +230,8 @@
         self.domain = domain
         self.incarnation = incarnation
         self.version = 0
+        self.era = 0
+        self.is_store_behind = False
         self.directory = MemberDirectory(fleet.clock)
         self.sources = SourceSelector(
             vm=vm,
@@ -220,6 +249,7 @@
             sources=self.sources,
             on_snapshot=self._apply_snapshot,
             on_change=self._apply_change,
+            is_store_behind=lambda: self.is_store_behind,
         )
         self.service = FollowService(
             clock=fleet.clock,
@@ -241,6 +271,8 @@
             self.directory.expire_missing()
 
     def _apply_snapshot(self, snapshot: Snapshot) -> None:
+        self.is_store_behind |= snapshot.era > self.era and self.version > 0
+        self.era = snapshot.era
         self.directory.apply_snapshot(snapshot)
         for item in snapshot.items:
             self._apply_config(item)
@@ -253,7 +285,9 @@
 
     def _apply_config(self, item: Item) -> None:
         if item.key == CONFIG_KEY:
-            self.version = max(self.version, int(item.value))
+            version = int(item.value)
+            self.is_store_behind &= version < self.version
+            self.version = max(self.version, version)
 
 
 class FeedFleet:
--- a/testing/mesh/test_leaves.py
+++ b/testing/mesh/test_leaves.py
@@ -160,7 +160,7 @@
             assert (await fleet.call(entry, "/a/")).status == 200
             # The lease ends: the VM must learn it through its peer as well.
             fleet.store.expire_leases()
-            await wait_until(lambda: not target.registration._lease_id)
+            await wait_until(lambda: target.registration._lease is None)
 
     asyncio.run(scenario())
 
--- a/testing/mesh/test_registration.py
+++ b/testing/mesh/test_registration.py
@@ -21,7 +21,7 @@
             clock=clock,
             key="members/vm-0",
             lease_ms=1_500,
-            get_revision=lambda: 0,
+            get_revision=lambda _era: 0,
         )
         task = asyncio.create_task(registration.run())
         await asyncio.sleep(0.01)
--- a/testing/stand_ins/platform_store.py
+++ b/testing/stand_ins/platform_store.py
@@ -5,7 +5,7 @@
 
 import asyncio
 import base64
-import itertools
+import copy
 import json
 import time
 from typing import Any
@@ -26,13 +26,25 @@
     keys: set[str] = attrs.field(factory=set)
 
 
+@attrs.frozen(kw_only=True)
+class StoreCopy:
+    """State of the store at one time, from which it can be restored."""
+
+    items: dict[str, dict[str, Any]]
+    history: tuple[dict[str, Any], ...]
+    revision: int
+    next_lease_id: int
+    leases: dict[int, _Lease]
+
+
 class PlatformStoreStandIn:
     """Server of items, revisions, leases and watches with optional faults.
 
     ``fault`` is "", "busy" (status 503), "silent" (no response),
     "lose_writes" (writes take effect without a response), "mute" (watches
     return no events) or "refuse_reads" (ranges and watches get status 503).
-    ``calls`` holds the method and path of each request.
+    ``calls`` holds the method and path of each request. With an ``era``, each
+    response has it in a header.
     """
 
     def __init__(self) -> None:
@@ -42,8 +54,9 @@
         self.oldest_revision = 1
         self.fault = ""
         self.calls: list[str] = []
+        self.era: int | None = None
         self._leases: dict[int, _Lease] = {}
-        self._lease_ids = itertools.count(100)
+        self._next_lease_id = 100
         self._changed = asyncio.Event()
         self._server = HttpServer(
             self._handle, body_limit_bytes=BODY_LIMIT_BYTES, sends_idle_refusal=False
@@ -89,6 +102,31 @@
         self.oldest_revision = self.revision + 1
         self._notify_watches()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of all that the store holds now."""
+        return StoreCopy(
+            items=dict(self.items),
+            history=tuple(self.history),
+            revision=self.revision,
+            next_lease_id=self._next_lease_id,
+            leases=copy.deepcopy(self._leases),
+        )
+
+    def restore(self, state: StoreCopy) -> None:
+        """Return to a copy in the next era; revisions are issued again.
+
+        The leases of the copy run for their whole lifetime from now.
+        """
+        self.era = (self.era or 0) + 1
+        self.items = dict(state.items)
+        self.history = list(state.history)
+        self.revision = state.revision
+        self._next_lease_id = state.next_lease_id
+        self._leases = copy.deepcopy(state.leases)
+        for lease in self._leases.values():
+            lease.expires_s = time.monotonic() + lease.ttl_ms / 1e3
+        self._notify_watches()
+
     def expire_leases(self) -> None:
         """Expire all leases now."""
         for lease_id in list(self._leases):
@@ -103,6 +141,13 @@
         self._changed = asyncio.Event()
 
     async def _handle(self, request: HttpRequest) -> HttpResponse:
+        response = await self._respond(request)
+        if self.era is None:
+            return response
+        era_field = ("Store-Era", str(self.era))
+        return attrs.evolve(response, headers=(*response.headers, era_field))
+
+    async def _respond(self, request: HttpRequest) -> HttpResponse:
         url = urlsplit(request.path)
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
         self.calls.append(f"{request.method} {url.path}")
@@ -140,7 +185,7 @@
         after = int(query["after"])
         end_s = time.monotonic() + int(query["waitMs"]) / 1e3
         while True:
-            if after + 1 < self.oldest_revision:
+            if after + 1 < self.oldest_revision or after > self.revision:
                 return _json_response(410, {})
             events = [event for event in self.history if event["revision"] > after]
             remaining_s = end_s - time.monotonic()
@@ -159,7 +204,8 @@
         self, method: str, path: str, body: dict[str, Any]
     ) -> HttpResponse:
         if path == "/-/kv-lease":
-            lease_id = next(self._lease_ids)
+            lease_id = self._next_lease_id
+            self._next_lease_id += 1
             ttl_ms = float(body["ttl_time"])
             self._leases[lease_id] = _Lease(ttl_ms, time.monotonic() + ttl_ms / 1e3)
             return _json_response(
--- a/testing/test_decoding.py
+++ b/testing/test_decoding.py
@@ -26,7 +26,7 @@
 from eelgrassweir.proto import link_pb2
 from eelgrassweir.proto.control_pb2 import READY, Member
 from eelgrassweir.requests.calls import MalformedMessage
-from eelgrassweir.store.items import Changes, Conflict, Item, Snapshot
+from eelgrassweir.store.items import Changes, Conflict, Item, Lease, Snapshot
 from testing.platform.test_configuration import DOCUMENT
 from testing.platform.test_messages import HEARTBEAT, make_heartbeat
 
@@ -324,10 +324,12 @@
         outcomes: list[object] = []
         for call in (
             store.read_all,
-            lambda: store.read("members/v"),
-            lambda: store.watch(1, 10),
+            lambda: store.read("members/v", era=0),
+            lambda: store.watch(1, 10, era=0),
             lambda: store.grant_lease(1_000),
-            lambda: store.write("k", b"", lease_id=0, expected_revision=0),
+            lambda: store.write(
+                "k", b"", lease=Lease(era=0, lease_id=0), expected_revision=0
+            ),
         ):
             try:
                 outcomes.append(await call())
