End a planned stop whose lease is of an earlier era

The removal of the entry raised EraChanged, or LeaseGone for a lease that had ended, which nothing caught: the process would have ended with an error. In both cases the entry is gone already.

Measured: test_entry_is_removed_when_the_era_rises: 2 of 3 failed before, 3 passed after; testing/mesh/test_store_restore.py and test_registration.py: 23 passed.

--- a/src/eelgrassweir/mesh/registration.py
+++ b/src/eelgrassweir/mesh/registration.py
@@ -102,7 +102,9 @@
 
     async def remove_entry(self) -> None:
         """Remove the entry at once instead of letting its lease expire."""
-        if self._lease is not None:
+        if self._lease is None:
+            return
+        with contextlib.suppress(EraChanged, LeaseGone):
             await self._store.revoke_lease(self._lease)
 
     async def _reconcile(self) -> None:
--- a/testing/mesh/test_store_restore.py
+++ b/testing/mesh/test_store_restore.py
@@ -107,6 +107,28 @@
     run_registration(scenario)
 
 
+@pytest.mark.parametrize("step", ["before", "at the call", "after it"])
+def test_entry_is_removed_when_the_era_rises(step: str) -> None:
+    """Guard against a stop that fails because its lease is of an earlier era.
+
+    Its process would end with an error. The era may be known already.
+    """
+
+    async def scenario(stand_in: RestoringStore, registration: Registration) -> None:
+        registration.set_value(VALUE)
+        assert await registration.wait_until_written(1_000)
+        if step == "before":
+            stand_in.restore(stand_in.state)
+            await registration._store.grant_lease(LEASE_MS)
+        else:
+            stand_in.restore_at("/-/kv-lease-end", is_after=step == "after it")
+        await registration.remove_entry()
+        assert stand_in.era == 2
+        assert not stand_in.items
+
+    run_registration(scenario)
+
+
 def test_lease_of_another_vm_with_the_same_id_is_left_alone() -> None:
     """Guard against renewing or revoking a lease that was issued again."""
 
