Answer a response without a final status as an unknown outcome

A target sent a response with the status 000. Statuses under 100 were taken for interim ones and held the request until its deadline; 600 and 999 reached the caller as responses. The client of the backend server now fails such an exchange at once, for the daemon of the platform and for the product's own interface: 502, or a retry where the request is idempotent.

Measured: testing/daemon/test_final_status.py before the change: 58 failed, 20 passed.

--- a/src/eelgrassweir/daemon/http_client.py
+++ b/src/eelgrassweir/daemon/http_client.py
@@ -61,6 +61,8 @@
 # Start of a status line. Within a reason phrase or a header value it is that
 # of the next response, which follows a response that was cut off.
 STATUS_LINE_START = "HTTP/1."
+INTERIM_STATUSES = range(100, 200)
+FINAL_STATUSES = range(200, 600)
 # Weight of the newest exchange in the exponential moving average.
 MEAN_WEIGHT = 0.1
 
@@ -603,7 +605,7 @@
         """Complete answers without a body and check the framing of others."""
         self._has_head = True
         status = self._parser.get_status_code()
-        if status < 200:
+        if status in INTERIM_STATUSES:
             return
         assert self._request is not None
         match = self._options.match_response(self._request, tuple(self._headers))
@@ -612,6 +614,10 @@
             return
         self._is_mismatched = match is ResponseMatch.OTHER
         self._has_skipped_response |= self._is_mismatched
+        if status not in FINAL_STATUSES and not self._is_mismatched:
+            # The run may have happened.
+            self._fail(f"status {status:03d} is neither interim nor final")
+            return
         if self._is_head:
             self._finish(status)
         elif status in (204, 304) or self._has_length:
@@ -634,7 +640,7 @@
     def on_message_complete(self) -> None:
         """Finish the exchange, unless the answer was interim or mismatched."""
         status = self._parser.get_status_code()
-        if status < 200 or self._is_mismatched:
+        if status not in FINAL_STATUSES or self._is_mismatched:
             self._start_message()
             return
         self._finish(status)
