Forget the revisions of the own entry only with the era

The registration forgot the revision of its entry whenever its lease ended, also in a store without eras, where it had kept it. It now forgets it when a lease of another era is granted.

--- a/src/eelgrassweir/mesh/feed.py
+++ b/src/eelgrassweir/mesh/feed.py
@@ -257,10 +257,10 @@
         except LinkError as error:
             self._leave_source(source, str(error))
             return
-        if update.era < self.replica.era:
+        is_later_era = update.is_snapshot and update.era > self.replica.era
+        if update.era != self.replica.era and not is_later_era:
             self._leave_source(source, f"update of era {update.era}")
             return
-        is_later_era = update.is_snapshot and update.era > self.replica.era
         if update.has_proof or is_later_era:
             self._apply_update(update)
         if update.has_proof:
--- a/src/eelgrassweir/mesh/registration.py
+++ b/src/eelgrassweir/mesh/registration.py
@@ -43,6 +43,8 @@
         self._get_revision = get_revision
         self._desired_value = b""
         self._written_value = b""
+        # Era of the revisions.
+        self._era = 0
         self._written_revision = 0
         self._conflict_revision: int | None = None
         self._lease: Lease | None = None
@@ -67,9 +69,7 @@
 
         The entry was missing in the store at ``revision`` of an era.
         """
-        if self._lease is not None and self._lease.era > era:
-            return
-        if self._written_revision > revision:
+        if (self._era, self._written_revision) > (era, revision):
             return
         self._written_value = b""
         self._written_event.clear()
@@ -120,18 +120,24 @@
             self._drop_lease()
 
     def _drop_lease(self) -> None:
-        """Forget the lease and the entry under it, with their revisions."""
+        """Forget the lease and the entry under it."""
         self._lease = None
-        self._written_revision = 0
-        self._conflict_revision = None
         self._written_value = b""
         self._written_event.clear()
         self._wake_event.set()
 
+    def _enter_era(self, era: int) -> None:
+        """Forget the revisions of an earlier era."""
+        if era != self._era:
+            self._era = era
+            self._written_revision = 0
+            self._conflict_revision = None
+
     async def _ensure_lease(self) -> Lease:
         now_ms = self._clock.now_ms()
         if self._lease is None:
             self._lease = await self._store.grant_lease(self._lease_ms)
+            self._enter_era(self._lease.era)
             self._renewed_ms = now_ms
             return self._lease
         lease = self._lease
--- a/testing/mesh/test_store_restore.py
+++ b/testing/mesh/test_store_restore.py
@@ -1,6 +1,7 @@
 """Guard against state that is lost or reverted when the store is restored."""
 
 import asyncio
+import json
 from collections.abc import Awaitable, Callable
 from typing import cast
 
@@ -44,12 +45,17 @@
         self.state = self.copy()
         self.path = ""
         self.is_after = False
+        # Revisions on which the writes were conditional.
+        self.expected: list[int] = []
 
     def restore_at(self, path: str, *, is_after: bool) -> None:
         """Be restored at the next call of a path."""
         self.path, self.is_after = path, is_after
 
     async def _handle(self, request: HttpRequest) -> HttpResponse:
+        if request.path.startswith("/-/kv-txn"):
+            (condition,) = json.loads(request.body)["expected"]
+            self.expected.append(condition["revision"])
         if not self.path or not request.path.startswith(self.path):
             return await super()._handle(request)
         self.path = ""
@@ -107,6 +113,28 @@
     run_registration(scenario)
 
 
+@pytest.mark.parametrize("has_ended", [False, True])
+def test_write_is_not_conditional_on_a_revision_of_before(has_ended: bool) -> None:
+    """Guard against a condition that matches an item of the copy by accident.
+
+    The lease may have ended before the era rises.
+    """
+
+    async def scenario(stand_in: RestoringStore, registration: Registration) -> None:
+        registration.set_value(VALUE)
+        assert await registration.wait_until_written(1_000)
+        if has_ended:
+            stand_in.expire_leases()
+            stand_in.restore_at("/-/kv-lease", is_after=False)
+        else:
+            stand_in.restore(stand_in.state)
+        await wait_until(lambda: len(stand_in.expected) > 1)
+        assert stand_in.era == 2
+        assert stand_in.expected == [0, 0]
+
+    run_registration(scenario)
+
+
 @pytest.mark.parametrize("step", ["before", "at the call", "after it"])
 def test_entry_is_removed_when_the_era_rises(step: str) -> None:
     """Guard against a stop that fails because its lease is of an earlier era.
