--- a/testing/routing/test_placement.py
+++ b/testing/routing/test_placement.py
@@ -140,6 +140,46 @@
     assert by_speed.share(new, NEW_MS + 1_000.0, END_MS) > 0.7 * fair
 
 
+def test_old_reports_do_not_hide_the_speeds() -> None:
+    """Guard against a choice at random where an entry sends few calls.
+
+    Each entry sends a target a call every 3.5 s; half of the runs are short.
+    """
+    speeds = [0.5 + 0.04 * number for number in range(31)]
+    spec = LoadSpec(
+        targets=tuple(TargetSpec(speed=speed) for speed in speeds),
+        entries=89,
+        calls_per_s=0.8 * sum(speeds) * 51 / 1.8,
+        run_ms=(1_200.0, 2_400.0),
+        slots=54,
+        deadline_ms=5_001.0,
+        duration_ms=16_000.0,
+    )
+    by_load = play(spec, seed=7, is_speed_aware=False)
+    by_speed = play(spec, seed=7, is_speed_aware=True)
+    assert by_speed.success(5_000.0) > 0.97
+    assert by_speed.success(5_000.0) > by_load.success(5_000.0) + 0.05
+
+
+def test_even_targets_are_used_as_before() -> None:
+    """Guard against random differences of run times taken for speeds."""
+    spec = LoadSpec(
+        targets=(TargetSpec(speed=1.0),) * 12,
+        entries=40,
+        calls_per_s=0.9 * 12 * 51 / 0.33,
+        run_ms=(330.0,),
+        slots=54,
+        deadline_ms=2_001.0,
+        duration_ms=8_000.0,
+    )
+    by_load = play(spec, seed=8, is_speed_aware=False)
+    by_speed = play(spec, seed=8, is_speed_aware=True)
+    assert by_speed.success(WARM_MS) == 1.0
+    for quantile in (0.5, 0.9, 0.99):
+        limit_ms = 1.03 * by_load.latency_ms(quantile, WARM_MS)
+        assert by_speed.latency_ms(quantile, WARM_MS) < limit_ms
+
+
 def test_without_speed_reports_the_choice_is_by_load() -> None:
     """Guard against changes where the other daemons report no run times."""
     members = [
