--- a/testing/routing/placement_load.py
+++ b/testing/routing/placement_load.py
@@ -19,7 +19,8 @@
 
 LINK_LATENCY_MS = 1.0
 QUEUE_LIMIT_CALLS = 400
-DOMAIN = "bilbao"
+# As in the mesh daemon.
+OWN_DOMAIN_MARGIN = 0.6
 
 
 @attrs.frozen(kw_only=True)
@@ -51,6 +52,7 @@
     slots: int
     deadline_ms: float
     duration_ms: float
+    domains: int = 1
 
 
 @attrs.frozen
@@ -154,15 +156,21 @@
         self._targets = [_Target(target, spec.slots) for target in spec.targets]
         self._members = [
             control_pb2.Member(
-                vm=str(number), service="gauge", slots=spec.slots, failure_domain=DOMAIN
+                vm=str(number),
+                service="gauge",
+                slots=spec.slots,
+                failure_domain=f"domain-{number % spec.domains}",
             )
             for number in range(len(spec.targets))
         ]
-        self._pickers = []
+        self._pickers: list[tuple[str, TargetPicker]] = []
         for number in range(spec.entries):
             rng = random.Random(seed * 1_000 + number)
             placement = SpeedAwarePlacement(rng) if is_speed_aware else None
-            self._pickers.append(TargetPicker(rng, placement=placement))
+            picker = TargetPicker(
+                rng, own_domain_margin=OWN_DOMAIN_MARGIN, placement=placement
+            )
+            self._pickers.append((f"domain-{number % spec.domains}", picker))
 
     def run(self) -> PlayedLoad:
         self._at(0.0, self._arrive)
@@ -188,14 +196,14 @@
         if self._now_ms >= self._spec.duration_ms:
             return
         self._after(self._rng.expovariate(self._spec.calls_per_s / 1e3), self._arrive)
-        picker = self._rng.choice(self._pickers)
+        domain, picker = self._rng.choice(self._pickers)
         members = [
             member
             for member, target in zip(self._members, self._targets, strict=True)
             if target.spec.appears_ms <= self._now_ms
         ]
         member = picker.choose(
-            members, own_domain=DOMAIN, excluded=set(), now_ms=self._now_ms
+            members, own_domain=domain, excluded=set(), now_ms=self._now_ms
         )
         assert member is not None
         number = picker.record_start(member.vm)
--- a/testing/routing/test_placement.py
+++ b/testing/routing/test_placement.py
@@ -161,6 +161,32 @@
     assert by_speed.success(5_000.0) > by_load.success(5_000.0) + 0.05
 
 
+def test_targets_in_several_domains_are_used_by_their_speed() -> None:
+    """Guard against a domain whose slow target keeps all of its calls."""
+    speeds = (0.7, 0.9, 1.0, 1.2, 1.4)
+    changes = {1: (PAUSE,), 2: (SLOWNESS,)}
+    spec = LoadSpec(
+        targets=tuple(
+            TargetSpec(speed=speed, changes=changes.get(number, ()))
+            for number, speed in enumerate(speeds)
+        ),
+        entries=29,
+        calls_per_s=0.8 * sum(speeds) * 93 / 0.083,
+        run_ms=(83.0,),
+        slots=98,
+        deadline_ms=701.0,
+        duration_ms=13_000.0,
+        domains=4,
+    )
+    by_load = play(spec, seed=9, is_speed_aware=False)
+    by_speed = play(spec, seed=9, is_speed_aware=True)
+    assert by_speed.success(WARM_MS) > 0.99
+    assert by_speed.success(WARM_MS) > by_load.success(WARM_MS) + 0.005
+    assert by_speed.peak_calls(1, PAUSE.start_ms, SLOWNESS.start_ms) < 0.8 * (
+        by_load.peak_calls(1, PAUSE.start_ms, SLOWNESS.start_ms)
+    )
+
+
 def test_even_targets_are_used_as_before() -> None:
     """Guard against random differences of run times taken for speeds."""
     spec = LoadSpec(
