Use all targets of other domains when the own domain has none

The utilization below which other targets get requests was the last one before the own targets were lost, so all requests would have gone to the few targets below it. The test fails without the change.

--- a/src/eelgrassweir/routing/domain_spill.py
+++ b/src/eelgrassweir/routing/domain_spill.py
@@ -180,6 +180,7 @@
         if not local:
             state.share = state.smoothed_share = 0.0
             state.is_spilling = True
+            state.spill_below_utilization = MAX_UTILIZATION
         if now_ms - state.stepped_ms >= STEP_MS:
             _drop_old_reports(state, now_ms)
             if local:
@@ -257,6 +258,7 @@
     if not local.targets and remote.targets:
         state.share = MIN_STAY_SHARE
         state.is_spilling = True
+        state.spill_below_utilization = MAX_UTILIZATION
         return MIN_STAY_SHARE
     if not local.is_known or not remote.targets:
         state.is_spilling = False
--- a/testing/routing/test_domain_spill.py
+++ b/testing/routing/test_domain_spill.py
@@ -189,6 +189,28 @@
     assert len(left) > 800
 
 
+def test_domain_without_targets_uses_all_others() -> None:
+    """Guard against a crowd at the targets below an outdated utilization."""
+    spill = DomainSpill(random.Random(1))
+    members = [control_pb2.Member(vm=f"oviedo-{number}") for number in (1, 2)]
+    loads = {"bilbao-1": 12, "oviedo-1": 5, "oviedo-2": 14}
+    for now_ms in range(0, 1_000, 50):
+        for vm, in_flight in loads.items():
+            load = link_pb2.Load(in_flight=in_flight, limit=10)
+            is_local = vm == "bilbao-1"
+            spill.record_load("ledger", vm, load, is_local=is_local, now_ms=now_ms)
+        spill.record_run("ledger", 80.0, now_ms)
+        spill.choose_domain("ledger", LOCAL, members, now_ms)
+    choices = [
+        spill.choose_domain("ledger", LOCAL, members, 1_000.0) for _ in range(50)
+    ]
+    assert (SPILL_MARGIN, members[:1]) in choices
+    assert spill.choose_domain("ledger", [], members, 1_010.0) == (
+        SPILL_MARGIN,
+        members,
+    )
+
+
 def test_state_is_bounded() -> None:
     """Guard against memory that grows with services and replaced VMs."""
     spill = DomainSpill(random.Random(1))
