Measure the runs of the local target for the stay share

Only runs over links were measured. An entry whose only own target is that of its VM had a run time of 0, expected no wait there and never left it. The new test fails without the change. Also checks that the template of the deployment switches the setting on.

testing/mesh/test_whole_path.py and testing/deploy/test_bounds.py pass, the latter without its cases that start a site.

--- a/src/eelgrassweir/mesh/dispatch.py
+++ b/src/eelgrassweir/mesh/dispatch.py
@@ -203,13 +203,17 @@
     async def _send_locally(
         self, call: Call, member: Member, timeout_ms: float
     ) -> TargetResult:
+        sent_ms = self._clock.now_ms()
         try:
             async with asyncio.timeout(timeout_ms / 1e3):
                 result = await self._target.handle(call.context, call.request)
         except TimeoutError:
             reason = f"no answer in {timeout_ms:.0f} ms"
             raise LinkError("local call", self._vm, reason, is_timeout=True) from None
-        self._record_load(call, member, self._target.load())
+        load = self._target.load()
+        self._record_load(call, member, load)
+        if isinstance(result.result, HttpResponse):
+            self._record_times(call, member, load, sent_ms)
         return result
 
     def _record_load(self, call: Call, member: Member, load: link_pb2.Load) -> None:
--- a/testing/deploy/test_bounds.py
+++ b/testing/deploy/test_bounds.py
@@ -67,6 +67,11 @@
     assert getattr(settings, FIELDS_OF_BOUNDS[bound][0]) == value
 
 
+def test_deployment_leaves_domains_by_load() -> None:
+    """Guard against a template that leaves the stay share switched off."""
+    assert load_rendered(BOUNDS).domain_spill
+
+
 @pytest.mark.parametrize("bound", FIELDS_OF_BOUNDS)
 def test_bound_may_be_missing(bound: str) -> None:
     """Guard against settings that are no JSON without a bound."""
--- a/testing/mesh/test_whole_path.py
+++ b/testing/mesh/test_whole_path.py
@@ -71,6 +71,25 @@
     asyncio.run(scenario())
 
 
+def test_run_of_the_local_target_is_measured() -> None:
+    """Guard against a VM that never leaves its own target when it is full.
+
+    Without a run time, no wait is expected there.
+    """
+
+    async def scenario() -> None:
+        async with mesh_fleet() as fleet:
+            backend = BackendStandIn("notes", "i-0", delay_s=0.05)
+            daemon = await fleet.add(backend, domain_spill=True)
+            fleet.configure(make_route("/a/", "notes"))
+            await fleet.wait_until_converged()
+            assert (await fleet.call(daemon, "/a/")).status == 200
+            assert daemon.spill is not None
+            assert daemon.spill._services["notes"].run_ms > 0.0
+
+    asyncio.run(scenario())
+
+
 def test_answered_request_has_a_log_line_at_each_daemon() -> None:
     """Guard against responses, failed ones too, that no log line explains."""
     lines: list[dict[str, Any]] = []
@@ -139,7 +158,8 @@
     asyncio.run(scenario())
 
 
-def test_non_idempotent_request_is_retried_only_if_not_run() -> None:
+@pytest.mark.parametrize("kind", ["unsafe", "upload"])
+def test_non_idempotent_request_is_retried_only_if_not_run(kind: str) -> None:
     """Guard against a second run of a non-idempotent request."""
 
     async def scenario() -> None:
@@ -149,7 +169,7 @@
             second = BackendStandIn("notes", "i-2")
             await fleet.add(first)
             await fleet.add(second)
-            fleet.configure(make_route("/a/", "notes", kind="unsafe"))
+            fleet.configure(make_route("/a/", "notes", kind=kind))
             await fleet.wait_until_converged()
             for _ in range(4):
                 response = await fleet.call(entry, "/a/", method="POST")
