--- a/testing/platform/test_configuration.py
+++ b/testing/platform/test_configuration.py
@@ -2,6 +2,7 @@
 
 import json
 
+import pytest
 from returns.result import Failure, Success
 
 from eelgrassweir.platform.configuration import decode_config
@@ -41,6 +42,19 @@
 }
 
 
+@pytest.mark.parametrize(
+    ("kind", "is_idempotent"),
+    [("safe", True), ("unsafe", False), ("upload", False), ("other", False)],
+)
+def test_only_safe_routes_are_idempotent(kind: str, is_idempotent: bool) -> None:
+    """Guard against an upload that is run a second time."""
+    document = {**DOCUMENT, "routes": [{**ROUTE, "kind": kind}]}
+    config = decode_config(json.dumps(document).encode()).unwrap()
+    route = config.match("notes.example", "/a/c")
+    assert route is not None
+    assert route.idempotent is is_idempotent
+
+
 def test_routes_teams_and_keys_are_decoded() -> None:
     """Guard against a field that is decoded as another one."""
     result = decode_config(json.dumps(DOCUMENT).encode())
