--- a/src/eelgrassweir/admission/offered.py
+++ b/src/eelgrassweir/admission/offered.py
@@ -9,20 +9,20 @@
 
 import attrs
 
-# Utilization of the gate's limit while the share is reduced. The gate's limit
-# is below the announced slots, and a leaf near its limit queues.
-TARGET_UTILIZATION = 0.92
+# Utilization of the gate's limit while the share is reduced. The limit is 95%
+# of the announced slots, so about 90% of these are used.
+TARGET_UTILIZATION = 0.95
 # Without queueing the utilization may approach the limit, so that a target
 # that has enough room for its demand refuses none of it.
-MAX_TARGET_UTILIZATION = 0.98
+MAX_TARGET_UTILIZATION = 0.99
 TARGET_INCREASE = 0.004
 BUCKET_COUNT = 4
 # Trees arrive at a leaf this long after the share was in force: transit of the
 # report, time above the leaf, and half of the window of the measurement.
 MIN_DELAY_MS = 400.0
 MAX_DELAY_MS = 1_100.0
-# While calls wait, trees take longer; the arriving ones began before so many
-# waits earlier (calls of one tree come one after another).
+# The calls of a tree follow one another, so the arriving ones belong to trees
+# that began earlier by up to so many waits of a call.
 EARLIER_CALLS = 5.0
 HISTORY_MS = 4_000.0
 # The backlog is to be worked off within this time, but with at most this part
--- a/src/eelgrassweir/mesh/call_trees.py
+++ b/src/eelgrassweir/mesh/call_trees.py
@@ -13,24 +13,24 @@
 from eelgrassweir.admission.offered import OfferedLoad
 from eelgrassweir.admission.rooms import VALID_MS, Room, RoomTable
 from eelgrassweir.admission.tree_admission import Shortage, TreeAdmission
-from eelgrassweir.admission.tree_costs import RunCosts, ServiceCost
+from eelgrassweir.admission.tree_costs import MAX_ROUTES, RunCosts, ServiceCost
 from eelgrassweir.clock import Clock
 from eelgrassweir.proto import link_pb2
 from eelgrassweir.requests.refusal import Refusal
 
 PER_MILLE = 1000
+# Costs change slowly, so the messages of a route are kept for this time.
+COST_CACHE_MS = 100.0
 
 
 @attrs.define
 class _EncodedCost:
+    """Messages of the cost of one route."""
+
     parts: list[link_pb2.CallCost]
     encoded_ms: float
 
 
-# Costs change slowly, so the messages of a route are kept for this time.
-COST_CACHE_MS = 500.0
-
-
 class CallTrees:
     """Hold the soft state of one daemon about call trees.
 
@@ -164,10 +164,9 @@
             for name, part in cost.items()
             if part.run_ms > 0
         ]
-        if parts:
-            self._encoded_costs[route] = _EncodedCost(parts, now_ms)
-        else:
-            self._encoded_costs.pop(route, None)
+        if len(self._encoded_costs) > MAX_ROUTES:
+            self._encoded_costs.clear()
+        self._encoded_costs[route] = _EncodedCost(parts, now_ms)
         return parts
 
 
--- a/testing/admission/call_tree_simulation.py
+++ b/testing/admission/call_tree_simulation.py
@@ -95,6 +95,8 @@
         self.world = world
         self.name = name
         self.is_up = True
+        # Run time in multiples of the usual one.
+        self.slowness = 1.0
         self.offered = OfferedLoad()
         self.in_flight = 0
         self.queue: collections.deque[_Run] = collections.deque()
@@ -114,7 +116,7 @@
     def _start(self, run: _Run) -> None:
         self.in_flight += 1
         wait_ms = self.world.now_ms - run.arrived_ms
-        run_ms = run.kind.run_ms * self.world.rng.uniform(0.7, 1.3)
+        run_ms = run.kind.run_ms * self.slowness * self.world.rng.uniform(0.7, 1.3)
 
         def end() -> None:
             self.in_flight -= 1
