Do not take refusals of failing backend servers for a shortage

Cause: refusals above half of the limit raised the measured demand, and the delayed division then lowered the share again and again. Change: they are a sign of a shortage above 0.8 of the limit and leave the demand as measured. Tests of this, of the recovery, and of the precedence.

--- a/src/eelgrassweir/admission/offered.py
+++ b/src/eelgrassweir/admission/offered.py
@@ -39,7 +39,7 @@
 HOLD_MS = 500.0
 # Backend servers may refuse at any load; below this utilization a refusal
 # does not show a lack of slots.
-MIN_REFUSAL_UTILIZATION = 0.5
+MIN_REFUSAL_UTILIZATION = 0.8
 # Roots are ordered and shed by the gate itself. Only where calls take up this
 # part of the arrivals can shedding waste the work of other services.
 MIN_CALLS_SHARE = 0.1
@@ -130,16 +130,16 @@
         run_share = self._run_ms / max(1, limit_calls)
         utilization = arrivals / window.duration_ms * run_share
         self._backlog = min(MAX_BACKLOG, queued_calls / DRAIN_MS * run_share)
-        if window.refused_by_backend and utilization > MIN_REFUSAL_UTILIZATION:
-            refused_share = window.refused_by_backend / max(1, window.arrivals)
-            utilization = max(utilization, 1.0 + refused_share)
         self.utilization = utilization
 
     def _detect_overload(self, window: _Bucket, now_ms: float) -> None:
         if window.calls < MIN_CALLS_SHARE * window.arrivals:
             return
         waits = window.wait_ms > WAIT_SHARE * window.run_ms
-        if waits or (window.refused and self.utilization > MIN_REFUSAL_UTILIZATION):
+        refused = window.refused
+        if self.utilization < MIN_REFUSAL_UTILIZATION:
+            refused -= window.refused_by_backend
+        if waits or refused > 0:
             self._overloaded_ms = now_ms
             self._target = TARGET_UTILIZATION
         else:
--- a/testing/admission/test_tree_decisions.py
+++ b/testing/admission/test_tree_decisions.py
@@ -197,3 +197,27 @@
     rooms.record_relayed(Room("leaf", 0.99, 0.0), 100.0)
     admitted = [admission.try_admit("a", 0, "t", 200.0) is None for _ in range(200)]
     assert 10 < sum(admitted) < 80
+
+
+def test_refusals_of_backend_servers_with_free_slots_reduce_nothing() -> None:
+    """Guard against a failing backend server taken for a full one."""
+    load = OfferedLoad()
+    for tick in range(1, 31):
+        for _ in range(6):
+            load.record_arrival(is_call=True)
+            load.record_run(100.0, 0.0)
+        load.record_refusal(by_backend=True)
+        load.update(limit_calls=10, queued_calls=0, now_ms=tick * 100.0)
+    assert load.share == 1.0
+
+
+def test_the_share_returns_within_two_seconds_of_the_end() -> None:
+    """Guard against refusals that outlast an overload."""
+    load = OfferedLoad()
+    assert offer(load, is_call=True, calls_per_tick=20) < 0.6
+    for tick in range(21, 41):
+        for _ in range(2):
+            load.record_arrival(is_call=True)
+            load.record_run(100.0, 0.0)
+        load.update(limit_calls=10, queued_calls=0, now_ms=tick * 100.0)
+    assert load.share == 1.0
--- a/testing/mesh/test_call_tree_admission.py
+++ b/testing/mesh/test_call_tree_admission.py
@@ -127,3 +127,38 @@
             assert read_tree_refusals(fleet.daemons[2]) == 0.0
 
     asyncio.run(scenario())
+
+
+async def list_run_order(*, is_enabled: bool) -> list[str]:
+    """Return the first letters of the paths run by a backend with one slot.
+
+    Calls and a root of the most urgent team and route wait for it.
+    """
+    async with mesh_fleet() as fleet:
+        leaf = BackendStandIn("notes", "i-0", slots=1, hold=asyncio.Event())
+        daemon = await fleet.add(leaf, call_tree_admission=is_enabled)
+        fleet.configure(
+            make_route("/calls/", "notes", priority=1),
+            make_route("/urgent/", "notes", priority=0, public=False),
+            priority=0,
+        )
+        await fleet.wait_until_converged()
+        tasks = []
+        for count, path in enumerate(("/calls/", "/calls/", "/urgent/"), start=1):
+            headers = (KEYED,) if path == "/urgent/" else ()
+            tasks.append(asyncio.create_task(fleet.call(daemon, path, *headers)))
+            await wait_until(lambda n=count: daemon.target.running_calls == n)
+        assert leaf.hold is not None
+        leaf.hold.set()
+        await asyncio.gather(*tasks)
+        return [run.path[1] for run in leaf.runs]
+
+
+def test_the_most_urgent_roots_do_not_wait_behind_calls() -> None:
+    """Guard against urgent roots that wait for less urgent trees."""
+
+    async def scenario() -> None:
+        assert await list_run_order(is_enabled=True) == ["c", "u", "c"]
+        assert await list_run_order(is_enabled=False) == ["c", "c", "u"]
+
+    asyncio.run(scenario())
