Keep calls ahead of roots where all roots are equally urgent

Cause: with one priority for all routes, every root would be queued like a call, and calls of running requests would wait behind new roots. Change: the precedence applies only if a route of roots has a priority above 0.

--- a/src/eelgrassweir/mesh/app.py
+++ b/src/eelgrassweir/mesh/app.py
@@ -512,6 +512,7 @@
         self.metrics.config_version.set(config.version)
         self.lending.apply_config(config)
         self.entry.durations.keep_routes(config.list_route_names())
+        self.entry.has_less_urgent_roots = config.has_less_urgent_roots()
         limits = config.limits
         self.caller_server.idle_timeout_s = limits.idle_timeout_ms / 1e3
         self.caller_server.body_limit_bytes = limits.body_bytes
--- a/src/eelgrassweir/mesh/entry.py
+++ b/src/eelgrassweir/mesh/entry.py
@@ -118,6 +118,8 @@
         self._trees = trees
         self.in_flight_calls = 0
         self.durations = RunDurations()
+        # Whether the routes of roots have different priorities.
+        self.has_less_urgent_roots = False
         # Set in a planned stop: when the requests in progress are failed.
         self.stop_end_ms = math.inf
         # Set late in a planned stop, when new requests could not be finished.
@@ -361,10 +363,11 @@
     ) -> link_pb2.Priority.ValueType:
         """Return the priority of a request in the queue of its target.
 
-        The most urgent roots do not wait behind calls of less urgent ones.
+        The most urgent roots do not wait behind calls of less urgent ones. If
+        all are equally urgent, calls stay ahead of them.
         """
         is_urgent = team is not None and team.priority <= 0 and route.priority <= 0
-        if is_urgent and self._trees is not None:
+        if is_urgent and self._trees is not None and self.has_less_urgent_roots:
             return CHILD_PRIORITY
         return _choose_priority(team)
 
--- a/src/eelgrassweir/routing/rules.py
+++ b/src/eelgrassweir/routing/rules.py
@@ -84,6 +84,14 @@
             route.name for routes in self.routes_by_host.values() for route in routes
         }
 
+    def has_less_urgent_roots(self) -> bool:
+        """Return whether a route of root requests has a priority above 0."""
+        return any(
+            route.priority > 0 and not route.is_open
+            for routes in self.routes_by_host.values()
+            for route in routes
+        )
+
     def find_team(self, key: str) -> TeamRule | None:
         """Return the team that holds ``key``, or None."""
         return self.teams_by_key_hash.get(hash_key(key))
--- a/testing/mesh/test_call_tree_admission.py
+++ b/testing/mesh/test_call_tree_admission.py
@@ -129,7 +129,7 @@
     asyncio.run(scenario())
 
 
-async def list_run_order(*, is_enabled: bool) -> list[str]:
+async def list_run_order(*, is_enabled: bool, other_priority: int = 1) -> list[str]:
     """Return the first letters of the paths run by a backend with one slot.
 
     Calls and a root of the most urgent team and route wait for it.
@@ -140,6 +140,7 @@
         fleet.configure(
             make_route("/calls/", "notes", priority=1),
             make_route("/urgent/", "notes", priority=0, public=False),
+            make_route("/other/", "notes", priority=other_priority, public=False),
             priority=0,
         )
         await fleet.wait_until_converged()
@@ -162,3 +163,13 @@
         assert await list_run_order(is_enabled=False) == ["c", "c", "u"]
 
     asyncio.run(scenario())
+
+
+def test_calls_stay_ahead_of_roots_that_are_all_equally_urgent() -> None:
+    """Guard against calls of running requests that wait behind new roots."""
+
+    async def scenario() -> None:
+        order = await list_run_order(is_enabled=True, other_priority=0)
+        assert order == ["c", "c", "u"]
+
+    asyncio.run(scenario())
