Test that the admitted share of a full leaf does not oscillate

Cause: trees arrive at a leaf up to a second after their admission, which makes a control loop oscillate. Change: a test of the spread of the share and of the goodput by two seconds.

--- a/testing/admission/test_call_trees.py
+++ b/testing/admission/test_call_trees.py
@@ -1,5 +1,7 @@
 """Guard against full leaf services that waste the work of whole call trees."""
 
+import statistics
+
 import pytest
 
 from testing.admission.call_tree_simulation import KINDS, World
@@ -96,3 +98,12 @@
     assert served_share(world, 5, 10, route="payment") > 0.98
     assert served_share(world, 12, 14) > 0.95
     assert served_share(world, 13, 16) == 1.0
+
+
+@pytest.mark.parametrize("demand", [1.3, 2.0])
+def test_the_share_does_not_oscillate(demand: float) -> None:
+    """Guard against a leaf that is full and idle by turns."""
+    world = run_steadily(demand)
+    shares = [share for at_ms, share in world.shares if at_ms > 8_000]
+    assert statistics.pstdev(shares) < 0.2 * statistics.mean(shares)
+    assert min(world.goodput(second, second + 2) for second in range(8, 15)) > 0.75
