--- a/src/eelgrassweir/admission/offered.py
+++ b/src/eelgrassweir/admission/offered.py
@@ -9,20 +9,20 @@
 
 import attrs
 
-# Utilization of the gate's limit while the share is reduced. The gate's limit
-# is below the announced slots, and a leaf near its limit queues.
-TARGET_UTILIZATION = 0.92
+# Utilization of the gate's limit while the share is reduced. The limit is 95%
+# of the announced slots, so about 90% of these are used.
+TARGET_UTILIZATION = 0.95
 # Without queueing the utilization may approach the limit, so that a target
 # that has enough room for its demand refuses none of it.
-MAX_TARGET_UTILIZATION = 0.98
+MAX_TARGET_UTILIZATION = 0.99
 TARGET_INCREASE = 0.004
 BUCKET_COUNT = 4
 # Trees arrive at a leaf this long after the share was in force: transit of the
 # report, time above the leaf, and half of the window of the measurement.
 MIN_DELAY_MS = 400.0
 MAX_DELAY_MS = 1_100.0
-# While calls wait, trees take longer; the arriving ones began before so many
-# waits earlier (calls of one tree come one after another).
+# The calls of a tree follow one another, so the arriving ones belong to trees
+# that began earlier by up to so many waits of a call.
 EARLIER_CALLS = 5.0
 HISTORY_MS = 4_000.0
 # The backlog is to be worked off within this time, but with at most this part
@@ -39,7 +39,7 @@
 HOLD_MS = 500.0
 # Backend servers may refuse at any load; below this utilization a refusal
 # does not show a lack of slots.
-MIN_REFUSAL_UTILIZATION = 0.5
+MIN_REFUSAL_UTILIZATION = 0.8
 # Roots are ordered and shed by the gate itself. Only where calls take up this
 # part of the arrivals can shedding waste the work of other services.
 MIN_CALLS_SHARE = 0.1
@@ -130,16 +130,16 @@
         run_share = self._run_ms / max(1, limit_calls)
         utilization = arrivals / window.duration_ms * run_share
         self._backlog = min(MAX_BACKLOG, queued_calls / DRAIN_MS * run_share)
-        if window.refused_by_backend and utilization > MIN_REFUSAL_UTILIZATION:
-            refused_share = window.refused_by_backend / max(1, window.arrivals)
-            utilization = max(utilization, 1.0 + refused_share)
         self.utilization = utilization
 
     def _detect_overload(self, window: _Bucket, now_ms: float) -> None:
         if window.calls < MIN_CALLS_SHARE * window.arrivals:
             return
         waits = window.wait_ms > WAIT_SHARE * window.run_ms
-        if waits or (window.refused and self.utilization > MIN_REFUSAL_UTILIZATION):
+        refused = window.refused
+        if self.utilization < MIN_REFUSAL_UTILIZATION:
+            refused -= window.refused_by_backend
+        if waits or refused > 0:
             self._overloaded_ms = now_ms
             self._target = TARGET_UTILIZATION
         else:
