Admit kinds of requests that need next to nothing of a full service

Cause: the least-squares fit attributes some calls to a route that makes none if its runs share a backend server with those of another one. Change: kinds below a quarter of the mean cost are not refused for a service. Result: test_a_kind_with_a_negligible_cost_is_admitted fails before, passes after.

--- a/src/eelgrassweir/admission/tree_admission.py
+++ b/src/eelgrassweir/admission/tree_admission.py
@@ -26,6 +26,10 @@
 # rarely admits less than the planned share, with 0 more.
 OWN_WEIGHT = 0.5
 COST_VALID_MS = 10_000.0
+# A kind whose trees need less than this part of the mean at a service is not
+# refused for it: that would free little, and calls of other kinds that run at
+# the same backend servers can be attributed to it by chance.
+MIN_COST_PART = 0.25
 MAX_ROUTES = 64
 SLOW_START_MS = 1_000.0
 MIN_SLOW_START_SHARE = 0.1
@@ -130,6 +134,7 @@
             if cost is not None and cost.run_ms > 0:
                 roots = sum(teams.values())
                 kinds.append(KindDemand(rank, route, roots, cost.run_ms))
+        kinds = _drop_negligible(kinds)
         shares = divide_among_kinds(kinds, room.share)
         for kind in kinds:
             key = (kind.rank, kind.route)
@@ -152,3 +157,10 @@
         for route, known in list(self._costs.items()):
             if now_ms - known.learned_ms > COST_VALID_MS:
                 del self._costs[route]
+
+
+def _drop_negligible(kinds: list[KindDemand]) -> list[KindDemand]:
+    """Return the kinds whose trees need a considerable part of a service."""
+    roots = sum(kind.roots for kind in kinds)
+    mean_ms = sum(kind.roots * kind.cost_ms for kind in kinds) / max(roots, 1e-9)
+    return [kind for kind in kinds if kind.cost_ms >= MIN_COST_PART * mean_ms]
--- a/testing/admission/test_tree_decisions.py
+++ b/testing/admission/test_tree_decisions.py
@@ -188,6 +188,22 @@
     assert sum(shortage is not None for shortage in refused) > 80
 
 
+def test_a_kind_with_a_negligible_cost_is_admitted() -> None:
+    """Guard against refusals for calls that another kind has made."""
+    rooms = RoomTable()
+    rooms.record_relayed(Room("leaf", 0.5, 0.0), 0.0)
+    admission = TreeAdmission(rooms, random.Random(1), -10_000.0)
+    admission.record_cost("calling", {"leaf": ServiceCost(8.0, 600.0)}, 0.0)
+    admission.record_cost("quiet", {"leaf": ServiceCost(0.5, 40.0)}, 0.0)
+    for _ in range(100):
+        admission.try_admit("calling", 1, "t", 0.0)
+        admission.try_admit("quiet", 0, "t", 0.0)
+    quiet = [admission.try_admit("quiet", 0, "t", 200.0) for _ in range(100)]
+    calling = [admission.try_admit("calling", 1, "t", 200.0) for _ in range(100)]
+    assert all(shortage is None for shortage in quiet)
+    assert sum(shortage is not None for shortage in calling) > 20
+
+
 def test_admission_grows_after_a_restart_while_room_is_short() -> None:
     """Guard against a restart that admits all waiting roots at once."""
     rooms = RoomTable()
