Bound what clients outside all limits take from a daemon

Cause: a read of up to 256 KiB was parsed as a whole before the limit of the head was checked; the parser and the fields of a refused request stayed in memory while its connection was read on; trailing fields and the bytes of incomplete heads counted nowhere; reads of refused connections took every turn of the event loop; empty lines were read without end; and connections were accepted until no descriptor was left. The admin listener of the product took heads of any size.

Change: reads are parsed in parts (8 KiB of a head, 64 KiB of a body), and what is refused is freed at once. Incomplete heads of all connections have a budget, beyond which the oldest is refused. Trailing fields and empty lines have bounds. Connections whose bytes are dropped are read in turn, one each 5 ms. Each listener has a share of the descriptors; new connections without a request make room first. A link needs its hello within 10 s. The time of a head is no longer replaced by the idle time when an earlier request is answered.

--- a/src/eelgrassweir/daemon/admin.py
+++ b/src/eelgrassweir/daemon/admin.py
@@ -57,6 +57,8 @@
 # A plan holds the document before and after the change, of up to 1 MB each,
 # and the intent.
 MAX_BODY_BYTES = 4_000_000
+# The library reads heads of any size by default.
+MAX_HEAD_BYTES = 32_768
 _THREADS = 4
 _SOCKET_TIMEOUT_S = 10
 _STOP_TIMEOUT_S = 5
@@ -160,6 +162,7 @@
         self._server.timeout = _SOCKET_TIMEOUT_S
         self._server.shutdown_timeout = _STOP_TIMEOUT_S
         self._server.max_request_body_size = MAX_BODY_BYTES
+        self._server.max_request_header_size = MAX_HEAD_BYTES
         self._handlers: dict[tuple[str, str], Callable[[_Request], _Answer]] = {
             ("GET", "/healthz"): lambda _: _json_answer(200, {"ok": True}),
             ("GET", "/metrics"): lambda _: self._metrics(),
--- a/src/eelgrassweir/daemon/control_server.py
+++ b/src/eelgrassweir/daemon/control_server.py
@@ -9,10 +9,17 @@
 import grpc.aio
 from returns.result import Failure, Result, Success
 
+from eelgrassweir.daemon.connection_limit import ConnectionLimit
 from eelgrassweir.daemon.control_client import CHANNEL_OPTIONS
 from eelgrassweir.errors import StepError
 from eelgrassweir.proto import control_pb2, control_pb2_grpc
 
+# Bounds of the connections of other daemons, computed at the start.
+CONNECTIONS_PERCENT = 15
+MAX_CONNECTIONS = 1_024
+# The library closes a silent connection after 120 s by default.
+HANDSHAKE_TIMEOUT_MS = 10_000
+
 BorrowHandler = Callable[
     [control_pb2.BorrowRequest], Awaitable[control_pb2.BorrowReply]
 ]
@@ -86,7 +93,15 @@
 
     Fail if the address cannot be bound.
     """
-    options = (*CHANNEL_OPTIONS, ("grpc.so_reuseport", 0))
+    limit = ConnectionLimit(
+        percent=CONNECTIONS_PERCENT, max_connections=MAX_CONNECTIONS
+    )
+    options = (
+        *CHANNEL_OPTIONS,
+        ("grpc.so_reuseport", 0),
+        ("grpc.max_allowed_incoming_connections", limit.get_limit()),
+        ("grpc.server_handshake_timeout_ms", HANDSHAKE_TIMEOUT_MS),
+    )
     server = grpc.aio.server(options=options)
     register: Any = control_pb2_grpc.add_ControlServicer_to_server
     register(ControlServicer(handlers), server)
--- a/src/eelgrassweir/daemon/held_bytes.py
+++ b/src/eelgrassweir/daemon/held_bytes.py
@@ -9,6 +9,11 @@
 
 import attrs
 
+from eelgrassweir.daemon.incomplete_heads import (
+    IncompleteHeads,
+    compute_heads_limit_bytes,
+)
+
 # Memory of a VM that does not say how much it has: that of a small one.
 DEFAULT_MEMORY_MB = 200
 # Memory of a daemon without its messages, and what its allocator keeps.
@@ -64,6 +69,12 @@
     _unsent: set[Callable[[], int]] = attrs.field(factory=set)
     # Peers whose connections may be ended for the sake of other messages.
     _slow_peers: set[SlowPeer] = attrs.field(factory=set)
+    # Heads of requests that have not arrived as a whole, beside the pool.
+    incomplete_heads: IncompleteHeads = attrs.field(init=False)
+
+    @incomplete_heads.default
+    def _make_incomplete_heads(self) -> IncompleteHeads:
+        return IncompleteHeads(compute_heads_limit_bytes(self.limit_bytes))
 
     @property
     def message_limit_bytes(self) -> int:
--- a/src/eelgrassweir/daemon/http_server.py
+++ b/src/eelgrassweir/daemon/http_server.py
@@ -15,6 +15,8 @@
 import httptools
 from eliot import write_traceback
 
+from eelgrassweir.daemon.connection_limit import ConnectionLimit
+from eelgrassweir.daemon.connection_table import ConnectionTable
 from eelgrassweir.daemon.held_bytes import (
     FIELD_OVERHEAD_BYTES,
     FIELDS_PER_COUNT,
@@ -27,7 +29,10 @@
     encode_response,
     split_absolute_form,
 )
+from eelgrassweir.daemon.incomplete_heads import IncompleteHead
 from eelgrassweir.daemon.listening import Listener, start_listener
+from eelgrassweir.daemon.read_turns import ReadTurns
+from eelgrassweir.daemon.request_bounds import RequestBounds
 from eelgrassweir.daemon.start_queue import QueuedStart, StartQueue, Wait
 from eelgrassweir.daemon.unsent_answers import UnsentAnswers
 from eelgrassweir.requests.refusal import (
@@ -43,6 +48,13 @@
 UnansweredHandler = Callable[[HttpRequest, str], None]
 
 MAX_HEAD_BYTES = 32_768
+# Bytes that are parsed before the limits are checked. A read may have 256 KiB,
+# and the parser keeps a field until its end.
+HEAD_PART_BYTES = 8_192
+BODY_PART_BYTES = 65_536
+# Default bounds of the connections of a listener.
+CONNECTIONS_PERCENT = 50
+MAX_CONNECTIONS = 2_048
 # Requests of one connection that run at a time, since the answers behind the
 # first one are held in memory.
 MAX_PIPELINED_REQUESTS = 4
@@ -150,8 +162,10 @@
         held: HeldBytes | None = None,
         start_queue: StartQueue | None = None,
         get_priority: Callable[[HttpRequest], int] | None = None,
+        connection_limit: ConnectionLimit | None = None,
     ) -> None:
         self.handler = handler
+        self.read_turns = ReadTurns()
         self.start_queue = start_queue or StartQueue()
         self.get_priority = get_priority or get_equal_priority
         self.on_unanswered = on_unanswered
@@ -168,7 +182,12 @@
         self.is_closing = False
         # Connections so far.
         self.accepted_count = 0
-        self._connections: set[HttpConnection] = set()
+        self._connections: ConnectionTable[HttpConnection] = ConnectionTable(
+            connection_limit
+            or ConnectionLimit(
+                percent=CONNECTIONS_PERCENT, max_connections=MAX_CONNECTIONS
+            )
+        )
         self._listener: Listener | None = None
 
     async def start(
@@ -176,7 +195,11 @@
     ) -> None:
         """Listen on ``host`` and ``port``."""
         self._listener = await start_listener(
-            lambda: HttpConnection(self), host, port, tls
+            lambda: HttpConnection(self),
+            host,
+            port,
+            tls,
+            connection_limit=self._connections.limit,
         )
 
     @property
@@ -191,7 +214,7 @@
     def close_idle(self) -> None:
         """Close the connections without a request in progress."""
         self.is_closing = True
-        for connection in list(self._connections):
+        for connection in self._connections:
             connection.close_if_idle()
 
     def fail_pending_requests(self) -> None:
@@ -200,7 +223,7 @@
         Completed answers that wait behind them can then be sent.
         """
         self.is_closing = True
-        for connection in list(self._connections):
+        for connection in self._connections:
             connection.fail_pending_requests()
 
     def stop_listening(self) -> None:
@@ -218,17 +241,22 @@
         """Close the listener and abort open connections."""
         if self._listener is not None:
             self._listener.close()
-        for connection in list(self._connections):
+        for connection in self._connections:
             connection.abort("the daemon stops")
 
     def add_connection(self, connection: "HttpConnection") -> None:
         """Track an open connection."""
-        self._connections.add(connection)
         self.accepted_count += 1
+        self._connections.add(connection)
+
+    def record_request(self, connection: "HttpConnection") -> None:
+        """Record that a whole request has been read from a connection."""
+        self._connections.record_request(connection)
 
     def remove_connection(self, connection: "HttpConnection") -> None:
         """Stop tracking a closed connection."""
         self._connections.discard(connection)
+        self._connections.limit.record_close()
 
     @property
     def busy_count(self) -> int:
@@ -269,6 +297,10 @@
         self._is_parsing_paused = False
         # The request that is being received.
         self._held = HeldMessage(server.held)
+        self._incomplete_head = IncompleteHead(
+            server.held.incomplete_heads, self._refuse_incomplete_head
+        )
+        self._bounds = RequestBounds()
         self._unsent = UnsentAnswers(
             server.held,
             get_buffer_bytes=self._count_unsent_bytes,
@@ -282,6 +314,8 @@
 
     def _reset(self) -> None:
         self._held.release()
+        self._incomplete_head.release()
+        self._bounds.reset()
         self._path = b""
         self._headers: list[tuple[str, str]] = []
         self._head_bytes = 0
@@ -313,7 +347,7 @@
         self._transport = None
         self._cancel_timer()
         self._unsent.clear()
-        self._drop_body()
+        self._drop_request()
         self._drop_unparsed()
         self._cancel_pending(self._end_reason or describe_lost(exc))
 
@@ -333,27 +367,85 @@
         if not self._is_write_closed:
             self._unsent.unwatch()
             self._clear_deadline()
+            if self._is_receiving:
+                self._set_deadline(self._get_receive_timeout_s())
+                self._start_timer()
             self._write_answers()
 
     def data_received(self, data: bytes) -> None:
         """Feed the parser."""
         if self._server.on_read is not None:
             self._server.on_read()
-        if self._has_refused or self._is_write_closed:
-            return
-        if self._is_parsing_paused:
+        if self._is_parsing_paused and not self._drops_reads:
             self._keep_unparsed(data)
-        else:
+        elif not self._drops_reads:
             self._parse(data)
+        if self._drops_reads:
+            self._pause_dropped_reads()
+
+    @property
+    def _drops_reads(self) -> bool:
+        """Return whether no more requests of the connection are taken."""
+        return self._has_refused or self._is_write_closed
+
+    def _pause_dropped_reads(self) -> None:
+        """Read on when it is the turn of this connection."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.pause_reading()
+            self._server.read_turns.add(self._resume_dropped_reads)
+
+    def _resume_dropped_reads(self) -> None:
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.resume_reading()
 
     def _parse(self, data: bytes) -> None:
+        start = 0
+        while start < len(data):
+            part_bytes = BODY_PART_BYTES if self._is_in_body else HEAD_PART_BYTES
+            self._parse_part(data[start : start + part_bytes])
+            start += part_bytes
+            if self._drops_reads:
+                self._drop_request()
+                return
+        if self._is_receiving and not self._has_head:
+            self._incomplete_head.update(self._read_head_bytes, len(self._headers))
+        if not self._is_parsing_paused:
+            self._start_receive_deadline()
+
+    def _parse_part(self, data: bytes) -> None:
+        """Parse bytes, and refuse a request that exceeds a limit."""
+        if not self._is_receiving:
+            self._refuse_for(self._bounds.add_before_request(data))
+        if self._has_refused:
+            return
+        body_of = self._headers if self._is_in_body else None
+        content_bytes = len(self._body)
+        self._feed_all(data)
+        if self._drops_reads:
+            return
+        if body_of is self._headers and self._is_in_body:
+            has_content = len(self._body) > content_bytes
+            limit_bytes = self._server.head_limit_bytes
+            reason = self._bounds.add_to_body(len(data), has_content, limit_bytes)
+            self._refuse_for(reason)
+        self._check_incomplete_head(len(data))
+
+    def _feed_all(self, data: bytes) -> None:
         try:
             self._feed_parser(data)
         except httptools.HttpParserError as error:
-            self._refuse("bad_request", f"not HTTP/1.1 ({type(error).__name__})")
-        self._check_incomplete_head(len(data))
-        if not self._is_parsing_paused:
-            self._start_receive_deadline()
+            if not self._has_refused:
+                self._refuse_for(f"not HTTP/1.1 ({type(error).__name__})")
+
+    def _refuse_for(self, reason: str) -> None:
+        """Refuse the request if there is a reason."""
+        if reason:
+            self._refuse("bad_request", reason)
+
+    @property
+    def _is_in_body(self) -> bool:
+        """Return whether the head of the received request is complete."""
+        return self._is_receiving and self._has_head
 
     def _keep_unparsed(self, data: bytes) -> None:
         """Keep bytes until there is room for more requests, or drop them.
@@ -460,6 +552,7 @@
             # The head is read again without the offer.
             return
         self._has_head = True
+        self._incomplete_head.release()
         self._new_timeout_s = self._server.receive_timeout_s
         for name, value in self._headers:
             if name.lower() == "expect" and value.lower() == "100-continue":
@@ -483,6 +576,7 @@
         if self._has_refused or self._parser.should_upgrade():
             return
         self._is_receiving = False
+        self._server.record_request(self)
         self._new_timeout_s = 0.0
         if self._can_write:
             self._clear_deadline()
@@ -572,10 +666,16 @@
                 self.close()
                 return
             self._resume_parsing()
-        if not self._pending and self._can_write:
+        if not self._pending and self._can_write and not self._is_receiving:
             self._set_deadline(self._server.idle_timeout_s)
             self._start_timer()
 
+    def _get_receive_timeout_s(self) -> float:
+        """Return the time for the part of the request that is received."""
+        if self._has_head:
+            return self._server.receive_timeout_s
+        return self._server.head_timeout_s
+
     def _resume_parsing(self) -> None:
         """Parse the bytes that were kept if there is room again."""
         if self._is_parsing_paused and not self._is_pending_full:
@@ -649,6 +749,23 @@
         self._body = bytearray()
         self._held.release()
 
+    def _drop_request(self) -> None:
+        """Free what was received of a request that will not be complete.
+
+        The parser keeps an incomplete field, and this connection.
+        """
+        self._drop_body()
+        self._incomplete_head.release()
+        self._path = b""
+        self._headers = []
+        self._parser = None
+
+    def _refuse_incomplete_head(self) -> None:
+        """Refuse the request whose head takes room that others need."""
+        reason = "no memory left for the incomplete head of the request"
+        self._refuse("overloaded", reason, NO_MEMORY_RETRY_AFTER_MS)
+        self._drop_request()
+
     def _count_unsent_bytes(self) -> int:
         """Return the size of the answers that the caller has not accepted."""
         if self._transport is None:
--- a/src/eelgrassweir/daemon/link_server.py
+++ b/src/eelgrassweir/daemon/link_server.py
@@ -10,6 +10,8 @@
 from eliot import write_traceback
 
 from eelgrassweir.clock import Clock
+from eelgrassweir.daemon.connection_limit import ConnectionLimit
+from eelgrassweir.daemon.connection_table import FULL_MESSAGE_TYPE
 from eelgrassweir.daemon.held_bytes import HeldMessage
 from eelgrassweir.daemon.link_client import (
     FRAME_OVERHEAD_BYTES,
@@ -19,6 +21,7 @@
 )
 from eelgrassweir.daemon.link_frames import FrameProtocol
 from eelgrassweir.daemon.listening import Listener, start_listener
+from eelgrassweir.daemon.sparse_log import SparseLog
 from eelgrassweir.daemon.start_queue import QueuedStart, Wait
 from eelgrassweir.daemon.transit_time import TransitTime
 from eelgrassweir.proto import link_pb2
@@ -31,6 +34,11 @@
 # A caller that receives nothing for the silence limit abandons its requests.
 # Several checks in a row leave a margin for a pause of this process.
 MAX_SILENT_CHECKS = 3
+# Bounds of the links, of which another daemon opens one or two.
+LINKS_PERCENT = 20
+MAX_LINKS = 1_024
+# The hello is the first that a daemon sends.
+HELLO_TIMEOUT_S = 10.0
 # Followers and renewals of one link at a time. A daemon has one of each.
 MAX_CONTROL_TASKS = 64
 # Frames for a peer that does not read them. A caller stops sending to a silent
@@ -76,7 +84,13 @@
         self.handler = handler
         self.clock = clock
         self._listener: Listener | None = None
+        self.connection_limit = ConnectionLimit(
+            percent=LINKS_PERCENT, max_connections=MAX_LINKS
+        )
         self._sessions: set[LinkSession] = set()
+        # Those without a hello, oldest first.
+        self._unknown: dict[LinkSession, None] = {}
+        self._full_log = SparseLog(FULL_MESSAGE_TYPE)
         self._timer: asyncio.TimerHandle | None = None
 
     async def start(
@@ -84,7 +98,11 @@
     ) -> None:
         """Listen on ``host`` and ``port``."""
         self._listener = await start_listener(
-            lambda: LinkSession(self), host, port, tls
+            lambda: LinkSession(self),
+            host,
+            port,
+            tls,
+            connection_limit=self.connection_limit,
         )
         self._schedule_check()
 
@@ -122,12 +140,33 @@
         self._schedule_check()
 
     def add_session(self, session: "LinkSession") -> None:
-        """Track an open link."""
+        """Track an open link; without room, close one without a hello."""
         self._sessions.add(session)
+        self._unknown[session] = None
+        if len(self._sessions) > self.connection_limit.get_limit():
+            oldest = next(iter(self._unknown))
+            now_s = asyncio.get_running_loop().time()
+            self._full_log.record(
+                now_s,
+                connections=len(self._sessions),
+                limit=self.connection_limit.get_limit(),
+            )
+            self.remove_session(oldest)
+            oldest.close()
+
+    def record_hello(self, session: "LinkSession") -> None:
+        """Keep the link of a peer that is a daemon."""
+        self._unknown.pop(session, None)
+
+    def close_if_unknown(self, session: "LinkSession") -> None:
+        """Close a link whose peer has sent no hello in time."""
+        if session in self._unknown:
+            session.close()
 
     def remove_session(self, session: "LinkSession") -> None:
         """Stop tracking a closed link."""
         self._sessions.discard(session)
+        self._unknown.pop(session, None)
 
 
 @attrs.define(eq=False)
@@ -168,6 +207,7 @@
         self._peer_vm = ""
         self._last_received_ms = server.clock.now_ms()
         self._transit_time = TransitTime()
+        self._hello_timer: asyncio.TimerHandle | None = None
         # Consecutive checks that found the link silent.
         self._silent_checks = 0
         # Frames written while the peer accepts no bytes.
@@ -211,6 +251,10 @@
         """Send the VM and incarnation of this daemon."""
         super().connection_made(transport)
         self._server.add_session(self)
+        loop = asyncio.get_running_loop()
+        self._hello_timer = loop.call_later(
+            HELLO_TIMEOUT_S, self._server.close_if_unknown, self
+        )
         options = self._server.options
         hello = link_pb2.Hello(vm=options.vm, incarnation=options.incarnation)
         self.send(link_pb2.Frame(hello=hello))
@@ -219,6 +263,9 @@
         """Cancel the requests of this link, since their caller is gone."""
         super().connection_lost(exc)
         self._server.remove_session(self)
+        self._server.connection_limit.record_close()
+        if self._hello_timer is not None:
+            self._hello_timer.cancel()
         for running in self._running.values():
             running.cancel()
         for task in self._control_tasks.values():
@@ -263,6 +310,7 @@
             self.send(link_pb2.Frame(pong=link_pb2.Pong(id=frame.ping.id)))
         elif kind == "hello":
             self._peer_vm = frame.hello.vm
+            self._server.record_hello(self)
             self._measure_wait_ms(frame.hello.sent_ms)
 
     def _cancel(self, stream_id: int) -> None:
--- a/src/eelgrassweir/daemon/listening.py
+++ b/src/eelgrassweir/daemon/listening.py
@@ -8,11 +8,15 @@
 
 from eliot import log_message
 
+from eelgrassweir.daemon.connection_limit import ConnectionLimit
+
 BACKLOG_CONNECTIONS = 1_024
 # Connections that are accepted before others get their turn.
 MAX_ACCEPTS_PER_TURN = 128
 # Time for which connections wait if the system has no descriptor for them.
 ACCEPT_PAUSE_S = 0.1
+# Time for which they wait until some of too many connections are closed.
+LIMIT_PAUSE_S = 0.005
 
 
 class Listener:
@@ -28,7 +32,9 @@
         sockets: Sequence[socket.socket],
         make_protocol: Callable[[], asyncio.Protocol],
         tls: ssl.SSLContext | None,
+        connection_limit: ConnectionLimit | None,
     ) -> None:
+        self._connection_limit = connection_limit
         self._sockets = sockets
         self._make_protocol = make_protocol
         self._tls = tls
@@ -58,7 +64,11 @@
             loop.add_reader(listening, self._accept_waiting, listening)
 
     def _accept_waiting(self, listening: socket.socket) -> None:
+        limit = self._connection_limit
         for _ in range(MAX_ACCEPTS_PER_TURN):
+            if limit is not None and not limit.has_room():
+                self._watch_later(listening, LIMIT_PAUSE_S)
+                return
             try:
                 connection, _address = listening.accept()
             except (BlockingIOError, InterruptedError):
@@ -70,6 +80,8 @@
                 self._pause(listening, error)
                 return
             connection.setblocking(False)
+            if limit is not None:
+                limit.record_open()
             task = asyncio.get_running_loop().create_task(self._open(connection))
             self._opening.add(task)
             task.add_done_callback(self._opening.discard)
@@ -77,13 +89,17 @@
     def _pause(self, listening: socket.socket, error: OSError) -> None:
         """Accept again later, since descriptors or memory are used up."""
         log_message(message_type="listener:paused", reason=str(error))
+        self._watch_later(listening, ACCEPT_PAUSE_S)
+
+    def _watch_later(self, listening: socket.socket, pause_s: float) -> None:
         loop = asyncio.get_running_loop()
         loop.remove_reader(listening)
-        loop.call_later(ACCEPT_PAUSE_S, self._watch, listening)
+        loop.call_later(pause_s, self._watch, listening)
 
     async def _open(self, connection: socket.socket) -> None:
         """Hand a connection over to its protocol."""
         loop = asyncio.get_running_loop()
+        limit = self._connection_limit
         try:
             await loop.connect_accepted_socket(
                 self._make_protocol, connection, ssl=self._tls
@@ -92,6 +108,8 @@
             # The caller has left, or the TLS handshake has failed.
             log_message(message_type="listener:not_opened", reason=str(error))
             connection.close()
+            if limit is not None:
+                limit.record_close()
 
 
 async def start_listener(
@@ -99,9 +117,13 @@
     host: str,
     port: int,
     tls: ssl.SSLContext | None = None,
+    *,
+    connection_limit: ConnectionLimit | None = None,
 ) -> Listener:
     """Return a listener on ``host`` and ``port``.
 
+    The protocols record the close of the connections that it has accepted.
+
     :raises OSError: if it cannot listen.
     """
     sockets: list[socket.socket] = []
@@ -114,7 +136,7 @@
         for listening in sockets:
             listening.close()
         raise
-    return Listener(sockets, make_protocol, tls)
+    return Listener(sockets, make_protocol, tls, connection_limit)
 
 
 async def _resolve(host: str, port: int) -> list[tuple[int, Any]]:
--- a/src/eelgrassweir/daemon/request_path.py
+++ b/src/eelgrassweir/daemon/request_path.py
@@ -15,6 +15,7 @@
 from eelgrassweir.config.document import ConfigDocument
 from eelgrassweir.daemon.address import split_address
 from eelgrassweir.daemon.backend import Announcement, LocalBackend
+from eelgrassweir.daemon.connection_limit import ConnectionLimit
 from eelgrassweir.daemon.dispatch import Dispatcher
 from eelgrassweir.daemon.drain import DrainState
 from eelgrassweir.daemon.egress import EgressService
@@ -42,6 +43,9 @@
 from eelgrassweir.settings.generated import Settings
 
 CLOSE_POLL_INTERVAL_MS = 20
+# Bounds of the connections of the local backend server.
+EGRESS_CONNECTIONS_PERCENT = 15
+MAX_EGRESS_CONNECTIONS = 1_024
 
 
 @attrs.frozen(kw_only=True)
@@ -178,6 +182,10 @@
             start_queue=self.start_queue,
             # Their root requests are in progress.
             get_priority=lambda _: link_pb2.CRITICAL,
+            connection_limit=ConnectionLimit(
+                percent=EGRESS_CONNECTIONS_PERCENT,
+                max_connections=MAX_EGRESS_CONNECTIONS,
+            ),
         )
         self.link_server = LinkServer(options, self.target.handle_link_request, clock)
 
--- a/src/eelgrassweir/mesh/app.py
+++ b/src/eelgrassweir/mesh/app.py
@@ -13,6 +13,7 @@
 from eelgrassweir.admission.throttle import OverloadThrottle
 from eelgrassweir.clock import Clock
 from eelgrassweir.daemon.coalescing import WakeupCoalescer
+from eelgrassweir.daemon.connection_limit import ConnectionLimit
 from eelgrassweir.daemon.held_bytes import DEFAULT_MEMORY_MB, HeldBytes
 from eelgrassweir.daemon.http_client import BackendClient, ClientOptions
 from eelgrassweir.daemon.http_message import HttpRequest
@@ -66,6 +67,9 @@
 LAG_MESSAGE_TYPE = "loop:late"
 CANCEL_SENT_MESSAGE_TYPE = "link:cancel_sent"
 CANCEL_RECEIVED_MESSAGE_TYPE = "link:cancel_received"
+# Bounds of the connections of the platform and of operators, by listener.
+LOCAL_CONNECTIONS_PERCENT = 5
+MAX_LOCAL_CONNECTIONS = 256
 # Body limit of the servers until a configuration sets one.
 BODY_LIMIT_BYTES = 67_108_864
 LINK_CONNECT_TIMEOUT_MS = 300
@@ -268,9 +272,9 @@
         self.caller_server = self._make_server(
             self.entry.handle, self.entry.record_unanswered, self._get_priority
         )
-        self.control_server = self._make_server(self.control.handle)
-        self.ready_server = self._make_server(self.control.handle)
-        self.admin_server = self._make_server(
+        self.control_server = self._make_local_server(self.control.handle)
+        self.ready_server = self._make_local_server(self.control.handle)
+        self.admin_server = self._make_local_server(
             AdminService(self.metrics.registry, self.state).handle
         )
         self._has_probed_backend = False
@@ -591,11 +595,19 @@
         """Return the priority of a request in the start queue."""
         return link_pb2.NORMAL if self._adapter.has_key(request) else CHILD_PRIORITY
 
+    def _make_local_server(self, handler: Handler) -> HttpServer:
+        """Return a server for the platform and operators, who are few."""
+        limit = ConnectionLimit(
+            percent=LOCAL_CONNECTIONS_PERCENT, max_connections=MAX_LOCAL_CONNECTIONS
+        )
+        return self._make_server(handler, connection_limit=limit)
+
     def _make_server(
         self,
         handler: Handler,
         on_unanswered: UnansweredHandler | None = None,
         get_priority: Callable[[HttpRequest], int] | None = None,
+        connection_limit: ConnectionLimit | None = None,
     ) -> HttpServer:
         return HttpServer(
             handler,
@@ -607,6 +619,7 @@
             held=self.held,
             start_queue=self.start_queue,
             get_priority=get_priority or get_control_priority,
+            connection_limit=connection_limit,
         )
 
     def _connect_backend(self, address: str) -> BackendClient:
