Limit the descriptors of the product's daemon from its start

The test lowered the limit of a running process. A program that reads its limit at the start then works with the one before, which no deployment does.

--- a/testing/daemon/test_uncontrolled_clients.py
+++ b/testing/daemon/test_uncontrolled_clients.py
@@ -4,10 +4,11 @@
 """
 
 import asyncio
+import contextlib
 import functools
 import pathlib
 import resource
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 
 import pytest
 import urllib3
@@ -31,6 +32,17 @@
 )
 
 
+@contextlib.contextmanager
+def limited_descriptors() -> Iterator[None]:
+    """Limit the descriptors of processes that are started in the block."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (DESCRIPTORS, hard))
+    try:
+        yield
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+
+
 def is_served(fleet: Fleet) -> bool:
     """Return whether a request of a caller is run."""
     headers = {"Authorization": f"Bearer {SHAPE.teams[0].key}"}
@@ -86,12 +98,13 @@
     tmp_path: pathlib.Path, listener: str, form: Attack
 ) -> None:
     """Guard against clients of a listener that fill the memory."""
-    with Fleet(SHAPE, tmp_path) as fleet:
+    fleet = Fleet(SHAPE, tmp_path)
+    with limited_descriptors():
+        fleet.start()
+    with contextlib.closing(fleet):
         fleet.wait_ready()
         vm = fleet.vms[VM]
         assert vm.daemon is not None
-        limits = (DESCRIPTORS, DESCRIPTORS)
-        resource.prlimit(vm.daemon.pid, resource.RLIMIT_NOFILE, limits)
         address = vm.settings[f"{listener}_address"]
         probe = make_probe(fleet, listener, address)
         asyncio.run(check_crowd(vm.daemon.pid, address, form, probe))
