--- a/src/eelgrassweir/daemon/admin.py
+++ b/src/eelgrassweir/daemon/admin.py
@@ -26,7 +26,6 @@
 
 import attrs
 import prometheus_client
-from cheroot import wsgi
 from eliot import log_message
 from returns.result import Failure
 
@@ -52,16 +51,13 @@
     plan_from_json,
     plan_to_json,
 )
+from eelgrassweir.daemon.admin_wsgi import STOP_TIMEOUT_S, make_wsgi_server
 from eelgrassweir.errors import StepError
 
 # A plan holds the document before and after the change, of up to 1 MB each,
 # and the intent.
 MAX_BODY_BYTES = 4_000_000
-# The library reads heads of any size by default.
-MAX_HEAD_BYTES = 32_768
 _THREADS = 4
-_SOCKET_TIMEOUT_S = 10
-_STOP_TIMEOUT_S = 5
 # Time for a conflicting version to arrive at this daemon, so that the reply
 # can name what it changed.
 _CONFLICT_WAIT_MS = 2_000
@@ -158,11 +154,12 @@
         # One plan is confirmed at a time; the store's compare-and-swap orders
         # them with those of other daemons.
         self._confirm_lock = threading.Lock()
-        self._server = wsgi.Server(address, self._serve, numthreads=_THREADS)
-        self._server.timeout = _SOCKET_TIMEOUT_S
-        self._server.shutdown_timeout = _STOP_TIMEOUT_S
-        self._server.max_request_body_size = MAX_BODY_BYTES
-        self._server.max_request_header_size = MAX_HEAD_BYTES
+        self._server = make_wsgi_server(
+            address,
+            self._serve,
+            threads=_THREADS,
+            body_limit_bytes=MAX_BODY_BYTES,
+        )
         self._handlers: dict[tuple[str, str], Callable[[_Request], _Answer]] = {
             ("GET", "/healthz"): lambda _: _json_answer(200, {"ok": True}),
             ("GET", "/metrics"): lambda _: self._metrics(),
@@ -203,7 +200,7 @@
         """Stop serving; abort requests that run for longer than 5 s."""
         self._server.stop()
         if self._thread is not None:
-            self._thread.join(_STOP_TIMEOUT_S)
+            self._thread.join(STOP_TIMEOUT_S)
 
     def _serve(
         self, environ: dict[str, Any], start_response: Callable[..., Any]
