Split the connections of the HTTP server from the server

Change: daemon/http_connection.py parses and answers, daemon/http_server.py keeps the listener and its connections; only names move. A connection that the admin listener refuses is closed at once, since the library left that to the garbage collector: 139 descriptors stayed open for 40 s after the crowd.

--- a/src/eelgrassweir/daemon/admin_wsgi.py
+++ b/src/eelgrassweir/daemon/admin_wsgi.py
@@ -16,6 +16,9 @@
 # beyond are closed at once.
 MAX_WAITING_CONNECTIONS = 32
 STOP_TIMEOUT_S = 5
+# Bytes that are read after a refusal.
+MAX_DRAINED_READS = 4
+DRAINED_READ_BYTES = 65_536
 _SOCKET_TIMEOUT_S = 10
 
 
@@ -34,8 +37,31 @@
 
 
 class _Connection(server.HTTPConnection):  # type: ignore[misc, unused-ignore]
+    """Connection whose socket is closed also after a refusal.
+
+    The library leaves that to the garbage collector.
+    """
+
     RequestHandlerClass = _TimedRequest
 
+    def close(self) -> None:
+        """Close the connection."""
+        is_refused = self.linger
+        super().close()
+        if is_refused:
+            _drain_and_close(self.socket)
+
+
+def _drain_and_close(connection: socket.socket) -> None:
+    """Read what has arrived, which would reset the connection, and close."""
+    with suppress(OSError):
+        connection.shutdown(socket.SHUT_WR)
+        connection.setblocking(False)
+        for _ in range(MAX_DRAINED_READS):
+            if not connection.recv(DRAINED_READ_BYTES):
+                break
+    connection.close()
+
 
 def _shut_down(connection: socket.socket) -> None:
     """End the reads of the thread that serves the connection."""
--- a/testing/daemon/test_pipelining.py
+++ b/testing/daemon/test_pipelining.py
@@ -8,12 +8,9 @@
 
 import pytest
 
+from eelgrassweir.daemon.http_connection import MAX_PENDING_REQUESTS, MAX_UNPARSED_BYTES
 from eelgrassweir.daemon.http_message import HttpRequest, HttpResponse
-from eelgrassweir.daemon.http_server import (
-    MAX_PENDING_REQUESTS,
-    MAX_UNPARSED_BYTES,
-    HttpServer,
-)
+from eelgrassweir.daemon.http_server import HttpServer
 
 HEAD_TIMEOUT_S = 0.2
 SLOW_S = 0.6
