Count the bytes of an incomplete field, and end reads of closed connections

Cause: a head of many short fields within the limit of names and values was refused in parts when its bytes with their separators exceeded the limit. And connections that had ended stayed in the queue of those whose reads are dropped, so that a crowd that connects again and again made it grow.

Change: only parts in which no field ends count against the limit beside the fields. The budget counts all bytes of an incomplete head. A connection that ends leaves the queue.

--- a/src/eelgrassweir/daemon/connection_limit.py
+++ b/src/eelgrassweir/daemon/connection_limit.py
@@ -39,4 +39,4 @@
 
     def record_close(self) -> None:
         """Stop counting a connection."""
-        self.open_connections -= 1
+        self.open_connections = max(0, self.open_connections - 1)
--- a/src/eelgrassweir/daemon/http_connection.py
+++ b/src/eelgrassweir/daemon/http_connection.py
@@ -163,8 +163,10 @@
         self._path = b""
         self._headers: list[tuple[str, str]] = []
         self._head_bytes = 0
-        # Bytes read while the head is incomplete, also of an incomplete field.
+        # Parts of the head that have been parsed, and those since the last
+        # one in which a field has ended.
         self._read_head_bytes = 0
+        self._field_bytes = 0
         self._has_head = False
         self._body = bytearray()
         self._is_receiving = False
@@ -188,6 +190,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel requests in progress, since their caller is gone."""
         self._server.remove_connection(self)
+        self._server.read_turns.discard(self._resume_dropped_reads)
         self._transport = None
         self._cancel_timer()
         self._unsent.clear()
@@ -262,17 +265,20 @@
             self._refuse_for(self._bounds.add_before_request(data))
         if self._has_refused:
             return
-        body_of = self._headers if self._is_in_body else None
-        content_bytes = len(self._body)
+        headers, was_in_body = self._headers, self._is_in_body
+        content_bytes, head_bytes = len(self._body), self._head_bytes
         self._feed_all(data)
         if self._drops_reads:
             return
-        if body_of is self._headers and self._is_in_body:
+        is_same = headers is self._headers
+        if is_same and was_in_body and self._is_in_body:
             has_content = len(self._body) > content_bytes
             limit_bytes = self._server.head_limit_bytes
             reason = self._bounds.add_to_body(len(data), has_content, limit_bytes)
             self._refuse_for(reason)
-        self._check_incomplete_head(len(data))
+        self._read_head_bytes += len(data)
+        has_field = self._head_bytes > head_bytes
+        self._check_incomplete_head(len(data) if is_same and not has_field else 0)
 
     def _feed_all(self, data: bytes) -> None:
         try:
@@ -352,15 +358,17 @@
             self._new_timeout_s = 0.0
         self._start_timer()
 
-    def _check_incomplete_head(self, read_bytes: int) -> None:
-        """Refuse a head that exceeds the limit before its last field ends."""
+    def _check_incomplete_head(self, field_bytes: int) -> None:
+        """Refuse a head that exceeds the limit before its last field ends.
+
+        ``field_bytes`` are those of a part in which no field has ended.
+        """
         if not self._is_receiving or self._has_head or self._has_refused:
             return
         limit_bytes = self._server.head_limit_bytes
-        # What was read before this part may be the end of another request.
-        if self._read_head_bytes > limit_bytes:
+        self._field_bytes = self._field_bytes + field_bytes if field_bytes else 0
+        if self._head_bytes + self._field_bytes > limit_bytes:
             self._refuse("bad_request", f"head above {limit_bytes} bytes")
-        self._read_head_bytes += read_bytes
 
     # httptools callbacks
 
--- a/src/eelgrassweir/daemon/read_turns.py
+++ b/src/eelgrassweir/daemon/read_turns.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import collections
 from collections.abc import Callable
 
 # Interval between two reads of all such connections of a listener. A read has
@@ -18,14 +17,18 @@
     """Resume the reading of connections one after the other."""
 
     def __init__(self) -> None:
-        self._waiting: collections.deque[Callable[[], None]] = collections.deque()
+        self._waiting: dict[Callable[[], None], None] = {}
         self._is_scheduled = False
 
     def add(self, resume: Callable[[], None]) -> None:
         """Call ``resume`` when it is the turn of the connection."""
-        self._waiting.append(resume)
+        self._waiting[resume] = None
         self._schedule()
 
+    def discard(self, resume: Callable[[], None]) -> None:
+        """Forget a connection that has ended."""
+        self._waiting.pop(resume, None)
+
     def _schedule(self) -> None:
         if self._waiting and not self._is_scheduled:
             self._is_scheduled = True
@@ -33,5 +36,8 @@
 
     def _run(self) -> None:
         self._is_scheduled = False
-        self._waiting.popleft()()
+        if self._waiting:
+            resume = next(iter(self._waiting))
+            self.discard(resume)
+            resume()
         self._schedule()
