--- a/src/eelgrassweir/mesh/adapter.py
+++ b/src/eelgrassweir/mesh/adapter.py
@@ -80,10 +80,12 @@
 class PlatformAdapter:
     """Functions that translate between platform messages and our types.
 
-    ``config_key`` is the store key of the configuration document.
+    ``config_key`` is the store key of the configuration document,
+    ``evacuation_prefix`` starts the keys that name evacuated failure domains.
     """
 
     config_key: str
+    evacuation_prefix: str
     decode_config: Callable[[bytes], Result[RoutingConfig, StepError]]
     read_caller_request: Callable[[HttpRequest], CallerRequest]
     has_key: Callable[[HttpRequest], bool]
@@ -93,4 +95,5 @@
     is_not_run: Callable[[HttpResponse], bool]
     is_genuine: Callable[[HttpResponse], bool]
     read_instance: Callable[[HttpResponse], str]
+    read_cold_ms: Callable[[HttpResponse], int | None]
     make_refusal_response: Callable[[Refusal], HttpResponse]
--- a/src/eelgrassweir/mesh/discovery.py
+++ b/src/eelgrassweir/mesh/discovery.py
@@ -18,6 +18,7 @@
     health_path: str,
     previous: Member,
     read_instance: Callable[[HttpResponse], str],
+    read_cold_ms: Callable[[HttpResponse], int | None],
 ) -> Announcement | None:
     """Probe the address of the backend server with a health check.
 
@@ -49,4 +50,5 @@
         is_draining=False,
         started_wall_ms=UNKNOWN_START_WALL_MS,
         sequence=0,
+        cold_ms=read_cold_ms(response),
     )
--- a/src/eelgrassweir/mesh/main.py
+++ b/src/eelgrassweir/mesh/main.py
@@ -116,6 +116,7 @@
     """Return the adapter to the platform."""
     return PlatformAdapter(
         config_key=configuration.CONFIG_KEY,
+        evacuation_prefix=configuration.EVACUATION_PREFIX,
         decode_config=configuration.decode_config,
         read_caller_request=messages.read_caller_request,
         has_key=messages.has_key,
@@ -125,6 +126,7 @@
         is_not_run=messages.is_not_run,
         is_genuine=messages.is_genuine,
         read_instance=messages.read_instance,
+        read_cold_ms=messages.read_cold_ms,
         make_refusal_response=messages.make_refusal_response,
     )
 
--- a/src/eelgrassweir/platform/configuration.py
+++ b/src/eelgrassweir/platform/configuration.py
@@ -24,10 +24,13 @@
 )
 
 CONFIG_KEY = "op/config"
+# Followed by the name of an evacuated failure domain.
+EVACUATION_PREFIX = "op/evacuate/"
 # A day in ms: no route waits longer, and sums of such times stay in range.
 MAX_TIME_MS = 86_400_000
 MAX_SIZE_BYTES = 2**31 - 1
 MAX_PRIORITY = 1_000_000
+MAX_RATE_PER_S = 1_000_000
 
 
 def decode_config(payload: bytes) -> Result[RoutingConfig, StepError]:
@@ -63,6 +66,10 @@
             require_text(entry["name"]): require_text(entry["healthPath"])
             for entry in _objects(document["services"])
         },
+        cold_rates_per_s={
+            require_text(entry["name"]): _read_cold_per_s(entry)
+            for entry in _objects(document["services"])
+        },
         limits=CallerLimits(
             head_bytes=_require_size_bytes(limits["headerBytes"]),
             body_bytes=_require_size_bytes(limits["bodyBytes"]),
@@ -115,6 +122,10 @@
     return require_int(value, low=-MAX_PRIORITY, high=MAX_PRIORITY)
 
 
+def _read_cold_per_s(entry: dict[str, Any]) -> float:
+    return require_number(entry.get("coldPerS") or 0, high=MAX_RATE_PER_S)
+
+
 def _require_time_ms(value: Any) -> int:
     return int(require_number(value, high=MAX_TIME_MS))
 
--- a/src/eelgrassweir/platform/messages.py
+++ b/src/eelgrassweir/platform/messages.py
@@ -13,6 +13,7 @@
     parse_json,
     require_address,
     require_int,
+    require_number,
     require_object,
     require_text,
 )
@@ -37,6 +38,7 @@
 SIGNATURE = "x-response-signature"
 NOT_EXECUTED = "x-not-executed"
 INSTANCE = "x-instance-id"
+COLD_TIME = "x-cold-milliseconds"
 
 READINESS_PATH = "/-/readiness"
 HEARTBEAT_PATH = "/-/Instances.Heartbeat/"
@@ -48,6 +50,9 @@
 )
 # Concurrent requests that one backend server may claim to serve.
 MAX_SLOTS = 1_000_000
+# A day in ms.
+MAX_COLD_MS = 86_400_000
+MAX_COLD_DIGITS = 12
 OK = 200
 MISDIRECTED_REQUEST = 421
 # Statuses that differ from those of our own interface. The platform takes 408,
@@ -138,6 +143,17 @@
     return find_header(response.headers, INSTANCE) or ""
 
 
+def read_cold_ms(response: HttpResponse) -> int | None:
+    """Return how long a server stays cold by its health response.
+
+    Return None if the response does not tell.
+    """
+    value = (find_header(response.headers, COLD_TIME) or "").strip()
+    if not (value.isascii() and value.isdecimal()) or len(value) > MAX_COLD_DIGITS:
+        return None
+    return min(int(value), MAX_COLD_MS)
+
+
 def make_refusal_response(refusal: Refusal) -> HttpResponse:
     """Return the HTTP response for a refusal.
 
@@ -201,6 +217,8 @@
         is_draining=state == "draining",
         started_wall_ms=require_int(body.get("born", 0)),
         sequence=require_int(body["sequence"]),
+        # Servers of deployments without cold targets send no time.
+        cold_ms=int(require_number(body.get("coldRemaining") or 0, high=MAX_COLD_MS)),
     )
 
 
--- a/src/eelgrassweir/requests/calls.py
+++ b/src/eelgrassweir/requests/calls.py
@@ -62,6 +62,8 @@
     started_wall_ms: int
     # Increases with each announcement of the same server process.
     sequence: int
+    # Time from the announcement in which the server is cold, None if unknown.
+    cold_ms: int | None = 0
 
 
 @attrs.frozen(kw_only=True)
--- a/src/eelgrassweir/routing/rules.py
+++ b/src/eelgrassweir/routing/rules.py
@@ -70,6 +70,9 @@
     limits: CallerLimits
     # Health check path by service.
     health_paths: Mapping[str, str] = attrs.field(factory=dict)
+    # Requests per second that a cold target tolerates by service, 0 for no
+    # bound.
+    cold_rates_per_s: Mapping[str, float] = attrs.field(factory=dict)
 
     def match(self, host: str, path: str) -> RouteRule | None:
         """Return the route with the longest prefix of ``path``, or None."""
--- a/src/eelgrassweir/settings/mesh_generated.py
+++ b/src/eelgrassweir/settings/mesh_generated.py
@@ -33,6 +33,9 @@
     quota_window_s: float = 5
     quota_overage: float = 0
     quota_slack_calls: float = 0
+    cold_overage: float = 1
+    cold_slack_calls: float = 0
+    evacuation_ms: float = 5000
     link_ping_ms: int = 250
     link_silence_ms: int = 750
     store_timeout_ms: int = 1000
@@ -180,6 +183,27 @@
         minimum=0,
         maximum=1000000000,
     ),
+    Field(
+        name="cold_overage",
+        kind="number",
+        required=False,
+        minimum=0,
+        maximum=1000000,
+    ),
+    Field(
+        name="cold_slack_calls",
+        kind="number",
+        required=False,
+        minimum=0,
+        maximum=1000000000,
+    ),
+    Field(
+        name="evacuation_ms",
+        kind="number",
+        required=False,
+        minimum=0,
+        maximum=604800000,
+    ),
     Field(
         name="link_ping_ms",
         kind="integer",
--- a/testing/deploy/site.py
+++ b/testing/deploy/site.py
@@ -39,6 +39,9 @@
     "quotaWindow": 5,
     "quotaOverage": 0.1,
     "quotaSlack": 20,
+    "coldOverage": 1.5,
+    "coldSlack": 8,
+    "evacuation": 5000,
 }
 
 
--- a/testing/deploy/test_bounds.py
+++ b/testing/deploy/test_bounds.py
@@ -31,6 +31,9 @@
     "quotaWindow": ("quota_window_s", 5),
     "quotaOverage": ("quota_overage", 0),
     "quotaSlack": ("quota_slack_calls", 0),
+    "coldOverage": ("cold_overage", 1),
+    "coldSlack": ("cold_slack_calls", 0),
+    "evacuation": ("evacuation_ms", 5_000),
 }
 ADDRESS = "127.0.0.1:7000"
 SERVE_LIMIT_S = 20.0
--- a/testing/platform/test_configuration.py
+++ b/testing/platform/test_configuration.py
@@ -75,3 +75,15 @@
     broken = {**DOCUMENT, "routes": [{**ROUTE, "timeout": None}]}
     for payload in (b"", b"[]", b"{}", json.dumps(broken).encode()):
         assert isinstance(decode_config(payload), Failure)
+
+
+def test_rates_of_cold_targets_are_decoded() -> None:
+    """Guard against a service whose bound is lost, or made up."""
+    services = [
+        {"name": "x", "healthPath": "/h", "coldStart": 8, "coldPerS": 3.9},
+        {"name": "y", "healthPath": "/h", "coldPerS": 0},
+        {"name": "z", "healthPath": "/h"},
+    ]
+    document = {**DOCUMENT, "services": services}
+    config = decode_config(json.dumps(document).encode()).unwrap()
+    assert config.cold_rates_per_s == {"x": 3.9, "y": 0.0, "z": 0.0}
--- a/testing/platform/test_messages.py
+++ b/testing/platform/test_messages.py
@@ -108,6 +108,8 @@
         {"born": 1.5},
         {"address": ""},
         {"service": 7},
+        {"coldRemaining": -1},
+        {"coldRemaining": "9"},
     ],
 )
 def test_invalid_heartbeat_is_malformed(changes: dict[str, object]) -> None:
@@ -163,3 +165,31 @@
         assert not re.search(WIRE_NAMES, text, re.IGNORECASE), path
         if path != SOURCES / "mesh" / "main.py":
             assert "eelgrassweir.platform" not in text, path
+
+
+@pytest.mark.parametrize(("sent", "cold_ms"), [(2_500, 2_500), (0, 0), (None, 0)])
+def test_cold_time_of_a_heartbeat_is_decoded(sent: object, cold_ms: int) -> None:
+    """Guard against a cold target that is taken as a warm one."""
+    message = messages.read_control_message(make_heartbeat(coldRemaining=sent))
+    assert isinstance(message, Announcement)
+    assert message.cold_ms == cold_ms
+
+
+@pytest.mark.parametrize(
+    ("value", "cold_ms"),
+    [
+        ("2500", 2_500),
+        ("0", 0),
+        ("", None),
+        ("-1", None),
+        ("1.5", None),
+        ("9" * 5_000, None),
+    ],
+)
+def test_cold_time_of_a_health_response_is_decoded(
+    value: str, cold_ms: int | None
+) -> None:
+    """Guard against an unknown state that is taken as warm."""
+    headers = (("X-Cold-Milliseconds", value),)
+    assert messages.read_cold_ms(HttpResponse(200, headers, b"")) == cold_ms
+    assert messages.read_cold_ms(HttpResponse(200, (), b"")) is None
