Abort the connection of a lost caller whose refusal cannot be ended

Cause: when the crowd of held fields leaves, callers behind the limit of connections have already closed when their heads are read. The refusal that frees the oldest head is written to such a caller, which resets the connection, and write_eof of asyncio then raises OSError (ENOTCONN). The error left HttpConnection.close before the fields of the refused head were dropped, about 700 kB that were no longer counted, and passed through the read of the newer head, whose connection asyncio then ended as well. uvloop shuts down later and raises nothing, so the daemon of the platform was not affected. Change: close() aborts a connection that cannot be shut down. The new test in test_long_heads.py failed in three runs of three without the change.

--- a/src/eelgrassweir/daemon/http_connection.py
+++ b/src/eelgrassweir/daemon/http_connection.py
@@ -678,7 +678,14 @@
         self._is_write_closed = True
         self._drop_unparsed()
         if self._transport.can_write_eof():
-            self._transport.write_eof()
+            try:
+                self._transport.write_eof()
+            except OSError as error:
+                # The caller has left, and asyncio raises the error here. The
+                # call may come from the read of another connection whose head
+                # needs room, and the error would end that one.
+                self.abort(describe_lost(error))
+                return
             timeout_s = (
                 LINGER_TIMEOUT_S if self._is_flushed else self._server.write_timeout_s
             )
--- a/testing/daemon/test_long_heads.py
+++ b/testing/daemon/test_long_heads.py
@@ -1,6 +1,7 @@
 """Guard against refusals of heads within the limit, however they arrive."""
 
 import asyncio
+import socket
 
 import pytest
 
@@ -110,3 +111,38 @@
         await server.stop()
 
     asyncio.run(scenario())
+
+
+def test_refused_head_of_a_lost_caller_ends_no_other_connection() -> None:
+    """Guard against refusals whose errors end the connection they serve."""
+
+    async def scenario() -> None:
+        loop = asyncio.get_running_loop()
+        server = HttpServer(answer, body_limit_bytes=1_000)
+        server.held.incomplete_heads.limit_bytes = 50_000
+        await server.start("127.0.0.1", 0)
+        part = START + b"X-A: " + b"a" * 30_000
+        address = ("127.0.0.1", server.port)
+        async with asyncio.timeout(LIMIT_S):
+            with (
+                socket.create_connection(address) as lost,
+                socket.create_connection(address) as kept,
+            ):
+                while server.connection_count < 2:
+                    await asyncio.sleep(0.01)
+                lost.sendall(part)
+                while not server.held.incomplete_heads.used_bytes:
+                    await asyncio.sleep(0.01)
+                # The server reads the newer head before the end of the older.
+                kept.sendall(part)
+                lost.close()
+                await asyncio.sleep(0.1)
+                assert server.connection_count == 1
+                kept.setblocking(False)
+                await loop.sock_sendall(kept, b"\r\n\r\n")
+                head = await loop.sock_recv(kept, 65_536)
+                assert head.startswith(b"HTTP/1.1 200 ")
+        assert server.held.incomplete_heads.used_bytes == 0
+        await server.stop()
+
+    asyncio.run(scenario())
