Give incomplete heads an eighth of the message pool again

Cause: the budget was cut because the crowd of held fields came close to its bound at the egress listener. Change: an eighth of the pool, at least 4 MiB, so that slow callers inside the limits do not meet it.

--- a/src/eelgrassweir/daemon/incomplete_heads.py
+++ b/src/eelgrassweir/daemon/incomplete_heads.py
@@ -17,7 +17,7 @@
 FIELD_OBJECTS_BYTES = 192
 # Part of the pool of the messages that a daemon holds which incomplete heads
 # may take beside it, and the least: some of the longest heads.
-HEADS_PART = 24
+HEADS_PART = 8
 MIN_LIMIT_BYTES = 4_194_304
 
 REFUSED_MESSAGE_TYPE = "head:refused"
