--- a/src/eelgrassweir/mesh/app.py
+++ b/src/eelgrassweir/mesh/app.py
@@ -629,7 +629,7 @@
 
     def _end_evacuation(self, domain: str) -> None:
         if domain == self.settings.failure_domain:
-            self.cold.doubt()
+            self.cold.require_heartbeat()
 
     def _load(self, route: str = "") -> link_pb2.Load:
         """Return the load of the target and of this daemon's processor."""
--- a/src/eelgrassweir/mesh/cold_target.py
+++ b/src/eelgrassweir/mesh/cold_target.py
@@ -46,13 +46,13 @@
         self._window = SendWindow()
         self._last_sent_ms = clock.now_ms()
         # Announcements up to this time tell nothing of the present state.
-        self._doubted_ms = -math.inf
+        self._unknown_since_ms = -math.inf
         self._was_cold = False
         self._open_calls = 0
 
-    def doubt(self) -> None:
+    def require_heartbeat(self) -> None:
         """Take the target as cold until its next heartbeat."""
-        self._doubted_ms = self._clock.now_ms()
+        self._unknown_since_ms = self._clock.now_ms()
 
     def has_room(self) -> bool:
         """Return whether one more request may be sent now."""
@@ -65,7 +65,7 @@
         """
         now_ms = self._clock.now_ms()
         if now_ms - self._last_sent_ms >= PAUSE_MS:
-            self._doubted_ms = now_ms
+            self._unknown_since_ms = now_ms
         if not self.has_room():
             return False
         self._record(now_ms)
@@ -138,7 +138,7 @@
         if announcement is None or announcement.cold_ms is None:
             return True
         announced_ms = self._backend.announced_ms
-        if announced_ms <= self._doubted_ms:
+        if announced_ms <= self._unknown_since_ms:
             return True
         return self._clock.now_ms() < announced_ms + announcement.cold_ms
 
@@ -152,6 +152,6 @@
             is_cold=is_cold,
             cold_ms=announcement.cold_ms,
             announced_age_ms=round(now_ms - self._backend.announced_ms),
-            is_doubted=self._backend.announced_ms <= self._doubted_ms,
+            is_state_unknown=self._backend.announced_ms <= self._unknown_since_ms,
             limit_calls=limit_calls,
         )
--- a/src/eelgrassweir/mesh/directory.py
+++ b/src/eelgrassweir/mesh/directory.py
@@ -18,7 +18,7 @@
 
 
 @attrs.frozen
-class _DoubtfulEntry:
+class _UnconfirmedEntry:
     """Entry of a copy that differs from the known one."""
 
     item: Item
@@ -46,7 +46,7 @@
         # Era and revision of each entry.
         self._revisions: dict[str, tuple[int, int]] = {}
         self._missing_since_ms: dict[str, float] = {}
-        self._doubtful: dict[str, _DoubtfulEntry] = {}
+        self._unconfirmed: dict[str, _UnconfirmedEntry] = {}
 
     def apply_snapshot(self, snapshot: Snapshot) -> None:
         """Merge all entries; record known ones not listed as missing."""
@@ -58,16 +58,18 @@
                 continue
             listed.add(item.key)
             if is_restored and self._differs(item):
-                self._doubtful[item.key] = _DoubtfulEntry(item, self._clock.now_ms())
-            elif not self._is_doubtful(item):
+                self._unconfirmed[item.key] = _UnconfirmedEntry(
+                    item, self._clock.now_ms()
+                )
+            elif not self._is_unconfirmed(item):
                 self.apply_change(item)
         for key in list(self._revisions):
             if key not in listed:
                 self._record_missing(key)
 
-    def _is_doubtful(self, item: Item) -> bool:
-        doubtful = self._doubtful.get(item.key)
-        return doubtful is not None and doubtful.item == item
+    def _is_unconfirmed(self, item: Item) -> bool:
+        unconfirmed = self._unconfirmed.get(item.key)
+        return unconfirmed is not None and unconfirmed.item == item
 
     def _differs(self, item: Item) -> bool:
         """Return whether an entry names another state than is known."""
@@ -79,7 +81,7 @@
 
     def apply_change(self, change: Change) -> None:
         """Merge one entry, or record a removed one as missing."""
-        self._doubtful.pop(change.key, None)
+        self._unconfirmed.pop(change.key, None)
         if not isinstance(change, Item):
             self._record_missing(change.key)
             return
@@ -108,12 +110,12 @@
     def expire_missing(self) -> None:
         """Mark daemons as down whose entries are past the grace period.
 
-        Entries that were doubtful for as long are merged.
+        Entries that were unconfirmed for as long are merged.
         """
         now_ms = self._clock.now_ms()
-        for doubtful in list(self._doubtful.values()):
-            if now_ms - doubtful.since_ms >= EXPIRY_GRACE_MS:
-                self.apply_change(doubtful.item)
+        for unconfirmed in list(self._unconfirmed.values()):
+            if now_ms - unconfirmed.since_ms >= EXPIRY_GRACE_MS:
+                self.apply_change(unconfirmed.item)
         for key, since_ms in list(self._missing_since_ms.items()):
             if now_ms - since_ms < EXPIRY_GRACE_MS:
                 continue
--- a/testing/mesh/test_cold_targets.py
+++ b/testing/mesh/test_cold_targets.py
@@ -115,11 +115,11 @@
     assert setup.send() == 100
 
 
-def test_doubted_target_is_cold_until_its_next_heartbeat() -> None:
+def test_target_of_unknown_state_is_cold_until_its_next_heartbeat() -> None:
     """Guard against the usual rate right after an evacuation."""
     setup = ColdSetup()
     setup.announce(0)
-    setup.cold.doubt()
+    setup.cold.require_heartbeat()
     assert setup.send() == LIMIT_CALLS
     setup.clock.advance(1)
     setup.announce(0)
--- a/testing/mesh/test_process.py
+++ b/testing/mesh/test_process.py
@@ -115,8 +115,10 @@
             daemon.process.send_signal(signal.SIGTERM)
             async with asyncio.timeout(END_LIMIT_S):
                 while daemon.process.returncode is None:
+                    # Process.send_signal would reap a process that has just
+                    # ended, and asyncio would then report status 255.
                     with contextlib.suppress(ProcessLookupError):
-                        daemon.process.send_signal(number)
+                        os.kill(daemon.process.pid, number)
                     await asyncio.sleep(0.001)
             assert daemon.process.returncode == 0
 
