--- a/review/stand_ins_2/store_path.py
+++ b/review/stand_ins_2/store_path.py
@@ -16,6 +16,8 @@
 
     async def open(self) -> None:
         """Accept connections."""
+        if self._server is not None:
+            return
         self._server = await asyncio.start_server(
             self._forward, "127.0.0.1", self._port
         )
