Show that long bodies within the limits end daemons

A call over a link that fails leaves its request in a cycle of references, and two daemons that send long bodies to each other fail each time. After a few of them the daemons exceed their memory, and what they had accepted is lost.

--- a/review/stand_ins_2/deployment.py
+++ b/review/stand_ins_2/deployment.py
@@ -1,6 +1,7 @@
 """A small deployment: the store, machines with a daemon and a target each."""
 
 import asyncio
+import gc
 import json
 import os
 import pathlib
@@ -160,6 +161,17 @@
         await asyncio.sleep(gap_s)
         await self.start_daemon()
 
+    def read_memory_mb(self) -> float:
+        """Return the anonymous memory that the daemon uses, 0 without one."""
+        assert self.process is not None
+        path = pathlib.Path(f"/proc/{self.process.pid}/status")
+        try:
+            lines = path.read_text().splitlines()
+        except OSError:
+            return 0.0
+        sizes_kib = [line.split()[1] for line in lines if line.startswith("RssAnon")]
+        return sum(map(int, sizes_kib)) * 1_024 / 1e6
+
     async def is_ready(self) -> bool:
         """Return whether the readiness check is answered with 200."""
         try:
@@ -356,6 +368,9 @@
                 is_broken = await case(deployment, has_trouble)
         finally:
             await deployment.stop()
+            # Connections must be freed before their event loop ends.
+            gc.collect()
+            await asyncio.sleep(0.1)
             _keep_logs(pathlib.Path(name))
     record.say("the rule was broken" if is_broken else "the rule held")
     return EXIT_BROKEN if is_broken else EXIT_HELD
--- a/review/stand_ins_2/target.py
+++ b/review/stand_ins_2/target.py
@@ -14,6 +14,7 @@
 from review.stand_ins_2.record import Record
 
 HEARTBEAT_S = 1.5
+MAX_BODY_BYTES = 67_108_864
 ACK_TIMEOUT_S = 1.0
 
 
@@ -57,7 +58,7 @@
     async def start(self, control_port: int) -> None:
         """Listen, and send heartbeats until the end."""
         self._server = await asyncio.start_server(
-            self._serve, "127.0.0.1", self.port, limit=10_000_000
+            self._serve, "127.0.0.1", self.port, limit=MAX_BODY_BYTES
         )
         self._tasks.append(asyncio.create_task(self._beat(control_port)))
 
