--- a/review/stand_ins_2/deployment.py
+++ b/review/stand_ins_2/deployment.py
@@ -6,6 +6,7 @@
 import os
 import pathlib
 import random
+import resource
 import signal
 import socket
 import sys
@@ -21,6 +22,7 @@
 
 REPOSITORY = pathlib.Path(__file__).resolve().parents[2]
 MEMORY_MB = 300
+DESCRIPTORS = 4_100
 LIMIT_S = 110.0
 PORTS = (12_000, 30_000)
 EXIT_HELD, EXIT_BROKEN, EXIT_NOT_RUN = 0, 1, 2
@@ -59,6 +61,13 @@
     raise NotRunError("no free ports")
 
 
+def set_descriptor_limit() -> None:
+    """Give a daemon the descriptors of a machine, if this process may."""
+    _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if hard == resource.RLIM_INFINITY or hard >= DESCRIPTORS:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (DESCRIPTORS, hard))
+
+
 @attrs.define(eq=False)
 class Machine:
     """A machine with its target and its daemon."""
@@ -132,6 +141,7 @@
             },
             stdout=log,
             stderr=log,
+            preexec_fn=set_descriptor_limit,
         )
         log.close()
         self.started_s = self.record.say(f"{self.name}: the daemon is started")
