Show that bodies in small chunks keep a daemon from its callers

Crowds of 40 to 150 clients send long, held, chunked and oversized bodies to each listener of both daemons; the bounds are those of the tests of heads, and the daemon beside the backend server has a pool of 16 MiB. Unlike the crowds of heads, these stay until an ordinary request that was sent while they were there is answered.

With chunks of one byte no ordinary request is answered within 40 s at the callers', control, ready and admin listeners of the platform's daemon, nor at the ingress and egress of the product's own. The latter grows by 37.2 and 38.4 MB under long chunks and whole bodies; the bound is 33.6.

--- a/testing/daemon/test_uncontrolled_clients.py
+++ b/testing/daemon/test_uncontrolled_clients.py
@@ -16,11 +16,13 @@
 from eelgrassweir.daemon.control_client import make_stub, open_channel
 from eelgrassweir.proto import control_pb2
 from testing.fleet import Fleet
-from testing.mesh.client_crowd import Attack, make_attacks
+from testing.mesh.client_crowd import Attack, make_attacks, make_body_attacks
 from testing.mesh.crowd_check import DESCRIPTORS, check_crowd, is_linked
 from testing.shapes import ServiceShape, Shape, TeamShape
 
 HEAD_BYTES = 32_768
+BODY_BYTES = 4_194_304
+BODY_FORMS = make_body_attacks("/fichero/view", BODY_BYTES)
 LISTENERS = ("ingress", "egress", "link", "control", "admin")
 VM = "fichero-1"
 SHAPE = Shape(
@@ -91,14 +93,11 @@
     return functools.partial(asyncio.to_thread, asked)
 
 
-@pytest.mark.processes
-@pytest.mark.parametrize("form", make_attacks(HEAD_BYTES - 1_000), ids=lambda f: f.name)
-@pytest.mark.parametrize("listener", LISTENERS)
-def test_clients_outside_the_limits(
-    tmp_path: pathlib.Path, listener: str, form: Attack
+def run_crowd(
+    folder: pathlib.Path, listener: str, form: Attack, *, answers_during: bool
 ) -> None:
-    """Guard against clients of a listener that fill the memory."""
-    fleet = Fleet(SHAPE, tmp_path)
+    """Check a daemon while and after a crowd calls one of its listeners."""
+    fleet = Fleet(SHAPE, folder)
     with limited_descriptors():
         fleet.start()
     with contextlib.closing(fleet):
@@ -107,6 +106,37 @@
         assert vm.daemon is not None
         address = vm.settings[f"{listener}_address"]
         probe = make_probe(fleet, listener, address)
-        asyncio.run(check_crowd(vm.daemon.pid, address, form, probe))
+        asyncio.run(
+            check_crowd(
+                vm.daemon.pid, address, form, probe, answers_during=answers_during
+            )
+        )
         assert vm.daemon.poll() is None
         assert is_served(fleet)
+
+
+@pytest.mark.processes
+@pytest.mark.parametrize("form", make_attacks(HEAD_BYTES - 1_000), ids=lambda f: f.name)
+@pytest.mark.parametrize("listener", LISTENERS)
+def test_clients_outside_the_limits(
+    tmp_path: pathlib.Path, listener: str, form: Attack
+) -> None:
+    """Guard against clients of a listener that fill the memory."""
+    run_crowd(tmp_path, listener, form, answers_during=False)
+
+
+@pytest.mark.processes
+@pytest.mark.parametrize("form", BODY_FORMS, ids=lambda f: f.name)
+def test_callers_with_many_bodies(tmp_path: pathlib.Path, form: Attack) -> None:
+    """Guard against callers whose bodies take the memory or all turns."""
+    run_crowd(tmp_path, "ingress", form, answers_during=True)
+
+
+@pytest.mark.processes
+@pytest.mark.parametrize("form", BODY_FORMS[:4:3], ids=lambda f: f.name)
+@pytest.mark.parametrize("listener", LISTENERS[1:])
+def test_other_clients_with_many_bodies(
+    tmp_path: pathlib.Path, listener: str, form: Attack
+) -> None:
+    """Guard against bodies to the other listeners that end the daemon."""
+    run_crowd(tmp_path, listener, form, answers_during=True)
--- a/testing/mesh/client_crowd.py
+++ b/testing/mesh/client_crowd.py
@@ -1,14 +1,17 @@
-"""Clients that stay within no limit: endless, held and oversized heads."""
+"""Clients that nobody controls: heads and bodies that are held or too long."""
 
 import asyncio
 import contextlib
 
 import attrs
 
+from testing.mesh.fleet import HOST
+
 CHUNK_BYTES = 65_536
 START = b"GET / HTTP/1.1\r\nHost: a\r\n"
-# Memory that is written before the client looks at its connection again.
+# Time between two connections of a client.
 CONNECT_PAUSE_S = 0.02
+CHUNKED = b"Transfer-Encoding: chunked\r\n"
 
 
 @attrs.frozen(kw_only=True)
@@ -17,7 +20,8 @@
 
     A client sends ``start`` and then ``repeated`` up to ``repeats`` times, as
     fast as it is read. With ``holds`` it then keeps its connection open until
-    the daemon closes it. It connects again up to ``rounds`` times.
+    the daemon closes it. It connects again up to ``rounds`` times. The first
+    ``finishers`` clients send ``end`` instead, and wait for an answer.
     """
 
     name: str
@@ -27,6 +31,8 @@
     holds: bool = False
     clients: int
     rounds: int = 1_000
+    end: bytes = b""
+    finishers: int = 0
 
 
 def make_field(size_bytes: int) -> bytes:
@@ -87,45 +93,113 @@
     )
 
 
-async def attack(address: str, form: Attack, limit_s: float) -> int:
-    """Run a crowd for at most ``limit_s``; return the bytes it has sent."""
+def make_post(path: str, *fields: bytes) -> bytes:
+    """Return the head of a filing with these header lines."""
+    line = f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: crowd\r\n"
+    return line.encode() + b"".join(fields) + b"\r\n"
+
+
+def make_body_attacks(path: str, body_bytes: int) -> tuple[Attack, ...]:
+    """Return all forms of bodies; each may have up to ``body_bytes``."""
+    announced = make_post(path, b"Content-Length: %d\r\n" % body_bytes)
+    chunked = make_post(path, CHUNKED)
+    chunk = b"%x\r\n%b\r\n" % (CHUNK_BYTES, b"a" * CHUNK_BYTES)
+    return (
+        Attack(
+            name="whole_bodies",
+            start=announced + b"a" * (body_bytes - 1),
+            holds=True,
+            end=b"a",
+            clients=150,
+            finishers=10,
+        ),
+        Attack(
+            name="bodies_in_pieces",
+            start=announced + b"a" * (body_bytes % 1_000 + 999),
+            repeated=b"a" * 1_000,
+            repeats=body_bytes // 1_000 - 1,
+            holds=True,
+            end=b"a",
+            clients=150,
+            finishers=10,
+        ),
+        Attack(
+            name="large_chunks",
+            start=chunked,
+            repeated=chunk,
+            repeats=body_bytes // CHUNK_BYTES,
+            holds=True,
+            end=b"0\r\n\r\n",
+            clients=150,
+            finishers=10,
+        ),
+        Attack(
+            name="one_byte_chunks",
+            start=chunked,
+            repeated=b"1\r\na\r\n" * 10_000,
+            repeats=50,
+            holds=True,
+            end=b"0\r\n\r\n",
+            clients=100,
+            finishers=5,
+        ),
+        Attack(
+            name="announced_excess",
+            start=make_post(path, b"Content-Length: 500000000\r\n"),
+            repeated=b"a" * CHUNK_BYTES,
+            repeats=512,
+            clients=40,
+        ),
+        Attack(
+            name="sent_excess",
+            start=chunked,
+            repeated=chunk,
+            repeats=512,
+            clients=40,
+        ),
+    )
+
+
+async def attack(address: str, form: Attack, limit_s: float) -> None:
+    """Run a crowd for at most ``limit_s``."""
     end = asyncio.get_running_loop().time() + limit_s
-    sent = await asyncio.gather(
-        *(_run_client(address, form, end) for _ in range(form.clients))
+    finishing = attrs.evolve(form, holds=False)
+    await asyncio.gather(
+        *(
+            _run_client(address, finishing if number < form.finishers else form, end)
+            for number in range(form.clients)
+        )
     )
-    return sum(sent)
 
 
-async def _run_client(address: str, form: Attack, end_s: float) -> int:
+async def _run_client(address: str, form: Attack, end_s: float) -> None:
     loop = asyncio.get_running_loop()
-    sent_bytes = 0
     for _ in range(form.rounds):
         if loop.time() >= end_s:
             break
         with contextlib.suppress(OSError, TimeoutError):
             async with asyncio.timeout_at(end_s):
-                sent_bytes += await _send(address, form)
+                await _send(address, form)
         await asyncio.sleep(CONNECT_PAUSE_S)
-    return sent_bytes
 
 
-async def _send(address: str, form: Attack) -> int:
+async def _send(address: str, form: Attack) -> None:
     """Send what the form says on one connection, and leave without a close."""
     host, _, port = address.rpartition(":")
     reader, writer = await asyncio.open_connection(host, int(port))
-    sent_bytes = len(form.start)
     try:
         writer.write(form.start)
         await writer.drain()
         for _ in range(form.repeats):
             writer.write(form.repeated)
             await writer.drain()
-            sent_bytes += len(form.repeated)
+        if form.end and not form.holds:
+            writer.write(form.end)
+            await reader.readline()
         while form.holds and await reader.read(CHUNK_BYTES):
             pass
     except OSError:
         # The daemon has closed the connection, which is allowed.
-        return sent_bytes
+        return
     finally:
         writer.transport.abort()
-    return sent_bytes
--- a/testing/mesh/crowd_check.py
+++ b/testing/mesh/crowd_check.py
@@ -60,20 +60,47 @@
             await asyncio.sleep(0.1)
 
 
+async def _attack_until_answered(
+    address: str, form: Attack, probe: Callable[[], Awaitable[bool]]
+) -> None:
+    """Run a crowd for CROWD_S, and until a request in its second half ends."""
+    attacking = asyncio.create_task(attack(address, form, CROWD_S + ANSWER_LIMIT_S))
+    try:
+        await asyncio.sleep(CROWD_S / 2)
+        await wait_until_true(probe)
+        await asyncio.sleep(CROWD_S / 2)
+        assert not attacking.done()
+    finally:
+        attacking.cancel()
+        await asyncio.wait((attacking,))
+
+
 async def check_crowd(
-    pid: int, address: str, form: Attack, probe: Callable[[], Awaitable[bool]]
+    pid: int,
+    address: str,
+    form: Attack,
+    probe: Callable[[], Awaitable[bool]],
+    *,
+    answers_during: bool = False,
 ) -> None:
-    """Run a crowd; check what the process uses, and one request after it."""
+    """Run a crowd; check what the process uses, and one request after it.
+
+    With ``answers_during`` the crowd stays until an ordinary request that was
+    sent once all clients had connected is answered.
+    """
     base_bytes, base_descriptors = read_peak_bytes(pid), count_descriptors(pid)
     watch = DescriptorWatch(pid)
     watching = asyncio.create_task(watch.run())
-    sent_bytes = await attack(address, form, CROWD_S)
+    if answers_during:
+        await _attack_until_answered(address, form, probe)
+    else:
+        await attack(address, form, CROWD_S)
     watching.cancel()
     await wait_until_true(probe)
     grown_bytes = read_peak_bytes(pid) - base_bytes
     figures = (
-        f"sent {sent_bytes} bytes, grown by {grown_bytes} bytes to"
-        f" {base_bytes + grown_bytes}, {watch.peak} descriptors"
+        f"grown by {grown_bytes} bytes to {base_bytes + grown_bytes},"
+        f" {watch.peak} descriptors"
     )
     print(figures)
     assert grown_bytes < MAX_GROWTH_BYTES, figures
