Free the bodies of failed calls and exchanges at once

Cause: a failed call raises the exception of its future. The exception refers to the frames that it passed, one of them to the future, and the future to the exception. Reference counts do not free this cycle, so the request stayed until the next collection, uncounted. BackendConnection had the same cycle through its own field, and kept the future of the last exchange.

Change: the frame drops the future, and the connection too; whether its last request ended unanswered is a field now.

--- a/src/eelgrassweir/daemon/http_client.py
+++ b/src/eelgrassweir/daemon/http_client.py
@@ -368,6 +368,8 @@
         self._is_mismatched = False
         self._is_close_delimited = False
         self._response: HttpResponse | None = None
+        # Whether no exchange has ended with an answer since the last request.
+        self._is_abandoned = False
         self._is_desynchronized = False
         self._address = address
         self._body_limit_bytes = body_limit_bytes
@@ -395,6 +397,7 @@
                 SendStatus.NOT_SENT,
             )
         self._done = asyncio.get_running_loop().create_future()
+        self._is_abandoned = True
         self._parser = httptools.HttpResponseParser(self)
         self._is_head = request.method == "HEAD"
         self._start_message()
@@ -412,10 +415,13 @@
         self._transport.write(encode_request(request, host))
         try:
             response = await self._done
-            # Idle connections and those in cycles would keep the answer.
-            self._done = None
+            self._is_abandoned = False
             return response
         finally:
+            # Idle connections would keep the answer, and the error of a failed
+            # exchange refers to this frame: in a cycle, it would keep the
+            # request until the next collection.
+            self._done = None
             self._held_answer.release()
             self._request = self._response = None
             # The parser refers to this object, so it is freed late.
@@ -503,9 +509,8 @@
         """Feed the parser."""
         if self._options.on_read is not None:
             self._options.on_read()
-        if self._is_abandoned():
-            # The request was cancelled in this iteration of the event loop;
-            # its exchange closes the connection in the next one.
+        if self._is_ended_unanswered:
+            # The exchange closes the connection.
             return
         if self._done is None or self._done.done():
             # Unsolicited bytes: requests and answers no longer match.
@@ -574,12 +579,15 @@
         else:
             self._wait_for_room()
 
-    def _is_abandoned(self) -> bool:
+    @property
+    def _is_ended_unanswered(self) -> bool:
         """Return whether the last request ended without an answer."""
-        done = self._done
-        if done is None or not done.done():
+        if not self._is_abandoned:
             return False
-        return done.cancelled() or done.exception() is not None
+        done = self._done
+        if done is None:
+            return True
+        return done.done() and (done.cancelled() or done.exception() is not None)
 
     # httptools callbacks
 
--- a/src/eelgrassweir/daemon/link_client.py
+++ b/src/eelgrassweir/daemon/link_client.py
@@ -275,6 +275,9 @@
                 raise LinkError("link call", self._address, reason)
             return reply
         finally:
+            # The error of a failed call refers to this frame, and would stay
+            # with the request in a cycle until the next collection.
+            del future
             deadline.cancel()
             self._streams.pop(stream_id, None)
             self._waiting_stream_ids.discard(stream_id)
