Share the processor time of a daemon among its connections

Cause: a turn of the event loop parses all that each connection has received, up to 256 KiB, and each field and chunk calls Python code. A turn over many such connections takes seconds.

Change: a turn has a bounded amount of work, counted in fields, chunks and bytes, for all listeners of a daemon and for the answers of its backend server. When it is used up, connections read 4 KiB at most and wait unread for a later turn, those with shorter reads first; at least one other always gets a part. All reads share one buffer of 64 KiB. Whether the daemon or a client is slow does not matter, since nothing is timed.

--- a/src/eelgrassweir/daemon/backend.py
+++ b/src/eelgrassweir/daemon/backend.py
@@ -7,6 +7,7 @@
 
 from eelgrassweir.clock import Clock
 from eelgrassweir.daemon.http_client import BackendClient
+from eelgrassweir.daemon.parse_turns import ParseTurns
 
 
 @attrs.frozen(kw_only=True)
@@ -26,7 +27,15 @@
 class LocalBackend:
     """Newest announcement of the backend server and the client for it."""
 
-    def __init__(self, *, clock: Clock, ttl_ms: int, body_limit_bytes: int) -> None:
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        ttl_ms: int,
+        body_limit_bytes: int,
+        parse_turns: ParseTurns | None = None,
+    ) -> None:
+        self._parse_turns = parse_turns
         self._clock = clock
         self._ttl_ms = ttl_ms
         self._body_limit_bytes = body_limit_bytes
@@ -46,6 +55,7 @@
             announcement.address,
             clock=self._clock,
             body_limit_bytes=self._body_limit_bytes,
+            parse_turns=self._parse_turns,
         )
 
     def is_present(self) -> bool:
--- a/src/eelgrassweir/daemon/http_client.py
+++ b/src/eelgrassweir/daemon/http_client.py
@@ -30,6 +30,7 @@
     encode_request,
     find_header,
 )
+from eelgrassweir.daemon.parse_turns import PacedReads, ParseTurns
 from eelgrassweir.errors import StepError
 from eelgrassweir.requests.calls import ResponseMatch
 
@@ -127,6 +128,7 @@
     ``body_limit_bytes`` bounds the body of one answer, ``held`` the incomplete
     answers together with the other messages that the daemon holds; without it,
     incomplete answers may take as much as one answer at its limit.
+    ``parse_turns`` shares the processor time of the daemon.
     """
 
     def __init__(
@@ -137,6 +139,7 @@
         body_limit_bytes: int,
         options: ClientOptions | None = None,
         held: HeldBytes | None = None,
+        parse_turns: ParseTurns | None = None,
     ) -> None:
         self.address = address
         self._options = options or ClientOptions()
@@ -144,6 +147,7 @@
         self._body_limit_bytes = body_limit_bytes
         limit_bytes = COPIES * (body_limit_bytes + MAX_HEAD_BYTES)
         self._held = held or HeldBytes(limit_bytes)
+        self._parse_turns = parse_turns or ParseTurns()
         # Ordered by the time at which the connections became idle.
         self._idle: list[BackendConnection] = []
         self._deadlines = Deadlines()
@@ -314,6 +318,7 @@
                         self._held,
                         self._handle_unsolicited_data,
                         self._options,
+                        self._parse_turns,
                     ),
                     host,
                     port,
@@ -346,7 +351,7 @@
     return str(error)
 
 
-class BackendConnection(asyncio.Protocol):
+class BackendConnection(asyncio.BufferedProtocol):
     """Connection to a server with one exchange at a time."""
 
     def __init__(
@@ -356,7 +361,15 @@
         held: HeldBytes,
         on_unsolicited_data: Callable[["BackendConnection"], None],
         options: ClientOptions,
+        parse_turns: ParseTurns,
     ) -> None:
+        self._reads = PacedReads(
+            parse_turns, feed=self._feed_part, is_bulk=lambda: self._has_head
+        )
+        # Fields and chunks that were parsed.
+        self._events = 0
+        # Whether a timer looks for room for the answer.
+        self._waits_for_room = False
         self._on_unsolicited_data = on_unsolicited_data
         self._options = options
         # What this exchange has received.
@@ -416,6 +429,8 @@
         try:
             response = await self._done
             self._is_abandoned = False
+            # Those are bytes beyond the answer.
+            self.is_reusable &= not self._reads.is_waiting
             return response
         finally:
             # Idle connections would keep the answer, and the error of a failed
@@ -489,6 +504,7 @@
         """Store the transport."""
         transport = cast(asyncio.Transport, transport)
         self._transport = transport
+        self._reads.start(transport)
 
     def eof_received(self) -> bool:
         """Complete an answer that ends with its connection."""
@@ -502,23 +518,42 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail an exchange whose answer is incomplete."""
         self._transport = None
+        self._reads.stop()
         self.is_reusable = False
         self._fail("connection closed before the answer was complete")
 
+    def get_buffer(self, _sizehint: int) -> memoryview:
+        """Return the buffer of the next read."""
+        return self._reads.get_buffer()
+
+    def buffer_updated(self, size_bytes: int) -> None:
+        """Take the bytes of a read."""
+        self.data_received(self._reads.take_read(size_bytes))
+
     def data_received(self, data: bytes) -> None:
         """Feed the parser."""
         if self._options.on_read is not None:
             self._options.on_read()
+        if self._is_exchanging:
+            self.has_received = self._has_received_since_check = True
+        self._reads.receive(data)
+
+    @property
+    def _is_exchanging(self) -> bool:
+        return self._done is not None and not self._done.done()
+
+    def _feed_part(self, data: bytes) -> int:
+        """Parse a part of what was read; return its fields and chunks."""
         if self._is_ended_unanswered:
             # The exchange closes the connection.
-            return
+            return 0
         if self._done is None or self._done.done():
             # Unsolicited bytes: requests and answers no longer match.
             self.is_reusable = False
             self.close()
             self._on_unsolicited_data(self)
-            return
-        self.has_received = self._has_received_since_check = True
+            return 0
+        events = self._events
         with contextlib.suppress(asyncio.InvalidStateError):
             try:
                 self._parser.feed_data(data)
@@ -532,6 +567,7 @@
                 self._on_unsolicited_data(self)
             if self._response is not None and not self._done.done():
                 self._done.set_result(self._response)
+        return self._events - events
 
     def _check_size(self, read_bytes: int) -> None:
         """Fail an answer that is too large and still incomplete."""
@@ -554,16 +590,18 @@
         if not self._held.has_room_to_wait():
             if not self._held.can_hold(0, drops_waiting=True):
                 self._fail(NO_MEMORY, is_too_large=True)
-        elif self._transport is not None and not self._transport.is_closing():
-            self._transport.pause_reading()
+        elif not self._waits_for_room:
+            self._reads.pause()
             self._wait_for_room()
 
     def _wait_for_room(self) -> None:
+        self._waits_for_room = True
         loop = asyncio.get_running_loop()
         loop.call_later(PAUSE_STEP_S, self._resume_reading)
 
     def _resume_reading(self) -> None:
         """Read on if there is room; fail if there is none for too long."""
+        self._waits_for_room = False
         if self._transport is None or self._transport.is_closing():
             return
         if self._done is None or self._done.done():
@@ -573,7 +611,7 @@
         self._paused_s += PAUSE_STEP_S
         is_last_attempt = self._paused_s >= MAX_PAUSE_S
         if self._held.can_hold(0, drops_waiting=is_last_attempt):
-            self._transport.resume_reading()
+            self._reads.resume()
         elif is_last_attempt:
             self._fail(NO_MEMORY, is_too_large=True)
         else:
@@ -602,6 +640,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header field."""
+        self._events += 1
         field = name.decode("latin-1")
         self._reject_cut_head(value.decode("latin-1"))
         if field.lower() in ("content-length", "transfer-encoding"):
@@ -638,6 +677,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Collect the body up to the limit."""
+        self._events += 1
         if self._is_mismatched:
             return
         self._body += body
--- a/src/eelgrassweir/daemon/http_connection.py
+++ b/src/eelgrassweir/daemon/http_connection.py
@@ -22,6 +22,7 @@
     split_absolute_form,
 )
 from eelgrassweir.daemon.incomplete_heads import IncompleteHead
+from eelgrassweir.daemon.parse_turns import PacedReads
 from eelgrassweir.daemon.request_bounds import RequestBounds
 from eelgrassweir.daemon.start_queue import QueuedStart, Wait
 from eelgrassweir.daemon.unsent_answers import UnsentAnswers
@@ -34,10 +35,9 @@
 if TYPE_CHECKING:
     from eelgrassweir.daemon.http_server import HttpServer
 
-# Bytes that are parsed before the limits are checked. A read may have 256 KiB,
-# and the parser keeps a field until its end.
-HEAD_PART_BYTES = 8_192
-BODY_PART_BYTES = 65_536
+# Work of a request beside its fields, its chunks and its bytes, as they are
+# counted in a turn.
+REQUEST_EVENTS = 16
 # Requests of one connection that run at a time, since the answers behind the
 # first one are held in memory.
 MAX_PIPELINED_REQUESTS = 4
@@ -113,7 +113,7 @@
     waiting_bytes: int = 0
 
 
-class HttpConnection(asyncio.Protocol):
+class HttpConnection(asyncio.BufferedProtocol):
     """Parse requests of one connection and answer them in order."""
 
     def __init__(self, server: "HttpServer") -> None:
@@ -135,6 +135,11 @@
         # Why this end closes the connection, for the log.
         self._end_reason = ""
         self._can_write = True
+        self._reads = PacedReads(
+            server.parse_turns, feed=self._feed_part, is_bulk=lambda: self._is_in_body
+        )
+        # Fields and chunks that were parsed, and a part of each request.
+        self._events = 0
         # Bytes that are read while there is no room for more requests.
         self._unparsed = bytearray()
         self._held_unparsed = HeldMessage(server.held)
@@ -177,6 +182,7 @@
         """Register the connection and start its idle timeout."""
         transport = cast(asyncio.Transport, transport)
         self._transport = transport
+        self._reads.start(transport)
         peer = transport.get_extra_info("peername")
         self._peer = f"{peer[0]}:{peer[1]}" if peer else ""
         self._server.add_connection(self)
@@ -191,6 +197,7 @@
         """Cancel requests in progress, since their caller is gone."""
         self._server.remove_connection(self)
         self._server.read_turns.discard(self._resume_dropped_reads)
+        self._reads.stop()
         self._transport = None
         self._cancel_timer()
         self._unsent.clear()
@@ -219,14 +226,20 @@
                 self._start_timer()
             self._write_answers()
 
+    def get_buffer(self, _sizehint: int) -> memoryview:
+        """Return the buffer of the next read."""
+        return self._reads.get_buffer()
+
+    def buffer_updated(self, size_bytes: int) -> None:
+        """Take the bytes of a read."""
+        self.data_received(self._reads.take_read(size_bytes))
+
     def data_received(self, data: bytes) -> None:
         """Feed the parser."""
         if self._server.on_read is not None:
             self._server.on_read()
-        if self._is_parsing_paused and not self._drops_reads:
-            self._keep_unparsed(data)
-        elif not self._drops_reads:
-            self._parse(data)
+        if not self._drops_reads:
+            self._reads.receive(data)
         if self._drops_reads:
             self._pause_dropped_reads()
 
@@ -238,26 +251,30 @@
     def _pause_dropped_reads(self) -> None:
         """Read on when it is the turn of this connection."""
         if self._transport is not None and not self._transport.is_closing():
-            self._transport.pause_reading()
+            self._reads.stop()
+            self._reads.pause()
             self._server.read_turns.add(self._resume_dropped_reads)
 
     def _resume_dropped_reads(self) -> None:
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.resume_reading()
-
-    def _parse(self, data: bytes) -> None:
-        start = 0
-        while start < len(data):
-            part_bytes = BODY_PART_BYTES if self._is_in_body else HEAD_PART_BYTES
-            self._parse_part(data[start : start + part_bytes])
-            start += part_bytes
-            if self._drops_reads:
-                self._drop_request()
-                return
+        self._reads.resume()
+
+    def _feed_part(self, data: bytes) -> int:
+        """Parse a part of what was read; return its fields and chunks."""
+        if self._drops_reads:
+            return 0
+        if self._is_parsing_paused:
+            self._keep_unparsed(data)
+            return 0
+        events = self._events
+        self._parse_part(data)
+        if self._drops_reads:
+            self._drop_request()
+            return self._events - events
         if self._is_receiving and not self._has_head:
             self._incomplete_head.update(self._read_head_bytes, len(self._headers))
         if not self._is_parsing_paused:
             self._start_receive_deadline()
+        return self._events - events
 
     def _parse_part(self, data: bytes) -> None:
         """Parse bytes, and refuse a request that exceeds a limit."""
@@ -374,6 +391,7 @@
 
     def on_message_begin(self) -> None:
         """Start a request."""
+        self._events += REQUEST_EVENTS
         self._reset()
         self._is_receiving = True
         self._new_timeout_s = self._server.head_timeout_s
@@ -385,6 +403,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header field."""
+        self._events += 1
         self._add_head_bytes(len(name) + len(value))
         if self._has_refused:
             return
@@ -412,6 +431,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Collect the body up to the limit."""
+        self._events += 1
         if self._has_refused:
             return
         limit_bytes = self._server.body_limit_bytes
@@ -542,7 +562,7 @@
         data = bytes(self._unparsed)
         self._drop_unparsed()
         # The time in which requests had to wait is not the caller's.
-        self._parse(data)
+        self._reads.receive_again(data)
 
     def _has_started_request(self) -> bool:
         """Return whether a target may already run a pending request."""
@@ -665,7 +685,8 @@
     @property
     def is_busy(self) -> bool:
         """Return whether a request or an answer is in flight."""
-        return bool(self._pending) or self._is_receiving or not self._is_flushed
+        is_receiving = self._is_receiving or self._reads.is_waiting
+        return bool(self._pending) or is_receiving or not self._is_flushed
 
     @property
     def _is_flushed(self) -> bool:
--- a/src/eelgrassweir/daemon/http_server.py
+++ b/src/eelgrassweir/daemon/http_server.py
@@ -8,15 +8,14 @@
 
 from eelgrassweir.daemon.connection_limit import ConnectionLimit
 from eelgrassweir.daemon.connection_table import ConnectionTable
-from eelgrassweir.daemon.held_bytes import (
-    HeldBytes,
-)
+from eelgrassweir.daemon.held_bytes import HeldBytes
 from eelgrassweir.daemon.http_connection import HttpConnection
 from eelgrassweir.daemon.http_message import (
     HttpRequest,
     HttpResponse,
 )
 from eelgrassweir.daemon.listening import Listener, start_listener
+from eelgrassweir.daemon.parse_turns import ParseTurns
 from eelgrassweir.daemon.read_turns import ReadTurns
 from eelgrassweir.daemon.start_queue import StartQueue
 from eelgrassweir.requests.refusal import (
@@ -51,7 +50,8 @@
     ``on_unanswered`` for each queued request whose answer cannot be sent.
     ``held`` bounds the requests and unsent answers together with the other
     messages that the daemon holds. ``start_queue`` starts requests with the
-    others of the daemon, by the priority from ``get_priority``.
+    others of the daemon, by the priority from ``get_priority``, and
+    ``parse_turns`` shares its processor time among its connections.
     """
 
     def __init__(
@@ -68,8 +68,10 @@
         start_queue: StartQueue | None = None,
         get_priority: Callable[[HttpRequest], int] | None = None,
         connection_limit: ConnectionLimit | None = None,
+        parse_turns: ParseTurns | None = None,
     ) -> None:
         self.handler = handler
+        self.parse_turns = parse_turns or ParseTurns()
         self.read_turns = ReadTurns()
         self.start_queue = start_queue or StartQueue()
         self.get_priority = get_priority or get_equal_priority
--- a/src/eelgrassweir/daemon/listening.py
+++ b/src/eelgrassweir/daemon/listening.py
@@ -30,7 +30,7 @@
     def __init__(
         self,
         sockets: Sequence[socket.socket],
-        make_protocol: Callable[[], asyncio.Protocol],
+        make_protocol: Callable[[], asyncio.BaseProtocol],
         tls: ssl.SSLContext | None,
         connection_limit: ConnectionLimit | None,
     ) -> None:
@@ -113,7 +113,7 @@
 
 
 async def start_listener(
-    make_protocol: Callable[[], asyncio.Protocol],
+    make_protocol: Callable[[], asyncio.BaseProtocol],
     host: str,
     port: int,
     tls: ssl.SSLContext | None = None,
--- a/src/eelgrassweir/daemon/request_path.py
+++ b/src/eelgrassweir/daemon/request_path.py
@@ -28,6 +28,7 @@
 from eelgrassweir.daemon.link_pool import LinkPool
 from eelgrassweir.daemon.link_server import LinkServer
 from eelgrassweir.daemon.metrics import Metrics
+from eelgrassweir.daemon.parse_turns import ParseTurns
 from eelgrassweir.daemon.start_queue import StartQueue
 from eelgrassweir.daemon.target import TargetService
 from eelgrassweir.daemon.tls import FleetTls
@@ -82,6 +83,7 @@
         self._is_refusing_callers = False
         self._tls = tls
         self.start_queue = StartQueue(clock)
+        self.parse_turns = ParseTurns()
         # Identifiers must differ between daemons and runs with the same seed.
         system_rng = random.SystemRandom()
         options = LinkOptions(
@@ -97,6 +99,7 @@
             clock=clock,
             ttl_ms=settings.announce_ttl_ms,
             body_limit_bytes=settings.max_body_bytes,
+            parse_turns=self.parse_turns,
         )
         disabled = settings.disabled_mechanisms
         limit = NoLimit() if "limit" in disabled else ConcurrencyLimit()
@@ -174,12 +177,14 @@
             body_limit_bytes=body_limit_bytes,
             idle_timeout_s=settings.caller_idle_ms / 1e3,
             start_queue=self.start_queue,
+            parse_turns=self.parse_turns,
             get_priority=lambda _: link_pb2.NORMAL,
         )
         self.egress_server = HttpServer(
             self.egress.handle,
             body_limit_bytes=body_limit_bytes,
             start_queue=self.start_queue,
+            parse_turns=self.parse_turns,
             # Their root requests are in progress.
             get_priority=lambda _: link_pb2.CRITICAL,
             connection_limit=ConnectionLimit(
--- a/src/eelgrassweir/mesh/app.py
+++ b/src/eelgrassweir/mesh/app.py
@@ -23,6 +23,7 @@
 from eelgrassweir.daemon.link_pool import LinkPool
 from eelgrassweir.daemon.link_server import LinkServer
 from eelgrassweir.daemon.metrics import Metrics
+from eelgrassweir.daemon.parse_turns import ParseTurns
 from eelgrassweir.daemon.start_queue import StartQueue
 from eelgrassweir.daemon.supervision import TaskSupervisor
 from eelgrassweir.mesh.adapter import PlatformAdapter, Store
@@ -129,6 +130,7 @@
         self.config = ConfigState(adapter.decode_config, self._apply_config)
         self.directory = MemberDirectory(self.clock, settings.failure_domains)
         self.start_queue = StartQueue(self.clock)
+        self.parse_turns = ParseTurns()
         link_options = LinkOptions(
             vm=settings.vm,
             incarnation=self.identity.incarnation,
@@ -724,6 +726,7 @@
             start_queue=self.start_queue,
             get_priority=get_priority or get_control_priority,
             connection_limit=connection_limit,
+            parse_turns=self.parse_turns,
         )
 
     def _connect_backend(self, address: str) -> BackendClient:
@@ -732,6 +735,7 @@
             clock=self.clock,
             body_limit_bytes=BODY_LIMIT_BYTES,
             held=self.held,
+            parse_turns=self.parse_turns,
             options=ClientOptions(
                 connect_timeout_ms=BACKEND_CONNECT_TIMEOUT_MS,
                 tcp_user_timeout_ms=BACKEND_TCP_USER_TIMEOUT_MS,
--- a/testing/daemon/test_http.py
+++ b/testing/daemon/test_http.py
@@ -20,6 +20,7 @@
 )
 from eelgrassweir.daemon.http_message import HttpRequest, HttpResponse
 from eelgrassweir.daemon.http_server import HttpServer
+from eelgrassweir.daemon.parse_turns import ParseTurns
 from eelgrassweir.requests.calls import ResponseMatch
 
 ServerScript = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
@@ -155,6 +156,7 @@
             HeldBytes(),
             unsolicited.append,
             ClientOptions(),
+            ParseTurns(),
         )
         transport = mock.create_autospec(asyncio.Transport, instance=True)
         transport.is_closing.return_value = False
@@ -217,6 +219,7 @@
             HeldBytes(),
             lambda _: None,
             ClientOptions(),
+            ParseTurns(),
         )
         with socket.socket() as tcp_socket:
             transport = mock.create_autospec(asyncio.Transport, instance=True)
