Hold one copy of a long body at each daemon

What callers saw: on a VM of 300 MB a body above 50 MB got 503 also in calm, on one of 200 MB a body above 25 MB, though the configuration allows 64 MiB.

Cause: a body was copied at each step (received bytes, request, message, frame, write buffer, head and body joined), and the pool counted four copies.

Change: a body above 64 KiB is kept as it was received and passed on in parts, to the backend server and over a link, as fast as these read. A link sends one part of each body in turn between its other frames. Such a body counts once, and leaves an eighth of the pool to shorter requests. A body for which the peer has no room is refused as not run, where its frame made the whole link wait for 500 ms and then close. A request whose body was not sent as a whole has not run, and its error says so. A backend connection whose server has answered before it has read the body is not used again. A daemon that does not know the parts is told by its hello, and gets the body in one frame.

Evidence: test_long_bodies_leave_other_requests_alone asks for a 200 to a body of 66,060,288 bytes at VMs of 200 and 300 MB, through both daemons and one; it expected the 503 before, as at 552 MB.

Tests changed: handlers of links get the body as an argument of its own; the body that fills the pool in test_bodies_beyond_the_pool is longer, since it counts once. Two tests end their streams also when they are cancelled; the leftovers made pytest end with a SystemError when three files ran together.

--- a/src/eelgrassweir/daemon/dispatch.py
+++ b/src/eelgrassweir/daemon/dispatch.py
@@ -298,6 +298,7 @@
                 member.incarnation,
                 encode_request(call.request, context, void_only),
                 timeout_ms=timeout_ms,
+                body=call.request.body,
             )
             reply = decode_reply(message)
             load = message.load
@@ -418,13 +419,12 @@
 def encode_request(
     request: HttpRequest, context: link_pb2.CallContext, void_only: bool
 ) -> link_pb2.Request:
-    """Return a call as a link message."""
+    """Return a call as a link message, without its body."""
     return link_pb2.Request(
         context=context,
         method=request.method,
         path=request.path,
         headers=[link_pb2.Header(name=n, value=v) for n, v in request.headers],
-        body=request.body,
         void_only=void_only,
     )
 
--- a/src/eelgrassweir/daemon/egress.py
+++ b/src/eelgrassweir/daemon/egress.py
@@ -215,7 +215,7 @@
         return Refusal(code=code, not_run=True, reason=reason, step=STEP, peer=self._vm)
 
 
-def parse_announcement(body: bytes) -> Announcement | None:
+def parse_announcement(body: bytes | bytearray) -> Announcement | None:
     """Return the announcement in ``body``, or None if it is malformed."""
     try:
         document = json.loads(body)
--- a/src/eelgrassweir/daemon/entry.py
+++ b/src/eelgrassweir/daemon/entry.py
@@ -19,6 +19,7 @@
 )
 from eelgrassweir.daemon.dispatch import Call, Dispatcher
 from eelgrassweir.daemon.http_message import (
+    Body,
     Headers,
     HttpRequest,
     HttpResponse,
@@ -274,7 +275,7 @@
         return Refusal(code=code, not_run=True, reason=reason, step=STEP, peer=self._vm)
 
 
-def _get_searchable_body(request: HttpRequest) -> bytes:
+def _get_searchable_body(request: HttpRequest) -> Body:
     """Return the body, followed by its decoded form if it is URL-encoded."""
     content_type = find_header(request.headers, "content-type") or ""
     is_form = content_type.lower().startswith("application/x-www-form-urlencoded")
--- a/src/eelgrassweir/daemon/held_bytes.py
+++ b/src/eelgrassweir/daemon/held_bytes.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from eelgrassweir.daemon.http_message import INLINE_BODY_BYTES
 from eelgrassweir.daemon.incomplete_heads import (
     IncompleteHeads,
     compute_heads_limit_bytes,
@@ -23,8 +24,11 @@
 # while long ones take up the pool. It is bounded by the number of connections.
 SMALL_MESSAGE_BYTES = 16_384
 # A message is copied from the received bytes into an object and from there
-# into the bytes to send, and the copies exist at the same time.
+# into the bytes to send, and the copies exist at the same time. Of the body of
+# a request only the first INLINE_BODY_BYTES are.
 COPIES = 4
+# Part of the pool that long bodies of requests leave to other messages.
+SPARE_PART = 8
 # Memory of the objects of one header field, beside its bytes, in each copy.
 FIELD_OVERHEAD_BYTES = 64
 # Usual heads have fewer fields and are not counted.
@@ -140,11 +144,17 @@
     _size_bytes: int = 0
     _counted_bytes: int = 0
 
+    @property
+    def counted_bytes(self) -> int:
+        """Return the memory that is counted for the message."""
+        return self._counted_bytes
+
     def try_grow(self, size_bytes: int, *, drops_waiting: bool = False) -> bool:
         """Return whether so many more bytes of the message may be held."""
         more_bytes = self._count_more(size_bytes)
+        needed_bytes = more_bytes + self._count_spare()
         if more_bytes and not self._pool.can_hold(
-            more_bytes, drops_waiting=drops_waiting
+            needed_bytes, drops_waiting=drops_waiting
         ):
             return False
         self._add(size_bytes, more_bytes)
@@ -161,10 +171,50 @@
 
     def _count_more(self, size_bytes: int) -> int:
         """Return the memory to count for more bytes of the message."""
-        beyond_bytes = self._size_bytes + size_bytes - SMALL_MESSAGE_BYTES
-        return max(0, COPIES * beyond_bytes - self._counted_bytes)
+        weight_bytes = self._weigh(self._size_bytes + size_bytes)
+        return max(0, weight_bytes - self._counted_bytes)
+
+    def _weigh(self, size_bytes: int) -> int:
+        """Return the memory of a message of this size and of its copies."""
+        return COPIES * (size_bytes - SMALL_MESSAGE_BYTES)
+
+    def _count_spare(self) -> int:
+        """Return the memory that must stay free beside the message."""
+        return 0
 
     def _add(self, size_bytes: int, counted_bytes: int) -> None:
         self._size_bytes += size_bytes
         self._counted_bytes += counted_bytes
         self._pool.used_bytes += counted_bytes
+
+
+@attrs.define(eq=False)
+class HeldRequest(HeldMessage):
+    """Memory of one request, whose long body is passed on without copies."""
+
+    _body_bytes: int = 0
+
+    def try_grow_body(self, size_bytes: int) -> bool:
+        """Return whether so many more bytes of the body may be held."""
+        self._body_bytes += size_bytes
+        is_held = self.try_grow(size_bytes)
+        if not is_held:
+            self._body_bytes -= size_bytes
+        return is_held
+
+    def release(self) -> None:
+        """Stop counting the request, which is no longer held."""
+        super().release()
+        self._body_bytes = 0
+
+    @property
+    def _uncopied_bytes(self) -> int:
+        return max(0, self._body_bytes - INLINE_BODY_BYTES)
+
+    def _weigh(self, size_bytes: int) -> int:
+        uncopied_bytes = self._uncopied_bytes
+        return super()._weigh(size_bytes - uncopied_bytes) + uncopied_bytes
+
+    def _count_spare(self) -> int:
+        """Return what a long body leaves to shorter requests."""
+        return self._pool.limit_bytes // SPARE_PART if self._uncopied_bytes else 0
--- a/src/eelgrassweir/daemon/http_client.py
+++ b/src/eelgrassweir/daemon/http_client.py
@@ -24,6 +24,7 @@
     HeldMessage,
 )
 from eelgrassweir.daemon.http_message import (
+    INLINE_BODY_BYTES,
     Headers,
     HttpRequest,
     HttpResponse,
@@ -64,6 +65,8 @@
 STATUS_LINE_START = "HTTP/1."
 INTERIM_STATUSES = range(100, 200)
 FINAL_STATUSES = range(200, 600)
+# Parts in which a long body is written, as fast as the server reads them.
+WRITE_BYTES = 65_536
 # Weight of the newest exchange in the exponential moving average.
 MEAN_WEIGHT = 0.1
 
@@ -368,6 +371,9 @@
         )
         # Fields and chunks that were parsed.
         self._events = 0
+        # Rest of a long body, which is written as the server reads it.
+        self._unwritten: memoryview | None = None
+        self._is_write_paused = False
         # Whether a timer looks for room for the answer.
         self._waits_for_room = False
         self._on_unsolicited_data = on_unsolicited_data
@@ -426,11 +432,16 @@
         if self._options.forwards_host:
             host = find_header(request.headers, "host") or host
         self._transport.write(encode_request(request, host))
+        if len(request.body) > INLINE_BODY_BYTES:
+            self._unwritten = memoryview(request.body)
+            self._write_body()
         try:
             response = await self._done
             self._is_abandoned = False
             # Those are bytes beyond the answer.
             self.is_reusable &= not self._reads.is_waiting
+            # The server would take the next request for the rest of the body.
+            self.is_reusable &= self._unwritten is None
             return response
         finally:
             # Idle connections would keep the answer, and the error of a failed
@@ -438,7 +449,7 @@
             # request until the next collection.
             self._done = None
             self._held_answer.release()
-            self._request = self._response = None
+            self._request = self._response = self._unwritten = None
             # The parser refers to this object, so it is freed late.
             self._start_message()
             if self._timer is not None:
@@ -506,6 +517,24 @@
         self._transport = transport
         self._reads.start(transport)
 
+    def pause_writing(self) -> None:
+        """Wait with the rest of a long body until the server reads."""
+        self._is_write_paused = True
+
+    def resume_writing(self) -> None:
+        """Write more of a long body."""
+        self._is_write_paused = False
+        self._write_body()
+
+    def _write_body(self) -> None:
+        while self._unwritten is not None and not self._is_write_paused:
+            if not self.is_open or self._transport is None:
+                return
+            part = bytes(self._unwritten[:WRITE_BYTES])
+            rest = self._unwritten[WRITE_BYTES:]
+            self._unwritten = rest if rest else None
+            self._transport.write(part)
+
     def eof_received(self) -> bool:
         """Complete an answer that ends with its connection."""
         if self._is_close_delimited and not self._is_mismatched:
--- a/src/eelgrassweir/daemon/http_connection.py
+++ b/src/eelgrassweir/daemon/http_connection.py
@@ -14,8 +14,10 @@
     FIELD_OVERHEAD_BYTES,
     FIELDS_PER_COUNT,
     HeldMessage,
+    HeldRequest,
 )
 from eelgrassweir.daemon.http_message import (
+    INLINE_BODY_BYTES,
     HttpRequest,
     HttpResponse,
     encode_response,
@@ -145,7 +147,7 @@
         self._held_unparsed = HeldMessage(server.held)
         self._is_parsing_paused = False
         # The request that is being received.
-        self._held = HeldMessage(server.held)
+        self._held = HeldRequest(server.held)
         self._incomplete_head = IncompleteHead(
             server.held.incomplete_heads, self._refuse_incomplete_head
         )
@@ -437,7 +439,7 @@
         limit_bytes = self._server.body_limit_bytes
         if len(self._body) + len(body) > limit_bytes:
             self._refuse("body_too_large", f"body above {limit_bytes} bytes")
-        elif not self._held.try_grow(len(body)):
+        elif not self._held.try_grow_body(len(body)):
             reason = "no memory left for the body of the request"
             self._refuse("overloaded", reason, NO_MEMORY_RETRY_AFTER_MS)
         else:
@@ -455,15 +457,17 @@
         path, headers = split_absolute_form(
             self._path.decode("latin-1"), tuple(self._headers)
         )
+        size_bytes = self._head_bytes + len(self._body)
+        # A long body is passed on as it is, without a copy.
+        is_inline = len(self._body) <= INLINE_BODY_BYTES
         request = HttpRequest(
             method=self._parser.get_method().decode("ascii"),
             path=path,
             headers=headers,
-            body=bytes(self._body),
+            body=bytes(self._body) if is_inline else self._body,
             peer=self._peer,
         )
-        held, self._held = self._held, HeldMessage(self._server.held)
-        size_bytes = self._head_bytes + len(self._body)
+        held, self._held = self._held, HeldRequest(self._server.held)
         self._drop_body()
         keep_alive = self._parser.should_keep_alive()
         self._pending.append(_Exchange(request, keep_alive, held, size_bytes))
--- a/src/eelgrassweir/daemon/http_message.py
+++ b/src/eelgrassweir/daemon/http_message.py
@@ -8,6 +8,11 @@
 import attrs
 
 Headers = tuple[tuple[str, str], ...]
+# A long body is not converted, since that would copy it.
+Body = bytes | bytearray
+
+# Bodies up to this size are sent together with their heads.
+INLINE_BODY_BYTES = 65_536
 
 # Hop-by-hop fields of RFC 9110 section 7.6.1, and the length, which is set
 # for each message.
@@ -41,7 +46,7 @@
     method: str
     path: str
     headers: Headers
-    body: bytes
+    body: Body
     peer: str = ""
     waited_ms: float = 0.0
     has_waited_too_long: bool = False
@@ -108,7 +113,10 @@
 
 
 def encode_request(request: HttpRequest, host: str) -> bytes:
-    """Return the bytes of a request, with ``host`` as its Host field."""
+    """Return the bytes of a request, with ``host`` as its Host field.
+
+    A body above INLINE_BODY_BYTES is left out.
+    """
     lines = [f"{request.method} {request.path} HTTP/1.1", f"Host: {host}"]
     lines += [
         f"{name}: {value}"
@@ -116,4 +124,7 @@
         if name.lower() not in HOP_BY_HOP and name.lower() != "host"
     ]
     lines.append(f"Content-Length: {len(request.body)}")
-    return "\r\n".join(lines).encode("latin-1", "replace") + b"\r\n\r\n" + request.body
+    head = "\r\n".join(lines).encode("latin-1", "replace") + b"\r\n\r\n"
+    if len(request.body) > INLINE_BODY_BYTES:
+        return head
+    return head + request.body
--- a/src/eelgrassweir/daemon/link_client.py
+++ b/src/eelgrassweir/daemon/link_client.py
@@ -12,6 +12,8 @@
 from eelgrassweir.clock import Clock
 from eelgrassweir.daemon.deadlines import Deadlines
 from eelgrassweir.daemon.held_bytes import HeldBytes
+from eelgrassweir.daemon.http_message import INLINE_BODY_BYTES, Body
+from eelgrassweir.daemon.link_bodies import OutgoingBodies
 from eelgrassweir.daemon.link_frames import FrameProtocol
 from eelgrassweir.daemon.start_queue import StartQueue
 from eelgrassweir.errors import StepError
@@ -111,6 +113,9 @@
         # Whether the link was silent too long; it gets no new requests.
         self.is_suspected = False
         self._deadlines = Deadlines()
+        self._bodies = OutgoingBodies(
+            send=self.send, can_send=lambda: self.is_open and not self.is_write_paused
+        )
         self._next_stream_id = 1
         self._last_received_ms = clock.now_ms()
         self._last_used_ms = self._last_received_ms
@@ -137,6 +142,7 @@
             vm=self._options.vm,
             incarnation=self._options.incarnation,
             sent_ms=self._clock.now_ms(),
+            takes_body_parts=True,
         )
         self._probe_sent_ms = hello.sent_ms
         self.send(link_pb2.Frame(hello=hello))
@@ -145,8 +151,14 @@
         """Fail all requests in progress."""
         super().connection_lost(exc)
         self._fail_all("connection closed")
+        self._bodies.clear()
         self._deadlines.close()
 
+    def resume_writing(self) -> None:
+        """Send more of the bodies."""
+        super().resume_writing()
+        self._bodies.send_more()
+
     def data_received(self, data: bytes) -> None:
         """Record that the peer is alive and decode the frames."""
         self._last_received_ms = self._clock.now_ms()
@@ -185,15 +197,29 @@
         increase_ms = sample_ms - self.round_trip_ms
         self.round_trip_ms += ROUND_TRIP_INCREASE_GAIN * increase_ms
 
-    async def call(self, request: link_pb2.Request, *, timeout_ms: float) -> Reply:
+    async def call(
+        self, request: link_pb2.Request, *, timeout_ms: float, body: Body = b""
+    ) -> Reply:
         """Send a request and return its reply.
 
+        A long body is sent in parts behind the request, unless the peer is of
+        a version that does not take them.
+
         :raises LinkError: if there is no reply within ``timeout_ms``.
         """
-        stream_reply = await self._send_and_wait(request, timeout_ms)
+        if len(body) > INLINE_BODY_BYTES and self._takes_body_parts:
+            request.body_bytes = len(body)
+        elif body:
+            request.body = bytes(body)
+            body = b""
+        stream_reply = await self._send_and_wait(request, timeout_ms, body)
         assert isinstance(stream_reply, link_pb2.Response | link_pb2.Refusal)
         return stream_reply
 
+    @property
+    def _takes_body_parts(self) -> bool:
+        return self.hello.done() and self.hello.result().takes_body_parts
+
     async def borrow(self, request: bytes, *, timeout_ms: float) -> bytes:
         """Ask the peer, a share holder, for tokens and return its reply.
 
@@ -241,7 +267,7 @@
         return stream_reply
 
     async def _send_and_wait(
-        self, stream_request: StreamRequest, timeout_ms: float
+        self, stream_request: StreamRequest, timeout_ms: float, body: Body = b""
     ) -> StreamReply:
         now_ms = self._clock.now_ms()
         self._last_used_ms = now_ms
@@ -265,6 +291,8 @@
         deadline = self._deadlines.add(
             timeout_ms, lambda: self._expire(stream_id, timeout_ms)
         )
+        if body:
+            self._bodies.add(stream_id, body)
         is_answered = False
         try:
             reply = await future
@@ -280,6 +308,7 @@
             del future
             deadline.cancel()
             self._streams.pop(stream_id, None)
+            self._bodies.discard(stream_id)
             self._waiting_stream_ids.discard(stream_id)
             self._run_stream_ids.discard(stream_id)
             if not is_answered:
@@ -301,8 +330,10 @@
         if future is None or future.done():
             return
         reason = f"no reply in {timeout_ms:.0f} ms"
-        error = LinkError("link call", self._address, reason, is_timeout=True)
-        future.set_exception(error)
+        maybe_sent = not self._bodies.is_unsent(stream_id)
+        future.set_exception(
+            LinkError("link call", self._address, reason, maybe_sent, is_timeout=True)
+        )
 
     @property
     def in_flight_count(self) -> int:
@@ -331,7 +362,11 @@
         for stream_id in stream_ids:
             future = self._streams[stream_id]
             if not future.done():
-                future.set_exception(LinkError("link call", self._address, reason))
+                # A request without its whole body does not run.
+                maybe_sent = not self._bodies.is_unsent(stream_id)
+                future.set_exception(
+                    LinkError("link call", self._address, reason, maybe_sent)
+                )
 
     def _suspect(self) -> None:
         """Give up what can be repeated; close the link if nothing is left."""
--- a/src/eelgrassweir/daemon/link_pool.py
+++ b/src/eelgrassweir/daemon/link_pool.py
@@ -9,6 +9,7 @@
 from eelgrassweir.clock import Clock
 from eelgrassweir.daemon.address import split_address
 from eelgrassweir.daemon.http_client import describe_connect_error
+from eelgrassweir.daemon.http_message import Body
 from eelgrassweir.daemon.identity import FLEET_CERTIFICATE_NAME
 from eelgrassweir.daemon.link_client import (
     LinkConnection,
@@ -41,9 +42,12 @@
         request: link_pb2.Request,
         *,
         timeout_ms: float,
+        body: Body = b"",
     ) -> Reply:
         """Call the daemon at ``address`` if it has the given incarnation.
 
+        ``body`` is that of the request, which contains none.
+
         :raises LinkError: if there is no reply within ``timeout_ms``;
             ``maybe_sent`` says whether the daemon can have received it.
         """
@@ -54,7 +58,7 @@
         request.context.remaining_ms = min(
             request.context.remaining_ms, int(remaining_ms)
         )
-        return await link.call(request, timeout_ms=remaining_ms)
+        return await link.call(request, timeout_ms=remaining_ms, body=body)
 
     async def borrow(
         self, address: str, incarnation: str, request: bytes, *, timeout_ms: float
--- a/src/eelgrassweir/daemon/link_server.py
+++ b/src/eelgrassweir/daemon/link_server.py
@@ -12,7 +12,8 @@
 from eelgrassweir.clock import Clock
 from eelgrassweir.daemon.connection_limit import ConnectionLimit
 from eelgrassweir.daemon.connection_table import FULL_MESSAGE_TYPE
-from eelgrassweir.daemon.held_bytes import HeldMessage
+from eelgrassweir.daemon.held_bytes import HeldRequest
+from eelgrassweir.daemon.http_message import Body
 from eelgrassweir.daemon.link_client import (
     FRAME_OVERHEAD_BYTES,
     IDLE_TIMEOUT_MS,
@@ -50,8 +51,10 @@
 LATE_REQUEST_MS = 250.0
 LATE_REQUEST_DELAY_MS = 100.0
 BEHIND_RETRY_AFTER_MS = 500
+NO_MEMORY_RETRY_AFTER_MS = 500
 
-RequestHandler = Callable[[link_pb2.Request, str], Awaitable[Reply]]
+# Called with a request, the VM of its sender, and its body.
+RequestHandler = Callable[[link_pb2.Request, str, Body], Awaitable[Reply]]
 # Returns a serialized BorrowReply for a serialized BorrowRequest.
 BorrowHandler = Callable[[bytes], bytes]
 FollowHandler = Callable[[link_pb2.Follow], Awaitable[link_pb2.Update]]
@@ -171,11 +174,17 @@
 
 @attrs.define(eq=False)
 class _RunningRequest:
-    """One request of a link, from its read to its reply."""
+    """One request of a link, from its read to its reply.
 
-    request_id: str
+    ``missing_bytes`` of the body have not arrived yet.
+    """
+
+    message: link_pb2.Request
     read_ms: float
-    held: HeldMessage
+    held: HeldRequest
+    body: Body
+    missing_bytes: int = 0
+    wait_ms: float = 0.0
     queued: QueuedStart | None = None
     task: asyncio.Task[None] | None = None
 
@@ -256,7 +265,9 @@
             HELLO_TIMEOUT_S, self._server.close_if_unknown, self
         )
         options = self._server.options
-        hello = link_pb2.Hello(vm=options.vm, incarnation=options.incarnation)
+        hello = link_pb2.Hello(
+            vm=options.vm, incarnation=options.incarnation, takes_body_parts=True
+        )
         self.send(link_pb2.Frame(hello=hello))
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -288,7 +299,9 @@
         """Start or cancel a request, or answer a ping or a borrow request."""
         kind = frame.WhichOneof("kind")
         if kind == "request":
-            self._start_request(frame.request)
+            self._take_request(frame.request)
+        elif kind == "body_part":
+            self._take_body_part(frame.body_part)
         elif kind == "cancel":
             self._cancel(frame.cancel.stream_id)
         elif kind == "follow":
@@ -326,7 +339,8 @@
         on_cancel_received = self._server.options.on_cancel_received
         if on_cancel_received is not None:
             age_ms = self._server.clock.now_ms() - running.read_ms
-            on_cancel_received(running.request_id, self._peer_vm, age_ms)
+            request_id = running.message.context.request_id
+            on_cancel_received(request_id, self._peer_vm, age_ms)
 
     def _can_start_control(self, stream_id: int) -> bool:
         """Return whether there is room; close the link if there is none."""
@@ -357,53 +371,82 @@
         renewal.stream_id = request.stream_id
         self.send(link_pb2.Frame(renewal=renewal))
 
-    def _start_request(self, request: link_pb2.Request) -> None:
+    def _take_request(self, request: link_pb2.Request) -> None:
         if request.stream_id in self._running:
             self.reject(f"stream {request.stream_id} is in use")
             return
+        options = self._server.options
+        if request.body_bytes > options.body_limit_bytes:
+            self.reject(f"a body of {request.body_bytes} bytes")
+            return
         wait_ms = self._measure_wait_ms(request.sent_ms)
         _reduce_remaining(request, wait_ms)
-        options = self._server.options
         running = _RunningRequest(
-            request_id=request.context.request_id,
+            message=request,
             read_ms=self._server.clock.now_ms(),
-            held=HeldMessage(options.held),
+            held=HeldRequest(options.held),
+            body=bytearray() if request.body_bytes else request.body,
+            missing_bytes=request.body_bytes,
+            wait_ms=wait_ms,
         )
         running.held.grow(len(request.body))
         self._running[request.stream_id] = running
         if options.waits_for_runs and not request.context.idempotent:
             self._run_stream_ids.add(request.stream_id)
-        running.queued = options.start_queue.add(
-            functools.partial(self._start, request, running),
-            priority=request.context.priority,
-            delay_ms=LATE_REQUEST_DELAY_MS if wait_ms >= LATE_REQUEST_MS else 0.0,
+        if not running.missing_bytes:
+            self._queue(running)
+
+    def _take_body_part(self, part: link_pb2.BodyPart) -> None:
+        """Add a part to its body, unless the request has ended already."""
+        running = self._running.get(part.stream_id)
+        if running is None:
+            return
+        size_bytes = len(part.content)
+        if not 0 < size_bytes <= running.missing_bytes:
+            self.reject(f"a part of {size_bytes} bytes beyond its body")
+        elif not running.held.try_grow_body(size_bytes):
+            reason = "no memory left for the body of the request"
+            self._refuse(running, reason, NO_MEMORY_RETRY_AFTER_MS)
+        else:
+            running.body += part.content
+            running.missing_bytes -= size_bytes
+            if not running.missing_bytes:
+                self._queue(running)
+
+    def _queue(self, running: _RunningRequest) -> None:
+        """Let a request start that has arrived as a whole."""
+        is_late = running.wait_ms >= LATE_REQUEST_MS
+        running.queued = self._server.options.start_queue.add(
+            functools.partial(self._start, running),
+            priority=running.message.context.priority,
+            delay_ms=LATE_REQUEST_DELAY_MS if is_late else 0.0,
         )
 
-    def _start(
-        self, request: link_pb2.Request, running: _RunningRequest, wait: Wait
-    ) -> None:
+    def _start(self, running: _RunningRequest, wait: Wait) -> None:
+        request = running.message
         _reduce_remaining(request, self._server.clock.now_ms() - running.read_ms)
         if wait.is_too_long and _is_shed_when_behind(request.context):
-            self._refuse_behind(request, running, wait.waited_ms)
+            reason = f"this daemon is {wait.waited_ms:.0f} ms behind"
+            self._refuse(running, reason, BEHIND_RETRY_AFTER_MS)
             return
-        work = self._run(request, running)
-        running.task = asyncio.get_running_loop().create_task(work)
+        running.task = asyncio.get_running_loop().create_task(self._run(running))
 
-    def _refuse_behind(
-        self, request: link_pb2.Request, running: _RunningRequest, waited_ms: float
+    def _refuse(
+        self, running: _RunningRequest, reason: str, retry_after_ms: int
     ) -> None:
-        """Refuse a request that has waited too long for its start."""
+        """Refuse a request that has not started."""
+        stream_id = running.message.stream_id
         running.cancel()
-        del self._running[request.stream_id]
-        self._run_stream_ids.discard(request.stream_id)
+        del self._running[stream_id]
+        self._run_stream_ids.discard(stream_id)
         refusal = link_pb2.Refusal(
-            stream_id=request.stream_id,
+            stream_id=stream_id,
             code="overloaded",
             not_run=True,
-            reason=f"this daemon is {waited_ms:.0f} ms behind",
+            reason=reason,
             step="link",
             peer=self._server.options.vm,
-            retry_after_ms=BEHIND_RETRY_AFTER_MS,
+            retry_after_ms=retry_after_ms,
             load=self._server.load_handler(),
         )
         self.send(link_pb2.Frame(refusal=refusal))
@@ -416,9 +459,10 @@
         now_ms = self._server.clock.now_ms()
         return self._transit_time.measure_wait_ms(sent_ms, now_ms)
 
-    async def _run(self, request: link_pb2.Request, running: _RunningRequest) -> None:
+    async def _run(self, running: _RunningRequest) -> None:
+        request = running.message
         try:
-            reply = await self._handle(request)
+            reply = await self._handle(running)
         finally:
             running.held.release()
             self._running.pop(request.stream_id, None)
@@ -429,10 +473,12 @@
         else:
             self.send(link_pb2.Frame(refusal=reply))
 
-    async def _handle(self, request: link_pb2.Request) -> Reply:
+    async def _handle(self, running: _RunningRequest) -> Reply:
         """Run one request; if the handler raises, return a refusal."""
         try:
-            return await self._server.handler(request, self._peer_vm)
+            return await self._server.handler(
+                running.message, self._peer_vm, running.body
+            )
         except Exception as error:
             write_traceback()
             refusal = make_internal_refusal("handle a call", self._peer_vm, error)
--- a/src/eelgrassweir/daemon/target.py
+++ b/src/eelgrassweir/daemon/target.py
@@ -15,7 +15,7 @@
 from eelgrassweir.daemon.backend import LocalBackend
 from eelgrassweir.daemon.gate import Admission, Gate
 from eelgrassweir.daemon.http_client import ExchangeError, SendStatus
-from eelgrassweir.daemon.http_message import HttpRequest, HttpResponse
+from eelgrassweir.daemon.http_message import Body, HttpRequest, HttpResponse
 from eelgrassweir.daemon.metrics import Metrics
 from eelgrassweir.proto import link_pb2
 from eelgrassweir.requests.context import ContextTable, ParentContext
@@ -136,14 +136,14 @@
         return len(self._runs)
 
     async def handle_link_request(
-        self, request: link_pb2.Request, peer: str
+        self, request: link_pb2.Request, peer: str, body: Body
     ) -> link_pb2.Response | link_pb2.Refusal:
         """Run a call received over a link and return the encoded reply."""
         call = HttpRequest(
             request.method,
             request.path,
             tuple((header.name, header.value) for header in request.headers),
-            request.body,
+            body,
             peer,
         )
         reply = await self.handle(request.context, call, void_only=request.void_only)
--- a/src/eelgrassweir/decoding.py
+++ b/src/eelgrassweir/decoding.py
@@ -19,7 +19,7 @@
     """A value from outside has the wrong type or is out of range."""
 
 
-def parse_json(payload: bytes) -> Any:
+def parse_json(payload: bytes | bytearray) -> Any:
     """Return the decoded JSON document.
 
     Numbers may be infinite or not a number; ``require_number`` refuses these.
--- a/src/eelgrassweir/mesh/app.py
+++ b/src/eelgrassweir/mesh/app.py
@@ -16,7 +16,7 @@
 from eelgrassweir.daemon.connection_limit import ConnectionLimit
 from eelgrassweir.daemon.held_bytes import DEFAULT_MEMORY_MB, HeldBytes
 from eelgrassweir.daemon.http_client import BackendClient, ClientOptions
-from eelgrassweir.daemon.http_message import HttpRequest
+from eelgrassweir.daemon.http_message import Body, HttpRequest
 from eelgrassweir.daemon.http_server import Handler, HttpServer, UnansweredHandler
 from eelgrassweir.daemon.identity import make_identity
 from eelgrassweir.daemon.link_client import LinkOptions, Reply
@@ -604,9 +604,10 @@
         self.local_entry.publish()
 
     async def _handle_link_request(
-        self, message: link_pb2.Request, _peer: str
+        self, message: link_pb2.Request, _peer: str, body: Body
     ) -> Reply:
-        result = await self.target.handle(message.context, decode_request(message))
+        request = decode_request(message, body)
+        result = await self.target.handle(message.context, request)
         return encode_result(result, self._load(message.context.route))
 
     def _count_placed(self, service: str, is_local: bool) -> None:
--- a/src/eelgrassweir/mesh/dispatch.py
+++ b/src/eelgrassweir/mesh/dispatch.py
@@ -208,6 +208,7 @@
                 member.incarnation,
                 encode_request(call.request, call.context),
                 timeout_ms=timeout_ms,
+                body=call.request.body,
             )
             self._record_load(call, member, reply.load)
             result = decode_result(reply)
--- a/src/eelgrassweir/mesh/link_messages.py
+++ b/src/eelgrassweir/mesh/link_messages.py
@@ -3,7 +3,7 @@
 Used by ``dispatch`` at the entry and by ``app`` at the target.
 """
 
-from eelgrassweir.daemon.http_message import HttpRequest, HttpResponse
+from eelgrassweir.daemon.http_message import Body, HttpRequest, HttpResponse
 from eelgrassweir.daemon.link_client import Reply
 from eelgrassweir.mesh.target import TargetResult
 from eelgrassweir.proto import link_pb2
@@ -13,19 +13,19 @@
 def encode_request(
     request: HttpRequest, context: link_pb2.CallContext
 ) -> link_pb2.Request:
-    """Return the link message of a request."""
+    """Return the link message of a request, without its body."""
     message = link_pb2.Request(
-        context=context, method=request.method, path=request.path, body=request.body
+        context=context, method=request.method, path=request.path
     )
     for name, value in request.headers:
         message.headers.add(name=name, value=value)
     return message
 
 
-def decode_request(message: link_pb2.Request) -> HttpRequest:
-    """Return the request in a link message."""
+def decode_request(message: link_pb2.Request, body: Body) -> HttpRequest:
+    """Return the request in a link message, with its body."""
     headers = tuple((header.name, header.value) for header in message.headers)
-    return HttpRequest(message.method, message.path, headers, message.body)
+    return HttpRequest(message.method, message.path, headers, body)
 
 
 def encode_result(result: TargetResult, load: link_pb2.Load) -> Reply:
--- a/src/eelgrassweir/requests/context.py
+++ b/src/eelgrassweir/requests/context.py
@@ -54,7 +54,7 @@
 
 
 def digest_child_call(
-    method: str, path: str, body: bytes, idempotency_key: str
+    method: str, path: str, body: bytes | bytearray, idempotency_key: str
 ) -> bytes:
     """Return the SHA-256 digest that identifies a child call of one parent.
 
--- a/src/eelgrassweir/requests/headers.py
+++ b/src/eelgrassweir/requests/headers.py
@@ -59,7 +59,10 @@
 
 
 def misplaced_keys(
-    path: str, headers: Headers, body: bytes, is_key: Callable[[str], bool]
+    path: str,
+    headers: Headers,
+    body: bytes | bytearray,
+    is_key: Callable[[str], bool],
 ) -> set[str]:
     """Return the valid keys outside the credential fields.
 
--- a/testing/daemon/test_failed_calls.py
+++ b/testing/daemon/test_failed_calls.py
@@ -14,7 +14,7 @@
 
 from eelgrassweir.clock import Clock
 from eelgrassweir.daemon.http_client import BackendClient, ExchangeError
-from eelgrassweir.daemon.http_message import HttpRequest
+from eelgrassweir.daemon.http_message import Body, HttpRequest
 from eelgrassweir.daemon.link_client import LinkError, LinkOptions
 from eelgrassweir.daemon.link_pool import LinkPool
 from eelgrassweir.daemon.link_server import LinkServer
@@ -64,7 +64,7 @@
 
 @contextlib.asynccontextmanager
 async def run_links(
-    handler: Callable[[link_pb2.Request, str], Awaitable[link_pb2.Response]],
+    handler: Callable[[link_pb2.Request, str, Body], Awaitable[link_pb2.Response]],
 ) -> AsyncIterator[tuple[LinkPool, str]]:
     """Run a link server; yield links to it and its address."""
     clock = Clock()
@@ -81,7 +81,9 @@
 def test_link_calls_without_a_reply_free_their_bodies() -> None:
     """Guard against bodies of calls that time out (review/6)."""
 
-    async def handle(_request: link_pb2.Request, _peer: str) -> link_pb2.Response:
+    async def handle(
+        _request: link_pb2.Request, _peer: str, _body: Body
+    ) -> link_pb2.Response:
         await asyncio.Event().wait()
         raise AssertionError
 
@@ -110,10 +112,12 @@
     """Guard against bodies for a backend server that fails."""
 
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        await reader.readuntil(b"\r\n\r\n")
-        if is_silent:
-            await reader.read()
-        writer.transport.abort()
+        try:
+            await reader.readuntil(b"\r\n\r\n")
+            if is_silent:
+                await reader.read()
+        finally:
+            writer.transport.abort()
 
     async def scenario() -> int:
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
--- a/testing/daemon/test_held_bytes.py
+++ b/testing/daemon/test_held_bytes.py
@@ -15,7 +15,7 @@
     compute_limit_bytes,
 )
 from eelgrassweir.daemon.http_client import BackendClient, ExchangeError
-from eelgrassweir.daemon.http_message import HttpRequest, HttpResponse
+from eelgrassweir.daemon.http_message import Body, HttpRequest, HttpResponse
 from eelgrassweir.daemon.http_server import HttpServer
 from eelgrassweir.daemon.link_client import LinkOptions
 from eelgrassweir.daemon.link_pool import LinkPool
@@ -27,6 +27,8 @@
 # Limit of a frame between two daemons.
 LARGEST_BODY_BYTES = 67_108_864
 LONG_BODY = b"x" * 600_000
+# A body that is held once leaves no room for another one.
+LARGE_BODY = b"x" * 1_900_000
 TIMEOUT_MS = 10_000
 
 
@@ -97,11 +99,11 @@
             request = HttpRequest("POST", "/", (), body)
             return await client.exchange(request, timeout_ms=TIMEOUT_MS)
 
-        held = asyncio.create_task(send(LONG_BODY))
+        held = asyncio.create_task(send(LARGE_BODY))
         async with asyncio.timeout(5):
-            while pool.used_bytes < COPIES * (len(LONG_BODY) - SMALL_MESSAGE_BYTES):
+            while pool.used_bytes < len(LARGE_BODY):
                 await asyncio.sleep(0.01)
-        refused = await send(LONG_BODY)
+        refused = await send(LARGE_BODY)
         assert refused.status == 503
         assert b'"not_run": true' in refused.body
         assert dict(refused.headers)["Retry-After"] == "1"
@@ -109,7 +111,7 @@
         release.set()
         assert (await held).status == 200
         assert pool.used_bytes == 0
-        assert (await send(LONG_BODY)).status == 200
+        assert (await send(LARGE_BODY)).status == 200
         client.close()
         await server.stop()
 
@@ -203,7 +205,9 @@
             held=held,
         )
 
-    async def handle(request: link_pb2.Request, _peer: str) -> link_pb2.Response:
+    async def handle(
+        request: link_pb2.Request, _peer: str, _body: Body
+    ) -> link_pb2.Response:
         return link_pb2.Response(status=200, body=request.body)
 
     async def scenario() -> None:
--- a/testing/daemon/test_late_ends.py
+++ b/testing/daemon/test_late_ends.py
@@ -12,7 +12,7 @@
 import pytest
 
 from eelgrassweir.clock import Clock, ManualClock
-from eelgrassweir.daemon.http_message import HttpRequest, HttpResponse
+from eelgrassweir.daemon.http_message import Body, HttpRequest, HttpResponse
 from eelgrassweir.daemon.http_server import HttpServer
 from eelgrassweir.daemon.link_client import LinkError, Reply
 from eelgrassweir.daemon.link_server import LinkServer
@@ -41,7 +41,7 @@
     """Guard against runs past a deadline that passed before the read."""
     remaining_ms: list[int] = []
 
-    async def handler(request: link_pb2.Request, _peer: str) -> Reply:
+    async def handler(request: link_pb2.Request, _peer: str, _body: Body) -> Reply:
         remaining_ms.append(request.context.remaining_ms)
         return link_pb2.Response()
 
@@ -71,7 +71,7 @@
     """Guard against a target that is told more time than is left."""
     remaining_ms: list[int] = []
 
-    async def handler(request: link_pb2.Request, _peer: str) -> Reply:
+    async def handler(request: link_pb2.Request, _peer: str, _body: Body) -> Reply:
         remaining_ms.append(request.context.remaining_ms)
         return link_pb2.Response()
 
@@ -125,7 +125,7 @@
     """Guard against runs of requests whose cancel stands behind others."""
     started: list[str] = []
 
-    async def handler(request: link_pb2.Request, _peer: str) -> Reply:
+    async def handler(request: link_pb2.Request, _peer: str, _body: Body) -> Reply:
         started.append(request.context.request_id)
         return link_pb2.Response()
 
@@ -151,7 +151,7 @@
     """Guard against deadlines that count from the read of a request."""
     started: list[str] = []
 
-    async def handler(request: link_pb2.Request, _peer: str) -> Reply:
+    async def handler(request: link_pb2.Request, _peer: str, _body: Body) -> Reply:
         started.append(request.path)
         return link_pb2.Response()
 
@@ -296,7 +296,7 @@
     clock = ManualClock()
     queue = StartQueue(clock)
 
-    async def handler(request: link_pb2.Request, _peer: str) -> Reply:
+    async def handler(request: link_pb2.Request, _peer: str, _body: Body) -> Reply:
         return link_pb2.Response(status=200)
 
     async def stay_behind() -> None:
@@ -381,7 +381,7 @@
     """Guard against runs of requests whose cancel arrives some ms later."""
     remaining_ms: list[int] = []
 
-    async def handler(request: link_pb2.Request, _peer: str) -> Reply:
+    async def handler(request: link_pb2.Request, _peer: str, _body: Body) -> Reply:
         remaining_ms.append(request.context.remaining_ms)
         return link_pb2.Response()
 
--- a/testing/daemon/test_link.py
+++ b/testing/daemon/test_link.py
@@ -10,6 +10,7 @@
 
 from eelgrassweir.clock import Clock
 from eelgrassweir.daemon.held_bytes import HeldBytes
+from eelgrassweir.daemon.http_message import Body
 from eelgrassweir.daemon.link_client import LinkError, LinkOptions, Reply
 from eelgrassweir.daemon.link_frames import (
     LENGTH,
@@ -26,7 +27,7 @@
 )
 
 
-async def echo(request: link_pb2.Request, peer: str) -> Reply:
+async def echo(request: link_pb2.Request, peer: str, _body: Body) -> Reply:
     """Answer with the path, after as many milliseconds as it says."""
     await asyncio.sleep(int(request.path) / 1e3)
     return link_pb2.Response(status=200, body=request.path.encode())
@@ -45,7 +46,7 @@
 
 @asynccontextmanager
 async def open_link(
-    handler: Callable[[link_pb2.Request, str], Awaitable[Reply]] = echo,
+    handler: Callable[[link_pb2.Request, str, Body], Awaitable[Reply]] = echo,
     options: LinkOptions = OPTIONS,
 ) -> AsyncIterator[tuple[LinkPool, str]]:
     """Start a link server; yield a pool that calls it and its address."""
@@ -128,7 +129,7 @@
     async def scenario() -> None:
         cancelled = asyncio.Event()
 
-        async def handler(request: link_pb2.Request, peer: str) -> Reply:
+        async def handler(request: link_pb2.Request, peer: str, _body: Body) -> Reply:
             try:
                 await asyncio.sleep(30)
             except asyncio.CancelledError:
@@ -278,7 +279,7 @@
     options = attrs.evolve(OPTIONS, waits_for_runs=True)
     runs: list[str] = []
 
-    async def run(request: link_pb2.Request, _peer: str) -> Reply:
+    async def run(request: link_pb2.Request, _peer: str, _body: Body) -> Reply:
         runs.append(request.path)
         await asyncio.sleep(0.1)
         return link_pb2.Response(status=200, body=request.path.encode())
@@ -322,7 +323,7 @@
 def test_exception_in_the_handler_is_a_reply() -> None:
     """Guard against a call that gets no reply after a handler error."""
 
-    async def handler(request: link_pb2.Request, peer: str) -> Reply:
+    async def handler(request: link_pb2.Request, peer: str, _body: Body) -> Reply:
         raise KeyError(request.path)
 
     async def scenario() -> None:
--- a/testing/daemon/test_many_fields.py
+++ b/testing/daemon/test_many_fields.py
@@ -60,8 +60,10 @@
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         await reader.readuntil(b"\r\n\r\n")
         writer.write(b"HTTP/1.1 200 OK\r\n" + 12_000 * b"a:b\r\n")
-        await reader.read()
-        writer.close()
+        try:
+            await reader.read()
+        finally:
+            writer.close()
 
     async def scenario() -> None:
         backend = await asyncio.start_server(serve, "127.0.0.1", 0)
--- a/testing/deploy/test_memory.py
+++ b/testing/deploy/test_memory.py
@@ -22,11 +22,8 @@
     make_route,
 )
 
-# Memory in MB of the VMs of the sites, and whether a body of LONG_BODY_BYTES
-# has to find room.
-MEMORY = pytest.mark.parametrize(
-    ("memory_mb", "holds_long_body"), [(200, False), (300, False), (552, True)]
-)
+# Memory in MB of the VMs of the sites.
+MEMORY = pytest.mark.parametrize("memory_mb", [200, 300, 552])
 READY_LIMIT_S = 20.0
 # Within the limit of the configuration, 64 MiB.
 LONG_BODY_BYTES = 66_060_288
@@ -150,9 +147,12 @@
 
 @MEMORY
 def test_long_bodies_leave_other_requests_alone(
-    built: Checkout, tmp_path: pathlib.Path, memory_mb: int, holds_long_body: bool
+    built: Checkout, tmp_path: pathlib.Path, memory_mb: int
 ) -> None:
-    """Guard against a body within the limits that ends a daemon (review/4)."""
+    """Guard against a body within the limits that ends a daemon (review/4).
+
+    In calm it is served, also on a small VM.
+    """
 
     async def scenario() -> None:
         site = make_site(built, tmp_path, memory_mb)
@@ -181,8 +181,9 @@
             assert status == 200
             for entry in site.vms:
                 status = await exchange(entry.listen["outbound"], long_request)
-                assert status == (200 if holds_long_body else 503)
+                assert status == 200
             assert not site.list_ended()
+            print("peaks in bytes:", *map(read_peak_bytes, site.vms))
             for each in site.vms:
                 assert read_peak_bytes(each) < memory_mb * 1e6
         finally:
@@ -191,7 +192,7 @@
     asyncio.run(scenario())
 
 
-@pytest.mark.parametrize("memory_mb", [200, 300, 552])
+@MEMORY
 def test_answers_without_end_leave_other_requests_alone(
     built: Checkout, tmp_path: pathlib.Path, memory_mb: int
 ) -> None:
@@ -241,7 +242,7 @@
 
 
 @pytest.mark.parametrize("is_local", [True, False], ids=["local", "link"])
-@pytest.mark.parametrize("memory_mb", [200, 300, 552])
+@MEMORY
 def test_unread_answers_leave_other_requests_alone(
     built: Checkout, tmp_path: pathlib.Path, memory_mb: int, is_local: bool
 ) -> None:
