Let bodies that stop arriving make room for other messages

What callers saw: clients that stop short of the end of long bodies and stay fill the pool, and everybody else's long body gets 503 for up to 30 s, until the time for a request is over.

Cause: room was taken in the order of arrival and kept until the body was complete or timed out.

Change: when room is needed, the bodies of which less than 64 KiB has arrived in 500 ms are refused as not run, the longest stalled first and only as many as the new message needs. Bytes that wait at this end do not count as stalled. It holds for bodies of callers and for those that arrive over links.

--- a/src/eelgrassweir/daemon/held_bytes.py
+++ b/src/eelgrassweir/daemon/held_bytes.py
@@ -14,6 +14,9 @@
     IncompleteHeads,
     compute_heads_limit_bytes,
 )
+from eelgrassweir.daemon.sparse_log import SparseLog
+
+BODY_REFUSED_MESSAGE_TYPE = "body:refused"
 
 # Memory of a VM that does not say how much it has: that of a small one.
 DEFAULT_MEMORY_MB = 200
@@ -35,7 +38,8 @@
 FIELDS_PER_COUNT = 64
 # Enough for the largest body that a link carries, 64 MiB.
 MAX_LIMIT_BYTES = COPIES * 68_157_440
-# A peer that has accepted no bytes for this time makes room for a message.
+# A peer that has accepted or sent no bytes for this time makes room for a
+# message.
 MIN_STALLED_S = 0.5
 # Part of the pool that received bytes without room may take beside it.
 WAITING_PART = 8
@@ -48,16 +52,18 @@
 
 
 class SlowPeer(Protocol):
-    """Connection that holds bytes which its peer has not accepted."""
+    """Connection that holds bytes for a peer that is slow or silent."""
 
-    size_bytes: int
+    @property
+    def size_bytes(self) -> int:
+        """Return the memory that is counted for the bytes."""
 
     @property
     def is_slow(self) -> bool:
-        """Return whether the peer has not accepted what was written."""
+        """Return whether the peer is to accept bytes, or to send more."""
 
     def get_stalled_s(self) -> float:
-        """Return the time for which the peer has accepted no bytes."""
+        """Return the time for which the peer has not done so."""
 
     def give_way(self) -> None:
         """Drop the bytes or the connection, and stop counting them."""
@@ -73,6 +79,9 @@
     _unsent: set[Callable[[], int]] = attrs.field(factory=set)
     # Peers whose connections may be ended for the sake of other messages.
     _slow_peers: set[SlowPeer] = attrs.field(factory=set)
+    refused_bodies_log: SparseLog = attrs.field(
+        factory=lambda: SparseLog(BODY_REFUSED_MESSAGE_TYPE)
+    )
     # Heads of requests that have not arrived as a whole, beside the pool.
     incomplete_heads: IncompleteHeads = attrs.field(init=False)
 
--- a/src/eelgrassweir/daemon/http_connection.py
+++ b/src/eelgrassweir/daemon/http_connection.py
@@ -23,6 +23,7 @@
     encode_response,
     split_absolute_form,
 )
+from eelgrassweir.daemon.incomplete_bodies import IncompleteBody
 from eelgrassweir.daemon.incomplete_heads import IncompleteHead
 from eelgrassweir.daemon.parse_turns import PacedReads
 from eelgrassweir.daemon.request_bounds import RequestBounds
@@ -148,6 +149,7 @@
         self._is_parsing_paused = False
         # The request that is being received.
         self._held = HeldRequest(server.held)
+        self._incomplete_body = self._make_incomplete_body()
         self._incomplete_head = IncompleteHead(
             server.held.incomplete_heads, self._refuse_incomplete_head
         )
@@ -163,8 +165,16 @@
         self._unaccepted_bytes = 0
         self._reset()
 
+    def _make_incomplete_body(self) -> IncompleteBody:
+        return IncompleteBody(
+            self._server.held,
+            self._held,
+            refuse=self._refuse_incomplete_body,
+            is_held_up=lambda: self._reads.is_waiting,
+        )
+
     def _reset(self) -> None:
-        self._held.release()
+        self._drop_body()
         self._incomplete_head.release()
         self._bounds.reset()
         self._path = b""
@@ -175,7 +185,6 @@
         self._read_head_bytes = 0
         self._field_bytes = 0
         self._has_head = False
-        self._body = bytearray()
         self._is_receiving = False
 
     # asyncio.Protocol
@@ -439,7 +448,7 @@
         limit_bytes = self._server.body_limit_bytes
         if len(self._body) + len(body) > limit_bytes:
             self._refuse("body_too_large", f"body above {limit_bytes} bytes")
-        elif not self._held.try_grow_body(len(body)):
+        elif not self._incomplete_body.try_grow(len(body)):
             reason = "no memory left for the body of the request"
             self._refuse("overloaded", reason, NO_MEMORY_RETRY_AFTER_MS)
         else:
@@ -467,7 +476,9 @@
             body=bytes(self._body) if is_inline else self._body,
             peer=self._peer,
         )
+        self._incomplete_body.release()
         held, self._held = self._held, HeldRequest(self._server.held)
+        self._incomplete_body = self._make_incomplete_body()
         self._drop_body()
         keep_alive = self._parser.should_keep_alive()
         self._pending.append(_Exchange(request, keep_alive, held, size_bytes))
@@ -623,6 +634,7 @@
     def _drop_body(self) -> None:
         """Free the received body; the parser keeps this object alive."""
         self._body = bytearray()
+        self._incomplete_body.release()
         self._held.release()
 
     def _drop_request(self) -> None:
@@ -642,6 +654,12 @@
         self._refuse("overloaded", reason, NO_MEMORY_RETRY_AFTER_MS)
         self._drop_request()
 
+    def _refuse_incomplete_body(self) -> None:
+        """Refuse the request whose body takes room and does not arrive."""
+        reason = "no memory left for a body that has stopped arriving"
+        self._refuse("overloaded", reason, NO_MEMORY_RETRY_AFTER_MS)
+        self._drop_request()
+
     def _count_unsent_bytes(self) -> int:
         """Return the size of the answers that the caller has not accepted."""
         if self._transport is None:
--- a/src/eelgrassweir/daemon/link_server.py
+++ b/src/eelgrassweir/daemon/link_server.py
@@ -14,6 +14,7 @@
 from eelgrassweir.daemon.connection_table import FULL_MESSAGE_TYPE
 from eelgrassweir.daemon.held_bytes import HeldRequest
 from eelgrassweir.daemon.http_message import Body
+from eelgrassweir.daemon.incomplete_bodies import IncompleteBody
 from eelgrassweir.daemon.link_client import (
     FRAME_OVERHEAD_BYTES,
     IDLE_TIMEOUT_MS,
@@ -184,6 +185,7 @@
     held: HeldRequest
     body: Body
     missing_bytes: int = 0
+    incomplete_body: IncompleteBody | None = None
     wait_ms: float = 0.0
     queued: QueuedStart | None = None
     task: asyncio.Task[None] | None = None
@@ -194,6 +196,8 @@
             self.queued.cancel()
         if self.task is not None:
             self.task.cancel()
+        if self.incomplete_body is not None:
+            self.incomplete_body.release()
         self.held.release()
 
 
@@ -395,6 +399,12 @@
             self._run_stream_ids.add(request.stream_id)
         if not running.missing_bytes:
             self._queue(running)
+            return
+        running.incomplete_body = IncompleteBody(
+            options.held,
+            running.held,
+            refuse=functools.partial(self._refuse_body, running),
+        )
 
     def _take_body_part(self, part: link_pb2.BodyPart) -> None:
         """Add a part to its body, unless the request has ended already."""
@@ -402,17 +412,22 @@
         if running is None:
             return
         size_bytes = len(part.content)
-        if not 0 < size_bytes <= running.missing_bytes:
+        incomplete_body = running.incomplete_body
+        if incomplete_body is None or not 0 < size_bytes <= running.missing_bytes:
             self.reject(f"a part of {size_bytes} bytes beyond its body")
-        elif not running.held.try_grow_body(size_bytes):
-            reason = "no memory left for the body of the request"
-            self._refuse(running, reason, NO_MEMORY_RETRY_AFTER_MS)
+        elif not incomplete_body.try_grow(size_bytes):
+            self._refuse_body(running)
         else:
             running.body += part.content
             running.missing_bytes -= size_bytes
             if not running.missing_bytes:
+                incomplete_body.release()
                 self._queue(running)
 
+    def _refuse_body(self, running: _RunningRequest) -> None:
+        reason = "no memory left for the body of the request"
+        self._refuse(running, reason, NO_MEMORY_RETRY_AFTER_MS)
+
     def _queue(self, running: _RunningRequest) -> None:
         """Let a request start that has arrived as a whole."""
         is_late = running.wait_ms >= LATE_REQUEST_MS
