Bound the messages of the product's own daemon by its memory

What callers saw: with many long bodies at once the daemon grew by 37 MB (ingress) and 38 MB (egress); each listener, the links and the client of the backend server had a pool of 100 MB of their own, whatever the memory of the VM.

Cause: no pool was given to them, so each made one. Besides, the C library took buffers of long bodies from its heap, where they left holes.

Change: one pool, sized by the new setting memory_mb (default 200 MB, with which the pool has the 100 MB that each had); large buffers are mapped apart, as in the platform's daemon, whose module for that moves to daemon/.

Crowds and bounds are as they were.

--- a/src/eelgrassweir/daemon/backend.py
+++ b/src/eelgrassweir/daemon/backend.py
@@ -6,6 +6,7 @@
 import attrs
 
 from eelgrassweir.clock import Clock
+from eelgrassweir.daemon.held_bytes import HeldBytes
 from eelgrassweir.daemon.http_client import BackendClient
 from eelgrassweir.daemon.parse_turns import ParseTurns
 
@@ -33,8 +34,10 @@
         clock: Clock,
         ttl_ms: int,
         body_limit_bytes: int,
+        held: HeldBytes | None = None,
         parse_turns: ParseTurns | None = None,
     ) -> None:
+        self._held = held
         self._parse_turns = parse_turns
         self._clock = clock
         self._ttl_ms = ttl_ms
@@ -55,6 +58,7 @@
             announcement.address,
             clock=self._clock,
             body_limit_bytes=self._body_limit_bytes,
+            held=self._held,
             parse_turns=self._parse_turns,
         )
 
--- a/src/eelgrassweir/daemon/main.py
+++ b/src/eelgrassweir/daemon/main.py
@@ -35,8 +35,10 @@
 def run(settings: Settings) -> None:
     """Run the daemon until it has stopped."""
     # Imported late, so that --check starts quickly.
+    from eelgrassweir.daemon.allocator import map_large_buffers
     from eelgrassweir.daemon.app import Application
 
+    map_large_buffers()
     asyncio.run(Application(settings).run())
 
 
--- a/src/eelgrassweir/daemon/request_path.py
+++ b/src/eelgrassweir/daemon/request_path.py
@@ -21,6 +21,7 @@
 from eelgrassweir.daemon.egress import EgressService
 from eelgrassweir.daemon.entry import EntryService
 from eelgrassweir.daemon.gate import Gate
+from eelgrassweir.daemon.held_bytes import HeldBytes, compute_limit_bytes
 from eelgrassweir.daemon.http_message import HttpRequest, HttpResponse
 from eelgrassweir.daemon.http_server import HttpServer, make_refusal_response
 from eelgrassweir.daemon.identity import Identity
@@ -84,6 +85,7 @@
         self._tls = tls
         self.start_queue = StartQueue(clock)
         self.parse_turns = ParseTurns()
+        self.held = HeldBytes(compute_limit_bytes(settings.memory_mb))
         # Identifiers must differ between daemons and runs with the same seed.
         system_rng = random.SystemRandom()
         options = LinkOptions(
@@ -93,12 +95,14 @@
             silence_ms=settings.link_silence_ms,
             body_limit_bytes=settings.max_body_bytes,
             tls=tls.link_client.context if tls.link_client else None,
+            held=self.held,
             start_queue=self.start_queue,
         )
         self.backend = LocalBackend(
             clock=clock,
             ttl_ms=settings.announce_ttl_ms,
             body_limit_bytes=settings.max_body_bytes,
+            held=self.held,
             parse_turns=self.parse_turns,
         )
         disabled = settings.disabled_mechanisms
@@ -176,6 +180,7 @@
             self._handle_caller,
             body_limit_bytes=body_limit_bytes,
             idle_timeout_s=settings.caller_idle_ms / 1e3,
+            held=self.held,
             start_queue=self.start_queue,
             parse_turns=self.parse_turns,
             get_priority=lambda _: link_pb2.NORMAL,
@@ -183,6 +188,7 @@
         self.egress_server = HttpServer(
             self.egress.handle,
             body_limit_bytes=body_limit_bytes,
+            held=self.held,
             start_queue=self.start_queue,
             parse_turns=self.parse_turns,
             # Their root requests are in progress.
--- a/src/eelgrassweir/mesh/main.py
+++ b/src/eelgrassweir/mesh/main.py
@@ -17,13 +17,13 @@
 from returns.result import Failure, Result
 
 from eelgrassweir.clock import Clock
+from eelgrassweir.daemon.allocator import map_large_buffers
 from eelgrassweir.daemon.held_bytes import (
     DEFAULT_MEMORY_MB,
     HeldBytes,
     compute_limit_bytes,
 )
 from eelgrassweir.mesh.adapter import PlatformAdapter
-from eelgrassweir.mesh.allocator import map_large_buffers
 from eelgrassweir.mesh.app import Application
 from eelgrassweir.mesh.library_logs import log_library_messages
 from eelgrassweir.mesh.log_output import LogOutput
--- a/src/eelgrassweir/settings/generated.py
+++ b/src/eelgrassweir/settings/generated.py
@@ -36,6 +36,7 @@
     link_ping_ms: int = 250
     link_silence_ms: int = 750
     max_body_bytes: int = 1048576
+    memory_mb: int = 200
     record_body_bytes: int = 65536
     record_total_bytes: int = 4194304
     ticket_life_ms: int = 300000
@@ -216,6 +217,13 @@
         minimum=1024,
         maximum=67108864,
     ),
+    Field(
+        name="memory_mb",
+        kind="integer",
+        required=False,
+        minimum=64,
+        maximum=1048576,
+    ),
     Field(
         name="record_body_bytes",
         kind="integer",
--- a/testing/mesh/test_allocator.py
+++ b/testing/daemon/test_allocator.py
@@ -9,7 +9,7 @@
 # that small ones lie behind, and prints what stays in KB.
 PROGRAM = """
 import sys
-from eelgrassweir.mesh.allocator import map_large_buffers
+from eelgrassweir.daemon.allocator import map_large_buffers
 
 def read_kb():
     with open("/proc/self/statm") as status:
--- a/testing/daemon/test_uncontrolled_clients.py
+++ b/testing/daemon/test_uncontrolled_clients.py
@@ -9,6 +9,7 @@
 import pathlib
 import resource
 from collections.abc import Awaitable, Callable, Iterator
+from typing import Any
 
 import pytest
 import urllib3
@@ -22,6 +23,8 @@
 
 HEAD_BYTES = 32_768
 BODY_BYTES = 4_194_304
+# The pool of messages in progress has 16 MiB.
+BODY_SETTINGS = {"memory_mb": 110, "max_body_bytes": BODY_BYTES}
 BODY_FORMS = make_body_attacks("/fichero/view", BODY_BYTES)
 LISTENERS = ("ingress", "egress", "link", "control", "admin")
 VM = "fichero-1"
@@ -94,10 +97,15 @@
 
 
 def run_crowd(
-    folder: pathlib.Path, listener: str, form: Attack, *, answers_during: bool
+    folder: pathlib.Path,
+    listener: str,
+    form: Attack,
+    *,
+    answers_during: bool,
+    settings: dict[str, Any] | None = None,
 ) -> None:
     """Check a daemon while and after a crowd calls one of its listeners."""
-    fleet = Fleet(SHAPE, folder)
+    fleet = Fleet(SHAPE, folder, settings=settings)
     with limited_descriptors():
         fleet.start()
     with contextlib.closing(fleet):
@@ -129,7 +137,7 @@
 @pytest.mark.parametrize("form", BODY_FORMS, ids=lambda f: f.name)
 def test_callers_with_many_bodies(tmp_path: pathlib.Path, form: Attack) -> None:
     """Guard against callers whose bodies take the memory or all turns."""
-    run_crowd(tmp_path, "ingress", form, answers_during=True)
+    run_crowd(tmp_path, "ingress", form, answers_during=True, settings=BODY_SETTINGS)
 
 
 @pytest.mark.processes
@@ -139,4 +147,4 @@
     tmp_path: pathlib.Path, listener: str, form: Attack
 ) -> None:
     """Guard against bodies to the other listeners that end the daemon."""
-    run_crowd(tmp_path, listener, form, answers_during=True)
+    run_crowd(tmp_path, listener, form, answers_during=True, settings=BODY_SETTINGS)
