Take no bodies above 64 KiB at the control, ready and admin listeners

They took bodies of up to 64 MiB, as the callers' listener does, although a heartbeat has some hundred bytes and a question none. 413 now.

Evidence: test_local_listeners_take_no_long_bodies gets 404 for 100,000 bytes on the parent, 413 now.

--- a/src/eelgrassweir/mesh/app.py
+++ b/src/eelgrassweir/mesh/app.py
@@ -77,8 +77,11 @@
 # Bounds of the connections of the platform and of operators, by listener.
 LOCAL_CONNECTIONS_PERCENT = 5
 MAX_LOCAL_CONNECTIONS = 256
-# Body limit of the servers until a configuration sets one.
+# Body limit of callers until a configuration sets one, and of answers.
 BODY_LIMIT_BYTES = 67_108_864
+# Body limit of the platform and of operators. A heartbeat has some hundred
+# bytes.
+LOCAL_BODY_LIMIT_BYTES = 65_536
 LINK_CONNECT_TIMEOUT_MS = 300
 BACKEND_CONNECT_TIMEOUT_MS = 300
 # The backend server runs on this VM, which acknowledges TCP segments within
@@ -707,7 +710,9 @@
         limit = ConnectionLimit(
             percent=LOCAL_CONNECTIONS_PERCENT, max_connections=MAX_LOCAL_CONNECTIONS
         )
-        return self._make_server(handler, connection_limit=limit)
+        return self._make_server(
+            handler, connection_limit=limit, body_limit_bytes=LOCAL_BODY_LIMIT_BYTES
+        )
 
     def _make_server(
         self,
@@ -715,10 +720,11 @@
         on_unanswered: UnansweredHandler | None = None,
         get_priority: Callable[[HttpRequest], int] | None = None,
         connection_limit: ConnectionLimit | None = None,
+        body_limit_bytes: int = BODY_LIMIT_BYTES,
     ) -> HttpServer:
         return HttpServer(
             handler,
-            body_limit_bytes=BODY_LIMIT_BYTES,
+            body_limit_bytes=body_limit_bytes,
             render=self._adapter.make_refusal_response,
             sends_idle_refusal=False,
             on_read=self.coalescer.record_read,
--- a/testing/mesh/test_uncontrolled_bodies.py
+++ b/testing/mesh/test_uncontrolled_bodies.py
@@ -10,11 +10,14 @@
 
 import pytest
 
+from eelgrassweir.daemon.http_message import HttpRequest
+from testing.deploy.site import exchange
 from testing.mesh.client_crowd import Attack, make_body_attacks
 from testing.mesh.crowd_check import check_crowd
 from testing.mesh.crowd_target import (
     BODY_BYTES,
     is_caller_served,
+    is_heartbeat_taken,
     make_probes,
     run_target,
 )
@@ -23,6 +26,7 @@
 # A path of the route that the daemon serves.
 PATH = "/a/1"
 FORMS = make_body_attacks(PATH, BODY_BYTES)
+LONG_BODY_BYTES = 100_000
 # The other listeners answer nothing as long as these.
 OTHER_FORMS = [
     form for form in FORMS if form.name in ("whole_bodies", "one_byte_chunks")
@@ -47,6 +51,26 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.processes
+def test_local_listeners_take_no_long_bodies(tmp_path: pathlib.Path) -> None:
+    """Guard against bodies that no heartbeat or question has."""
+
+    async def scenario() -> None:
+        backend = BackendStandIn("notes", "i-0")
+        async with run_target(tmp_path, backend) as daemon:
+            settings = daemon.settings
+            for address in (
+                settings.control_address,
+                settings.ready_address,
+                settings.admin_address,
+            ):
+                request = HttpRequest("POST", "/", (), b"a" * LONG_BODY_BYTES)
+                assert await exchange(address, request) == 413
+            assert await is_heartbeat_taken(backend, settings)
+
+    asyncio.run(scenario())
+
+
 @pytest.mark.processes
 @pytest.mark.parametrize("form", OTHER_FORMS, ids=lambda f: f.name)
 @pytest.mark.parametrize("purpose", ["link", "control", "ready", "admin"])
