Free bodies of cancelled requests, and of those that came over a link

Besides, a cancelled task keeps its error, and with it the frames that hold the request, which holds the task; so bodies of callers that leave stayed too, here and at a caller's connection.

Change: the request drops the tracker once the body is complete or dropped, and its task when it cancels it.

--- a/src/eelgrassweir/daemon/http_connection.py
+++ b/src/eelgrassweir/daemon/http_connection.py
@@ -619,6 +619,8 @@
             exchange.queued.cancel()
             if exchange.task is not None:
                 exchange.task.cancel()
+                # A cancelled task refers to its frames, and so to the request.
+                exchange.task = None
             if self._server.on_unanswered is not None:
                 self._server.on_unanswered(exchange.request, reason)
         self._pending.clear()
--- a/src/eelgrassweir/daemon/link_server.py
+++ b/src/eelgrassweir/daemon/link_server.py
@@ -196,9 +196,19 @@
             self.queued.cancel()
         if self.task is not None:
             self.task.cancel()
+            # A cancelled task refers to its frames, and so to this request.
+            self.task = None
+        self.end_body()
+        self.held.release()
+
+    def end_body(self) -> None:
+        """Let the body keep its room: it is complete, or dropped.
+
+        The two refer to each other, and would keep the body in a cycle.
+        """
         if self.incomplete_body is not None:
             self.incomplete_body.release()
-        self.held.release()
+            self.incomplete_body = None
 
 
 class LinkSession(FrameProtocol):
@@ -421,7 +431,7 @@
             running.body += part.content
             running.missing_bytes -= size_bytes
             if not running.missing_bytes:
-                incomplete_body.release()
+                running.end_body()
                 self._queue(running)
 
     def _refuse_body(self, running: _RunningRequest) -> None:
